Catch SIGHUP, turn chunked requests away, send no empty 200

The first list asked for since=0 may be a change only (all false, rev 0), so a new address must be asked for the whole list: GET without follow, and a watch from there. At fault: main.go caught no SIGHUP; ServeHTTP could not see Content-Length beside Transfer-Encoding, for net/http drops it; ServeHTTP returned without writing when the client had closed its side. Now: reload reads the file, its discovery wins, events of the old watcher are dropped in the loop. Requests with Transfer-Encoding get 411 and a close. Handlers of clients that have gone abort.

--- a/cmd/quincegap/main.go
+++ b/cmd/quincegap/main.go
@@ -14,11 +14,12 @@
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	stop := make(chan os.Signal, 1)
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP) // first of all: uncaught, it ends the process
 	config, err := sidecar.LoadConfig(os.Getenv)
 	if err == nil {
-		err = sidecar.Run(config, stop)
+		err = sidecar.Run(config, stop, reload)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "quincegap: "+err.Error())
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -22,6 +22,8 @@
 	Limits    Limits
 	Known     endpointList // the endpoints as this sidecar last had them; may be old
 	Settings  settings.Settings
+
+	getenv func(string) string // where it was loaded from
 }
 
 // Limits are those of the machine the sidecar runs on.
@@ -34,6 +36,16 @@
 // LoadConfig reads the configuration file that BALANCER_CONFIG names.
 // BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY win over the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
+	return load(getenv, true)
+}
+
+// reload reads the file again. Whoever replaced it meant its discovery: the environment is as old as the
+// process, and wins no more.
+func (c *Config) reload() (*Config, error) {
+	return load(c.getenv, false)
+}
+
+func load(getenv func(string) string, envDiscovery bool) (*Config, error) {
 	path := getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("BALANCER_CONFIG: not set")
@@ -54,10 +66,12 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits}
-	for variable, value := range map[string]*string{
-		"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen, "BALANCER_DISCOVERY": &c.Discovery,
-	} {
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, getenv: getenv}
+	fromEnv := map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen}
+	if envDiscovery {
+		fromEnv["BALANCER_DISCOVERY"] = &c.Discovery
+	}
+	for variable, value := range fromEnv {
 		if v := getenv(variable); v != "" {
 			*value = v
 		}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -25,12 +25,12 @@
 
 	config    *Config
 	rev       uint64 // version of the list that the Balancer has
+	moved     bool   // that list is another discovery's than the one that is followed now
 	balancer  *gingerlead.Balancer
 	requests  map[gingerlead.RequestID]*request
 	endpoints *endpoints
 	pool      pool
 	watcher   *watcher
-	fetching  bool
 }
 
 // request is one request from its arrival until it is answered and its last attempt has ended.
@@ -59,7 +59,7 @@
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
-	l.watcher = newWatcher(c, l)
+	l.watcher = newWatcher(c.Discovery, l)
 	var err error
 	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
 	return l, err
@@ -74,7 +74,7 @@
 func (l *loop) run() {
 	l.targets(l.config.Known, fromCache)
 	if !l.config.Settings.MustAsk {
-		l.watcher.start(l.rev)
+		l.watcher.start(l.place())
 	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -209,36 +209,53 @@
 func (l *loop) Watch(on bool) {
 	l.watcher.stop()
 	if on {
-		l.watcher.start(l.rev)
+		l.watcher.start(l.place())
 	}
 }
 
-func (l *loop) Fetch() {
-	if l.fetching {
-		return
-	}
-	l.fetching = true
-	go func() {
-		got, err := l.watcher.fetch()
-		l.post(func() {
-			l.fetching = false
-			if err != nil {
-				l.listFailed(err)
-				return
-			}
-			l.targets(got, fromFetch)
-		})
-	}()
-}
+func (l *loop) Fetch() { l.watcher.fetch() }
 
 func (l *loop) CloseIdle(to gingerlead.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
 
 func (l *loop) Log(text string) { log.Print(text) }
 
+// follow turns to the discovery at another address. Its versions may count otherwise, so its whole list is
+// asked for, and nothing that the old one still says is heard. Until that comes, the list stays as it is.
+func (l *loop) follow(address string) {
+	l.watcher.stop()
+	l.watcher = newWatcher(address, l)
+	l.moved = true
+	l.watcher.fetch()
+	if l.config.Settings.MustAsk {
+		l.balancer.Targets(l.now(), gingerlead.List{Kind: gingerlead.Failed}) // it watches in its own time
+		return
+	}
+	l.watcher.start(nil)
+}
+
+// place is where a watch goes on from: the version of the list, nil for the whole list.
+func (l *loop) place() *uint64 {
+	if l.moved {
+		return nil
+	}
+	rev := l.rev
+	return &rev
+}
+
 // targets takes a list in, first into the table of endpoints, so that what the Balancer then sends finds
 // its address.
 func (l *loop) targets(got endpointList, from source) {
-	if from == fromFetch && got.Rev < l.rev || from == fromWatch && !got.All && got.Rev <= l.rev {
+	switch {
+	case l.moved && !got.All:
+		return // changes to a list that the Balancer has not got
+	case l.moved:
+		l.moved = false
+		if from == fromFetch && !l.config.Settings.MustAsk {
+			// The watch may have brought changes before this list, that were passed over.
+			l.watcher.stop()
+			l.watcher.start(&got.Rev)
+		}
+	case from == fromFetch && got.Rev < l.rev || from == fromWatch && !got.All && got.Rev <= l.rev:
 		return // older than what the Balancer has: an endpoint that left would come back
 	}
 	l.rev = got.Rev
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -134,6 +134,13 @@
 		s.write(w, answer{refused: true})
 		return
 	}
+	// A chunked body may hide another request: net/http drops the Content-Length that contradicts it, so the
+	// pair cannot be seen here. No client of a booking service needs chunks.
+	if len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "a request must tell its Content-Length", http.StatusLengthRequired)
+		return
+	}
 	// The limit on reading holds for the body alone. Left in place, it would pass for the client going away.
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(readTimeout))
@@ -161,6 +168,8 @@
 		s.write(w, a)
 	case <-r.Context().Done():
 		s.loop.post(func() { s.loop.lapse(req) })
+		// To return would send an empty 200 to a client that has closed only its side.
+		panic(http.ErrAbortHandler)
 	}
 }
 
