Read answers strictly and within bounds, and make room by who says nothing

Ruled out: CPU (0.08 of a core at most); an answer's tie to its request (there is none, neither in headers nor in the body); extras that come late (29 of 29 came in the same read; a rest of 1 ms and a look before the write guard against the others). At fault: upstream.go read (http.ReadResponse has no bound, and everything unreadable was a Reset), server.go admit and readTimeout. Now: heads and bodies are bounded as they are read; the new outcome Spoilt tells the module that it may have run and the endpoint is well; also where one connection breaks while another one of the endpoint stands. Mute connections go first, then idle ones, then slow ones. A whole request must come within 2.5 s. An id that ended less than 10 s ago is taken.

--- a/balancer.go
+++ b/balancer.go
@@ -697,7 +697,7 @@
 // judge learns from an outcome about its endpoint and the fleet.
 func (b *Balancer) judge(now time.Duration, r *request, e *endpoint, o Outcome) {
 	switch o.Status {
-	case OK, Error, Full, Reset:
+	case OK, Error, Full, Reset, Spoilt:
 		e.lastAnswer = now
 		b.answered++
 	}
@@ -714,6 +714,8 @@
 			b.restore(now, e)
 		}
 		return
+	case Spoilt:
+		return // it tells nothing of the endpoint but that it answers: every one sends some
 	case Error:
 		b.noteError(e, 1)
 		b.debt(now, e, r.class, errorDebt)
--- /dev/null
+++ b/internal/sidecar/callers.go
@@ -0,0 +1,191 @@
+package sidecar
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// stage is how far the request has come that a caller's connection is to bring.
+type stage int
+
+const (
+	mute    stage = iota // new, and has said nothing
+	idle                 // its last request is answered
+	reading              // some of a request has come
+	serving              // a request has been read
+	stages
+)
+
+// caller is a connection from a caller.
+type caller struct {
+	net.Conn
+	callers *callers
+	stage   stage // callers.mu guards these
+	at      *list.Element
+	began   time.Time // when the request that it brings began, or its connection
+	over    bool      // it came when there was no room
+}
+
+// callers bounds the connections from callers. Accepting never waits: a connection in the backlog may already
+// hold a request.
+type callers struct {
+	net.Listener
+	most int
+
+	mu     sync.Mutex
+	open   int
+	stages [stages]list.List // of *caller, the longest in its stage first
+	newest time.Time         // when the last connection came
+}
+
+// slowAfter is how long a request may take to come before its connection is in the way of others.
+const slowAfter = time.Second
+
+// Accept takes the next connection in. It is never one that finds no room.
+func (cs *callers) Accept() (net.Conn, error) {
+	for {
+		raw, err := cs.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &caller{Conn: raw, callers: cs, began: time.Now()}
+		if cs.admit(c) {
+			return c, nil
+		}
+		raw.Close()
+	}
+}
+
+// admit makes room for a connection. Those that have said nothing go first, then idle ones, whose clients may
+// send what crosses that on another, then those whose request takes long to come. If there are none, the new
+// one's request is turned away, for to cut it off would lose it.
+func (cs *callers) admit(c *caller) bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.newest = c.began
+	if cs.open >= cs.most && !cs.makeRoom(c.began) {
+		if cs.open >= cs.most+excessSockets {
+			return false
+		}
+		c.over = true
+	}
+	cs.open++
+	c.at = cs.stages[mute].PushBack(c)
+	return true
+}
+
+func (cs *callers) makeRoom(now time.Time) bool {
+	for at := cs.stages[mute].Front(); at != nil; at = at.Next() {
+		if c := at.Value.(*caller); !c.waiting() {
+			cs.drop(c)
+			return true
+		}
+	}
+	if at := cs.stages[idle].Front(); at != nil {
+		cs.drop(at.Value.(*caller))
+		return true
+	}
+	if at := cs.stages[reading].Front(); at != nil && now.Sub(at.Value.(*caller).began) > slowAfter {
+		cs.drop(at.Value.(*caller))
+		return true
+	}
+	return false
+}
+
+// waiting tells whether something has come that its handler has not yet been able to read.
+func (c *caller) waiting() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	n, _ := peekByte(raw)
+	return n > 0
+}
+
+// drop ends a connection; its handler sees that when it next reads.
+func (cs *callers) drop(c *caller) {
+	c.Conn.Close()
+	cs.forget(c)
+}
+
+func (cs *callers) forget(c *caller) {
+	if c.at != nil {
+		cs.stages[c.stage].Remove(c.at)
+		c.at = nil
+		cs.open--
+	}
+}
+
+// move notes how far a connection has come.
+func (cs *callers) move(c *caller, to stage) {
+	if c.at != nil {
+		cs.stages[c.stage].Remove(c.at)
+		c.stage = to
+		c.at = cs.stages[to].PushBack(c)
+	}
+}
+
+// Read notes when a request begins.
+func (c *caller) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.callers.mu.Lock()
+		if c.stage == mute || c.stage == idle {
+			if c.stage == idle {
+				c.began = time.Now()
+			}
+			c.callers.move(c, reading)
+		}
+		c.callers.mu.Unlock()
+	}
+	return n, err
+}
+
+// CloseWrite lets net/http end its side first, so that a client that is still sending reads its answer.
+func (c *caller) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
+// state follows net/http's word of a connection.
+func (cs *callers) state(c net.Conn, state http.ConnState) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	switch from := c.(*caller); state {
+	case http.StateIdle:
+		from.began = time.Now() // the next request may have come already
+		cs.move(from, idle)
+	case http.StateClosed, http.StateHijacked:
+		cs.forget(from)
+	}
+}
+
+// taken notes that a request's headers have come, and tells when it began and whether there is room for it.
+func (c *caller) taken() (began time.Time, over bool) {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	return c.began, c.over
+}
+
+// served notes that a request has come whole.
+func (c *caller) served() {
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	c.callers.move(c, serving)
+}
+
+// lastCame is when the last connection came.
+func (cs *callers) lastCame() time.Time {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.newest
+}
+
+type callerKey struct{}
+
+// withCaller puts a connection into the context of its requests.
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, c)
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -28,6 +28,7 @@
 	moved     bool   // that list is another discovery's than the one that is followed now
 	balancer  *gingerlead.Balancer
 	requests  map[gingerlead.RequestID]*request
+	past      past
 	endpoints *endpoints
 	pool      pool
 	watcher   *watcher
@@ -91,7 +92,7 @@
 // arrive takes a request from its handler.
 func (l *loop) arrive(r *request, received time.Time) {
 	switch limit := l.config.Settings.OpenCap; {
-	case l.requests[r.ID] != nil:
+	case l.requests[r.ID] != nil || l.past.has(r.ID, l.now()):
 		r.answer <- answer{} // the id is taken: nothing may be promised of it
 		return
 	case limit > 0 && len(l.requests) >= limit:
@@ -122,6 +123,11 @@
 	r := a.request
 	l.pool.release(a.endpoint, res.conn)
 	r.out = nil
+	if res.status == gingerlead.Reset && l.pool.alive(a.endpoint) {
+		// A process that ends takes all its connections along. Taken for that, one broken connection would
+		// cost a sound endpoint its place, and then a slow start.
+		res.status = gingerlead.Spoilt
+	}
 	final := r.answered
 	if res.status == gingerlead.OK && !r.answered {
 		final = true
@@ -129,7 +135,7 @@
 	}
 	l.balancer.Outcome(l.now(), gingerlead.Outcome{
 		ID: r.ID, Endpoint: a.endpoint.id, Attempt: a.number, Final: final,
-		Elapsed: time.Since(a.sent), Status: res.status, Load: res.load,
+		Elapsed: res.took, Status: res.status, Load: res.load,
 	})
 	l.forget(r)
 }
@@ -146,7 +152,37 @@
 func (l *loop) forget(r *request) {
 	if r.answered && r.out == nil && l.requests[r.ID] == r {
 		delete(l.requests, r.ID)
+		l.past.add(r.ID, l.now())
+	}
+}
+
+const (
+	pastFor  = 10 * time.Second
+	pastMost = 4096
+)
+
+// past holds the ids of requests that have ended a short while ago. An id is new with every request: one that
+// comes again is another's, and endpoints may run it twice or turn it away.
+type past struct {
+	at  map[gingerlead.RequestID]time.Duration
+	ids []gingerlead.RequestID // in the order in which they ended
+}
+
+func (p *past) add(id gingerlead.RequestID, now time.Duration) {
+	if p.at == nil {
+		p.at = map[gingerlead.RequestID]time.Duration{}
 	}
+	for len(p.ids) > 0 && (len(p.ids) >= pastMost || now-p.at[p.ids[0]] > pastFor) {
+		delete(p.at, p.ids[0])
+		p.ids = p.ids[1:]
+	}
+	p.at[id] = now
+	p.ids = append(p.ids, id)
+}
+
+func (p *past) has(id gingerlead.RequestID, now time.Duration) bool {
+	at, ok := p.at[id]
+	return ok && now-at <= pastFor
 }
 
 // The methods below are the Host. They never block and never call the Balancer.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,16 +1,11 @@
 package sidecar
 
 import (
-	"container/list"
 	"context"
-	"errors"
-	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,11 +17,14 @@
 	// excessSockets: callers that come when all connections are busy, and are turned away.
 	reservedSockets = 32
 	excessSockets   = 12
-	readTimeout     = 10 * time.Second // for a request's headers, and for its body
-	idleTimeout     = 2 * time.Minute
-	writeTimeout    = 10 * time.Second // beyond the longest deadline
-	maxHeader       = 32 << 10
-	maxRemaining    = time.Hour
+	// readTimeout is for a whole request, from the first byte or, of the first one, from the connection on:
+	// who takes longer is in the way of others.
+	readTimeout  = 2500 * time.Millisecond
+	idleTimeout  = 30 * time.Second
+	writeTimeout = 10 * time.Second // beyond the longest deadline
+	maxHeader    = 8 << 10
+	maxName      = 128 // bytes of an id
+	maxRemaining = time.Hour
 	// quietAfter is how long no new connection must have come before a sidecar that was told to stop
 	// closes its listener, and what waits in the backlog is lost.
 	quietAfter = 500 * time.Millisecond
@@ -36,7 +34,7 @@
 // inbound is what goes on to an endpoint unchanged.
 type inbound struct {
 	method string
-	url    *url.URL
+	target string // as the client wrote it
 	host   string
 	header http.Header
 	body   []byte
@@ -53,18 +51,12 @@
 	quiet    time.Duration // see quietAfter
 	stopping atomic.Bool
 
-	mu     sync.Mutex // guards the connections
-	open   int
-	most   int
-	idle   list.List // of net.Conn, the longest idle first
-	idleAt map[net.Conn]*list.Element
-	newest time.Time // when the last connection came
+	callers callers
 }
 
 func newServer(c *Config, l *loop) *server {
-	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
-		most:   int((1 - outboundShare) * float64(c.Limits.Sockets-reservedSockets)),
-		idleAt: map[net.Conn]*list.Element{}}
+	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter}
+	s.callers.most = int((1 - outboundShare) * float64(c.Limits.Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -73,55 +65,12 @@
 		s.tenants[tenant.Name] = i
 	}
 	s.http = http.Server{
-		Handler: s, ConnContext: s.admit, ConnState: s.connState, MaxHeaderBytes: maxHeader,
+		Handler: s, ConnContext: withCaller, ConnState: s.callers.state, MaxHeaderBytes: maxHeader,
 		ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: s.longest + writeTimeout,
 	}
 	return s
 }
 
-// excess marks the context of a connection that came when all others were busy.
-type excess struct{}
-
-// admit keeps inbound connections under their share of the sockets. Where there are too many, the one that
-// has been idle the longest goes: the client may send what crosses that on a new one. If none is idle, the
-// new one's request is turned away, for to cut it off would lose it. Accepting itself never waits: a
-// connection in the backlog may already hold a request.
-func (s *server) admit(ctx context.Context, c net.Conn) context.Context {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.newest = time.Now()
-	s.open++
-	first := s.idle.Front()
-	switch {
-	case s.open <= s.most:
-	case first != nil:
-		s.idle.Remove(first)
-		delete(s.idleAt, first.Value.(net.Conn))
-		first.Value.(net.Conn).Close()
-	case s.open <= s.most+excessSockets:
-		return context.WithValue(ctx, excess{}, true)
-	default:
-		c.Close()
-	}
-	return ctx
-}
-
-// connState notes which connections are idle, and which have closed.
-func (s *server) connState(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at := s.idleAt[c]; at != nil && state != http.StateIdle {
-		s.idle.Remove(at)
-		delete(s.idleAt, c)
-	}
-	switch state {
-	case http.StateIdle:
-		s.idleAt[c] = s.idle.PushBack(c)
-	case http.StateClosed, http.StateHijacked:
-		s.open--
-	}
-}
-
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/ready" && r.Header.Get("X-Txn") == "" {
 		if !s.loop.ready.Load() || s.stopping.Load() {
@@ -129,39 +78,34 @@
 		}
 		return
 	}
-	if r.Context().Value(excess{}) != nil {
+	c := r.Context().Value(callerKey{}).(*caller)
+	began, over := c.taken()
+	if over {
 		w.Header().Set("Connection", "close")
 		s.write(w, answer{refused: true})
 		return
 	}
-	// A chunked body may hide another request: net/http drops the Content-Length that contradicts it, so the
-	// pair cannot be seen here. No client of a booking service needs chunks.
-	if len(r.TransferEncoding) > 0 {
+	req, status, fault := s.parse(r)
+	if fault != "" {
+		// What follows on the connection may be no request.
 		w.Header().Set("Connection", "close")
-		http.Error(w, "a request must tell its Content-Length", http.StatusLengthRequired)
+		http.Error(w, fault, status)
 		return
 	}
 	// The limit on reading holds for the body alone. Left in place, it would pass for the client going away.
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(readTimeout))
-	body, err := readAll(r.Body, r.ContentLength)
+	control.SetReadDeadline(began.Add(readTimeout))
+	body, err := readAll(r.Body)
 	control.SetReadDeadline(time.Time{})
-	received := time.Now()
-	switch {
-	case errors.Is(err, errTooLarge):
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	case err != nil:
+	if err != nil {
+		w.Header().Set("Connection", "close")
 		http.Error(w, "request body cut short", http.StatusBadRequest)
 		return
 	}
-	req, fault := s.parse(r)
-	if fault != "" {
-		http.Error(w, fault, http.StatusBadRequest)
-		return
-	}
+	received := time.Now()
+	c.served()
 	removeHopByHop(r.Header)
-	req.inbound = inbound{method: r.Method, url: r.URL, host: r.Host, header: r.Header, body: body}
+	req.inbound = inbound{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: body}
 	s.loop.post(func() { s.loop.arrive(req, received) })
 	select {
 	case a := <-req.answer:
@@ -173,28 +117,62 @@
 	}
 }
 
+// single are the headers that must not be repeated: of two, an endpoint may read the other one.
+var single = []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining", "Idempotency-Key"}
+
 // parse reads what the Balancer is told of a request, or names what is wrong with it.
-func (s *server) parse(r *http.Request) (req *request, fault string) {
+func (s *server) parse(r *http.Request) (req *request, status int, fault string) {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		// A chunked body may hide another request: net/http drops the Content-Length that contradicts it, so
+		// the pair cannot be seen here. Callers know the length of what they send.
+		return nil, http.StatusLengthRequired, "a request must tell its Content-Length"
+	case r.ContentLength > maxBody:
+		return nil, http.StatusRequestEntityTooLarge, "request body too large"
+	}
+	if req, fault = s.read(r); fault != "" {
+		return nil, http.StatusBadRequest, fault
+	}
+	return req, 0, ""
+}
+
+func (s *server) read(r *http.Request) (req *request, fault string) {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, "not a path: this is no proxy for other hosts"
+	}
+	for _, name := range single {
+		if len(r.Header[name]) > 1 {
+			return nil, name + ": repeated"
+		}
+	}
 	req = &request{answer: make(chan answer, 1)}
 	req.ID = gingerlead.RequestID(r.Header.Get("X-Txn"))
-	if req.ID == "" {
-		return nil, "X-Txn: missing"
+	if req.ID == "" || len(req.ID) > maxName {
+		return nil, "X-Txn: missing or too long"
 	}
 	var ok bool
 	if req.Class, ok = s.classes[r.Header.Get("X-Lane")]; !ok {
 		return nil, "X-Lane: unknown class"
 	}
+	class := &s.config.Settings.Classes[req.Class]
 	if req.Left, ok = parseRemaining(r.Header.Get("X-Remaining")); !ok {
 		return nil, "X-Remaining: not a time in m or u that can be waited"
 	}
+	if class.Deadline > 0 {
+		// No client waits longer; the Balancer would learn from it how long they do.
+		req.Left = min(req.Left, class.Deadline)
+	}
 	if len(s.tenants) > 0 {
 		if req.Tenant, ok = s.tenants[r.Header.Get("X-Org")]; !ok {
 			return nil, "X-Org: unknown tenant"
 		}
 	}
-	if s.config.Settings.Classes[req.Class].Effect == gingerlead.Keyed && r.Header.Get("Idempotency-Key") == "" {
+	if class.Effect == gingerlead.Keyed && r.Header.Get("Idempotency-Key") == "" {
 		return nil, "Idempotency-Key: missing" // endpoints could not drop a repeat
 	}
+	if (class.Effect == gingerlead.Safe) != (r.Method == http.MethodGet) || r.Method != http.MethodGet && r.Method != http.MethodPost {
+		return nil, r.Method + ": not the method of this class"
+	}
 	if cookie, err := r.Cookie("obj"); err == nil {
 		req.Key = cookie.Value
 	}
@@ -216,6 +194,9 @@
 			return 0, false
 		}
 	}
+	if strings.Trim(digits, "0123456789.") != "" {
+		return 0, false // ParseFloat takes signs, exponents and words as well
+	}
 	n, err := strconv.ParseFloat(digits, 64)
 	if err != nil || !(n >= 0 && n <= float64(maxRemaining/unit)) {
 		return 0, false
@@ -264,11 +245,9 @@
 	s.stopping.Store(true)
 	s.http.SetKeepAlivesEnabled(false) // closes idle connections, too
 	told := time.Now()
-	end := told.Add(s.longest)
+	end := told.Add(s.quiet + s.quiet/4) // a flood must not put off the end, and with it all that is served
 	for time.Now().Before(end) {
-		s.mu.Lock()
-		last := s.newest
-		s.mu.Unlock()
+		last := s.callers.lastCame()
 		if last.Before(told) {
 			last = told
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,7 +44,8 @@
 		stopped <- s.stop()
 	}()
 	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	s.callers.Listener = listener
+	if err := s.http.Serve(&s.callers); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return <-stopped
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -544,7 +544,7 @@
 func TestIdleCallersMakeRoom(t *testing.T) {
 	rg := start(t, leastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
 	var first net.Conn
-	for i := range 3 * rg.server.most {
+	for i := range 3 * rg.server.callers.most {
 		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
@@ -566,9 +566,9 @@
 		t.Errorf("the first connection: %d bytes, %v", n, err)
 	}
 	rg.until("open connections are within their share", func() bool {
-		rg.server.mu.Lock()
-		defer rg.server.mu.Unlock()
-		return rg.server.open <= rg.server.most
+		rg.server.callers.mu.Lock()
+		defer rg.server.callers.mu.Unlock()
+		return rg.server.callers.open <= rg.server.callers.most
 	})
 }
 
@@ -580,9 +580,9 @@
 		<-serve
 		fmt.Fprint(w, "ok")
 	}))
-	rg.server.mu.Lock()
-	rg.server.most = 2 // as if the machine were that small
-	rg.server.mu.Unlock()
+	rg.server.callers.mu.Lock()
+	rg.server.callers.most = 2 // as if the machine were that small
+	rg.server.callers.mu.Unlock()
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
 		if err != nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -3,13 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -18,43 +23,80 @@
 )
 
 const (
-	maxBody = 64 << 10
+	maxBody       = 64 << 10
+	maxAnswerHead = 16 << 10
 	// outboundShare is the part of the sockets that connections to endpoints may use.
 	outboundShare = 0.4
 	// idleShare is the part of connIdle after which an idle connection is retired: a request that is written
 	// while the endpoint closes it would be lost as a reset.
 	idleShare      = 0.5
 	idleDefault    = 10 * time.Second // where connIdle is not told
-	maxInformation = 5                // 1xx responses before the final one
+	maxInformation = 16               // 1xx responses before the final one
+	// settle is how long a connection rests after an answer. Nothing ties an answer to its request, so what an
+	// endpoint sends beyond an answer must be seen before the next request is written.
+	settle = time.Millisecond
+	// resetsSpread is how long a process that dies may take to reset all its connections.
+	resetsSpread = 3 * time.Millisecond
 )
 
 // conn is a connection to an endpoint; it carries one attempt at a time.
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
+	reader    *bufio.Reader // of what Read gives
+	left      int           // bytes that may still be read
 	idleSince time.Time
+	endpoint  *endpoint // while it is idle:
+	idle      *list.Element
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReader(c)
+	return c
+}
+
+// Read never brings more than was allowed: an endpoint may go on without end.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
 }
 
 // alive tells whether an idle connection can carry a request: its peer has neither closed it nor sent what
 // nobody asked for.
 func (c *conn) alive() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
 	if err != nil {
 		return false
 	}
-	var n int
-	var peek error
-	err = raw.Read(func(fd uintptr) bool {
+	n, peek := peekByte(raw)
+	return n < 0 && (peek == syscall.EAGAIN || peek == syscall.EINTR)
+}
+
+// peekByte looks for a byte to read, without taking it or waiting.
+func peekByte(raw syscall.RawConn) (n int, err error) {
+	n = -1
+	// Not raw.Read: that would wait for another goroutine's Read to end.
+	if fault := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, peek = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && n <= 0 && (peek == syscall.EAGAIN || peek == syscall.EINTR)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); fault != nil {
+		return -1, fault
+	}
+	return n, err
 }
 
 // pool holds the idle connections to all endpoints, and bounds all connections to them. The loop owns it.
 type pool struct {
 	idle    map[*endpoint][]*conn // the most recently used last
+	order   list.List             // of all idle ones, the longest idle first
 	open    int                   // connections in use, idle or being made
 	most    int
 	maxIdle time.Duration
@@ -69,25 +111,22 @@
 	return p
 }
 
-// acquire takes the most recently used connection that is alive; nil asks for a new one. It is false when
-// there may be no further connection.
+// acquire takes the most recently used connection; nil asks for a new one. It is false when there may be no
+// further connection. Whether the connection is alive shows when it is used.
 func (p *pool) acquire(e *endpoint, now time.Time) (c *conn, ok bool) {
-	conns := p.idle[e]
-	for len(conns) > 0 && c == nil {
-		last := conns[len(conns)-1]
-		conns = conns[:len(conns)-1]
-		if now.Sub(last.idleSince) < p.maxIdle && last.alive() {
-			c = last
-		} else {
-			p.close(last)
+	if conns := p.idle[e]; len(conns) > 0 {
+		if last := conns[len(conns)-1]; now.Sub(last.idleSince) < p.maxIdle {
+			p.take(last)
+			return last, true
 		}
+		p.closeIdle(e) // the others are older
 	}
-	p.keep(e, conns)
-	if c != nil {
-		return c, true
-	}
-	if p.open >= p.most && !p.closeOldest() {
-		return nil, false
+	if p.open >= p.most {
+		oldest := p.order.Front()
+		if oldest == nil {
+			return nil, false
+		}
+		p.close(oldest.Value.(*conn))
 	}
 	p.open++
 	return nil, true
@@ -99,62 +138,59 @@
 	case c == nil:
 		p.open--
 	case !e.open.Load():
-		p.close(c)
+		c.Close()
+		p.open--
 	default:
 		c.idleSince = time.Now()
+		c.endpoint = e
+		c.idle = p.order.PushBack(c)
 		p.idle[e] = append(p.idle[e], c)
 	}
 }
 
+// take takes a connection out of the idle ones.
+func (p *pool) take(c *conn) {
+	p.order.Remove(c.idle)
+	conns := p.idle[c.endpoint]
+	i := slices.Index(conns, c)
+	if conns = slices.Delete(conns, i, i+1); len(conns) == 0 {
+		delete(p.idle, c.endpoint)
+	} else {
+		p.idle[c.endpoint] = conns
+	}
+}
+
+// close closes an idle connection.
 func (p *pool) close(c *conn) {
+	p.take(c)
 	c.Close()
 	p.open--
 }
 
-func (p *pool) keep(e *endpoint, conns []*conn) {
-	if len(conns) == 0 {
-		delete(p.idle, e)
-		return
+func (p *pool) closeIdle(e *endpoint) {
+	for _, c := range slices.Clone(p.idle[e]) {
+		p.close(c)
 	}
-	p.idle[e] = conns
 }
 
-// closeOldest closes the connection that has been idle the longest, to make room for another.
-func (p *pool) closeOldest() bool {
-	var oldest *endpoint
-	for e, conns := range p.idle {
-		if oldest == nil || conns[0].idleSince.Before(p.idle[oldest][0].idleSince) {
-			oldest = e
+// alive tells whether any idle connection to an endpoint is, and closes those that are not.
+func (p *pool) alive(e *endpoint) bool {
+	for _, c := range slices.Clone(p.idle[e]) {
+		if !c.alive() {
+			p.close(c)
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	conns := p.idle[oldest]
-	p.close(conns[0])
-	p.keep(oldest, conns[1:])
-	return true
-}
-
-func (p *pool) closeIdle(e *endpoint) {
-	for _, c := range p.idle[e] {
-		p.close(c)
-	}
-	delete(p.idle, e)
+	return len(p.idle[e]) > 0
 }
 
 // sweep closes connections that have been idle for too long or whose peer has closed them.
 func (p *pool) sweep(now time.Time) {
-	for e, conns := range p.idle {
-		kept := conns[:0]
-		for _, c := range conns {
-			if now.Sub(c.idleSince) >= p.maxIdle || !c.alive() {
-				p.close(c)
-			} else {
-				kept = append(kept, c)
-			}
+	for at := p.order.Front(); at != nil; {
+		c := at.Value.(*conn)
+		at = at.Next()
+		if now.Sub(c.idleSince) >= p.maxIdle || !c.alive() {
+			p.close(c)
 		}
-		p.keep(e, kept)
 	}
 }
 
@@ -171,6 +207,7 @@
 // result is how an attempt ended. Its connection is nil unless it can carry another attempt.
 type result struct {
 	status   gingerlead.Status
+	took     time.Duration
 	response *response
 	load     *gingerlead.Load
 	conn     *conn
@@ -195,15 +232,28 @@
 // run makes the attempt: one write on one connection, and the answer to it. net/http's Transport would send
 // a request again by itself and does not tell whether its last byte was written, so it is not used here.
 // When run returns, the connection is either closed or free, so the Balancer may send again.
-func (a *attempt) run(c *conn, connectTimeout time.Duration) result {
+func (a *attempt) run(c *conn, connectTimeout time.Duration) (res result) {
+	defer func() { res.took = time.Since(a.sent) }()
+	if c != nil {
+		time.Sleep(time.Until(c.idleSince.Add(settle)))
+		if !c.alive() {
+			c.Close()
+			c = nil
+		}
+	}
 	if c == nil {
 		dialer := net.Dialer{Timeout: connectTimeout}
 		raw, err := dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
 		if err != nil {
 			return result{status: a.unsent()}
 		}
-		c = &conn{Conn: raw, reader: bufio.NewReader(raw)}
+		c = newConn(raw)
 	}
+	return a.over(c)
+}
+
+// over makes the attempt over a connection.
+func (a *attempt) over(c *conn) result {
 	release := context.AfterFunc(a.ctx, func() { c.Close() })
 	res := a.exchange(c)
 	if !release() || res.conn == nil {
@@ -225,10 +275,7 @@
 
 func (a *attempt) exchange(c *conn) result {
 	deadline, _ := a.ctx.Deadline()
-	text, err := a.request.encode(time.Until(deadline))
-	if err != nil {
-		return result{status: gingerlead.Moot}
-	}
+	text := a.request.encode(time.Until(deadline))
 	// The dial may have outlasted the endpoint's welcome.
 	if !a.endpoint.open.Load() || a.ctx.Err() != nil {
 		return result{status: gingerlead.Moot}
@@ -237,70 +284,130 @@
 		return result{status: a.unsent()}
 	}
 	res, err := a.read(c)
-	if err == nil {
-		return res
-	}
 	switch {
+	case err == nil:
 	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
 		res.status = gingerlead.Timeout
 	case a.ctx.Err() != nil:
 		res.status = gingerlead.Cancelled
-	default:
+	case errors.As(err, new(*net.OpError)), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
+		errors.Is(err, io.ErrClosedPipe):
 		res.status = gingerlead.Reset
+		time.Sleep(resetsSpread) // so that the loop can tell whether the others broke as well
+	default:
+		// The endpoint has run it and is well, but what it says cannot be used.
+		res.status = gingerlead.Spoilt
 	}
 	return res
 }
 
-var errTooLarge = errors.New("response body too large")
+var (
+	errTooLarge = errors.New("too large")
+	errSpoilt   = errors.New("cannot be read")
+)
 
-// read takes the response to the request that was written.
-func (a *attempt) read(c *conn) (result, error) {
-	var r *http.Response
-	for range maxInformation {
-		var err error
-		if r, err = http.ReadResponse(c.reader, &http.Request{Method: a.request.method}); err != nil {
-			return result{}, err
+// read takes the response to the request that was written. An error that is not the connection's means that
+// the response cannot be used; its connection is of no more use then.
+func (a *attempt) read(c *conn) (res result, err error) {
+	c.left = maxAnswerHead
+	var code int
+	var header textproto.MIMEHeader
+	var lasting bool
+	for range maxInformation + 1 {
+		if code, header, lasting, err = readHead(c.reader); err != nil {
+			return res, err
 		}
-		if r.StatusCode >= http.StatusOK {
+		if code >= http.StatusOK {
 			break
 		}
 	}
-	body, err := readAll(r.Body, r.ContentLength)
-	if errors.Is(err, errTooLarge) {
-		return result{status: gingerlead.Error}, nil // it has run, and cannot be passed on
+	if code < http.StatusOK {
+		return res, errSpoilt // its real answer is still to come
 	}
+	c.left = maxBody + maxAnswerHead // beside the body, what its chunks take
+	body, err := readBody(c.reader, code, header)
 	if err != nil {
-		return result{}, err
+		return res, err
 	}
-	res := result{status: gingerlead.Error}
-	if report := r.Header.Get("X-Pressure"); report != "" {
+	res.status = gingerlead.Error
+	if report := header.Get("X-Pressure"); report != "" {
 		res.load, _ = settings.ParseLoad(report, "=") // a report that cannot be read is none
 	}
-	switch r.StatusCode {
-	case http.StatusOK:
+	switch {
+	case code == http.StatusOK:
 		res.status = gingerlead.OK
-		removeHopByHop(r.Header)
-		res.response = &response{header: r.Header, body: body}
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if r.Header.Get("X-Turned-Away") == "1" {
+		removeHopByHop(http.Header(header))
+		res.response = &response{header: http.Header(header), body: body}
+	case code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout:
+		if header.Get("X-Turned-Away") == "1" {
 			res.status = gingerlead.Full
 		}
+	case code < http.StatusInternalServerError:
+		res.status = gingerlead.Spoilt // the request is at fault, not the endpoint
 	}
-	if !r.Close && c.reader.Buffered() == 0 {
+	if lasting && c.reader.Buffered() == 0 {
 		res.conn = c
 	}
 	return res, nil
 }
 
-// readAll reads a body of at most maxBody bytes.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length > maxBody {
-		return nil, errTooLarge
+// readHead reads a response's status and headers, and tells whether its connection is to last.
+func readHead(r *bufio.Reader) (code int, header textproto.MIMEHeader, lasting bool, err error) {
+	text := textproto.NewReader(r)
+	line, err := text.ReadLine()
+	if err != nil {
+		return 0, nil, false, err
 	}
-	var b bytes.Buffer
-	if length > 0 {
-		b.Grow(int(length) + bytes.MinRead)
+	version, rest, _ := strings.Cut(line, " ")
+	digits, _, _ := strings.Cut(rest, " ")
+	n, err := strconv.ParseUint(digits, 10, 16)
+	if version != "HTTP/1.1" && version != "HTTP/1.0" || err != nil || len(digits) != 3 || n < 100 {
+		return 0, nil, false, errSpoilt
+	}
+	if header, err = text.ReadMIMEHeader(); err != nil {
+		return 0, nil, false, err
+	}
+	lasting = version == "HTTP/1.1"
+	for _, value := range header["Connection"] {
+		lasting = lasting && !strings.Contains(strings.ToLower(value), "close")
 	}
+	return int(n), header, lasting, nil
+}
+
+// readBody reads a response's body of at most maxBody bytes. Where its end is in doubt it is spoilt: lengths
+// that disagree, or none, so that the connection's end would be the body's.
+func readBody(r *bufio.Reader, code int, header textproto.MIMEHeader) ([]byte, error) {
+	lengths, codings := header["Content-Length"], header["Transfer-Encoding"]
+	switch {
+	case code == http.StatusNoContent || code == http.StatusNotModified:
+		return nil, nil
+	case len(codings) == 1 && len(lengths) == 0 && strings.EqualFold(codings[0], "chunked"):
+		body, err := readAll(httputil.NewChunkedReader(r))
+		if err != nil {
+			return nil, err
+		}
+		_, err = textproto.NewReader(r).ReadMIMEHeader() // what follows the last chunk
+		return body, err
+	case len(codings) == 0 && len(lengths) == 1:
+		n, err := strconv.ParseUint(lengths[0], 10, 63)
+		if err != nil {
+			return nil, errSpoilt
+		}
+		if n > maxBody {
+			return nil, errTooLarge
+		}
+		body, err := readAll(io.LimitReader(r, int64(n)))
+		if err == nil && len(body) < int(n) {
+			err = io.ErrUnexpectedEOF
+		}
+		return body, err
+	}
+	return nil, errSpoilt
+}
+
+// readAll reads a body of at most maxBody bytes. Space is taken as they come: a length is only a word.
+func readAll(body io.Reader) ([]byte, error) {
+	b := bytes.NewBuffer(make([]byte, 0, bytes.MinRead))
 	if _, err := b.ReadFrom(io.LimitReader(body, maxBody+1)); err != nil {
 		return nil, err
 	}
@@ -310,23 +417,21 @@
 	return b.Bytes(), nil
 }
 
+// written are the headers that encode words itself.
+var written = map[string]bool{"Content-Length": true, "X-Remaining": true}
+
 // encode is the request as it goes on to an endpoint, which is told how long its answer is waited for.
-func (in *inbound) encode(left time.Duration) ([]byte, error) {
-	header := in.header.Clone()
-	header.Set("X-Remaining", strconv.FormatInt(max(left, 0).Microseconds(), 10)+"u")
-	if _, ok := header["User-Agent"]; !ok {
-		header.Set("User-Agent", "") // else Write adds its own
-	}
-	out := http.Request{Method: in.method, URL: in.url, Host: in.host, Header: header,
-		ContentLength: int64(len(in.body))}
-	if len(in.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(in.body))
-	}
-	var text bytes.Buffer
-	if err := out.Write(&text); err != nil {
-		return nil, fmt.Errorf("encoding request: %w", err)
-	}
-	return text.Bytes(), nil
+func (in *inbound) encode(left time.Duration) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Remaining: %du\r\n", in.method, in.target, in.host,
+		max(left, 0).Microseconds())
+	if len(in.body) > 0 || in.method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(in.body))
+	}
+	in.header.WriteSubset(&b, written)
+	b.WriteString("\r\n")
+	b.Write(in.body)
+	return b.Bytes()
 }
 
 // probe asks an endpoint for its health on a connection of its own.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -6,7 +6,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -18,7 +18,7 @@
 // tryOut makes an attempt at an endpoint, on a connection of the test's if there is one.
 func tryOut(address string, open bool, c net.Conn, timeout time.Duration, during func(*attempt)) result {
 	r := &request{deadline: time.Now().Add(patience), inbound: inbound{method: http.MethodPost,
-		url: &url.URL{Path: "/api"}, host: "h", header: http.Header{}, body: []byte("trip")}}
+		target: "/api", host: "h", header: http.Header{}, body: []byte("trip")}}
 	e := &endpoint{address: address}
 	e.open.Store(open)
 	a := newAttempt(r, e, timeout)
@@ -29,7 +29,7 @@
 	if c == nil {
 		return a.run(nil, patience)
 	}
-	return a.run(&conn{Conn: c, reader: bufio.NewReader(c)}, patience)
+	return a.over(newConn(c))
 }
 
 // pipe plays the endpoint's side of a connection, byte by byte.
@@ -71,17 +71,39 @@
 	}{
 		"served":              {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
 		"served, then closes": {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"), gingerlead.OK, false},
-		"served until closed": {reply("HTTP/1.0 200 OK\r\n\r\nok"), gingerlead.OK, false},
+		"served, old version": {reply("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, false},
+		"served in chunks":    {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), gingerlead.OK, true},
 		"after information":   {reply("HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
 		"with a report":       {reply("HTTP/1.1 200 OK\r\nX-Pressure: inflight=7,queue=2\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
 		"with a bad report":   {reply("HTTP/1.1 200 OK\r\nX-Pressure: queue\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
+		"with an odd report":  {reply("HTTP/1.1 200 OK\r\nX-Pressure: queue=NaN\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
+		"after many informations": {reply(strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", maxInformation) +
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.OK, true},
+		"after too many": {reply(strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", maxInformation+1) +
+			"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
+		"and a copy":          {reply(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 2)), gingerlead.OK, false},
+		"and noise":           {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\x00\x01"), gingerlead.OK, false},
+		"until closed":        {reply("HTTP/1.1 200 OK\r\n\r\nok"), gingerlead.Spoilt, false},
+		"two lengths":         {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\noky"), gingerlead.Spoilt, false},
+		"length and chunks":   {reply("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), gingerlead.Spoilt, false},
+		"negative length":     {reply("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nok"), gingerlead.Spoilt, false},
+		"length no number":    {reply("HTTP/1.1 200 OK\r\nContent-Length: 2x\r\n\r\nok"), gingerlead.Spoilt, false},
+		"huge length":         {reply("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok"), gingerlead.Spoilt, false},
+		"unknown coding":      {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok"), gingerlead.Spoilt, false},
+		"broken chunks":       {reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\n"), gingerlead.Spoilt, false},
+		"other version":       {reply("ICY 200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
+		"status no number":    {reply("HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
+		"status long":         {reply("HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
+		"no colon":            {reply("HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 2\r\n\r\nok"), gingerlead.Spoilt, false},
+		"request at fault":    {reply("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), gingerlead.Spoilt, true},
+		"turned away, spoilt": {reply("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 2x\r\n\r\n"), gingerlead.Spoilt, false},
 		"error":               {reply("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"), gingerlead.Error, true},
 		"turned away":         {reply("HTTP/1.1 504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"), gingerlead.Full, true},
 		"no word of it":       {reply("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), gingerlead.Error, true},
 		"cut body":            {reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), gingerlead.Reset, false},
 		"no answer":           {reply(""), gingerlead.Reset, false},
-		"nonsense":            {reply("who is there\r\n\r\n"), gingerlead.Reset, false},
-		"large answer":        {reply("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"), gingerlead.Error, false},
+		"nonsense":            {reply("who is there\r\n\r\n"), gingerlead.Spoilt, false},
+		"large answer":        {reply("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"), gingerlead.Spoilt, false},
 		"broken before the last byte": {func(c net.Conn) {
 			c.Read(make([]byte, 10))
 			c.Close()
@@ -100,6 +122,68 @@
 	}
 }
 
+// An endpoint that goes on without end is given up, long before the attempt's time is, and takes no memory.
+func TestEndlessAnswers(t *testing.T) {
+	for name, c := range map[string]struct{ first, then string }{
+		"head":        {"HTTP/1.1 200 OK\r\n", "X-Pad: pppppppppppppppp\r\n"},
+		"line":        {"HTTP/1.1 200 OK\r\nX-Pad: ", "pppppppppppppppppppppp"},
+		"status":      {"HTTP/1.1 200 O", "KKKKKKKKKKKKKKK"},
+		"information": {"", "HTTP/1.1 102 Wait\r\n\r\n"},
+		"body":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+		"extension":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "xxxxxxxxxxxxxxxxxxxxxxxxxxxx"},
+		"trailer":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Pad: pppppppppppppp\r\n"},
+	} {
+		var sent atomic.Int64
+		near := pipe(t, func(far net.Conn) {
+			readRequest(far)
+			io.WriteString(far, c.first)
+			for {
+				n, err := io.WriteString(far, c.then)
+				sent.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		})
+		if res := tryOut("", true, near, patience, nil); res.status != gingerlead.Spoilt || res.conn != nil {
+			t.Errorf("%s: status %v", name, res.status)
+		}
+		near.Close()
+		if most := int64(maxBody + 2*maxAnswerHead + 100); sent.Load() > most {
+			t.Errorf("%s: %d bytes were taken", name, sent.Load())
+		}
+	}
+}
+
+// What comes after an answer, however late, must not be served to the next request.
+func TestLateExtraIsNotServed(t *testing.T) {
+	c, far := tcpPair(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		next, err := l.Accept()
+		if err != nil {
+			return
+		}
+		readRequest(next)
+		io.WriteString(next, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+	}()
+	io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+	for end := time.Now().Add(patience); c.alive() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	e := &endpoint{address: l.Addr().String()}
+	e.open.Store(true)
+	a := newAttempt(&request{deadline: time.Now().Add(patience), inbound: inbound{method: "GET", target: "/", host: "h"}}, e, 0)
+	defer a.cancel()
+	if res := a.run(c, patience); res.status != gingerlead.OK || string(res.response.body) != "new" {
+		t.Errorf("status %v, response %+v", res.status, res.response)
+	}
+}
+
 // A dial may outlast a drain: then the connection is closed with nothing sent on it.
 func TestDrainedWhileDialing(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -224,7 +308,7 @@
 		near.Close()
 		far.Close()
 	})
-	return &conn{Conn: near, reader: bufio.NewReader(near)}, far
+	return newConn(near), far
 }
 
 func TestPool(t *testing.T) {
