--- a/api.go
+++ b/api.go
@@ -170,7 +170,7 @@
 	Reset                // the connection broke; may have run
 	Cancelled            // withdrawn; may have run
 	Moot                 // never sent
-	Spoilt               // what came cannot be used, or its connection alone broke; may have run, the endpoint is well
+	Spoilt               // what came is of no use, or its connection alone broke; may have run
 )
 
 // NeverRan reports whether the outcome proves that the attempt did not run.
