Forget what has gone, bound bodies, and tell a broken connection from a dead endpoint

At fault: loop.go took every reset for the endpoint's, where no idle connection happened to stand. Now an attempt that ends in a reset asks whether another one still waits at that endpoint, and else dials: a process that died refuses. Dials that fail at once are tried once more. Growth: the sidecar's table of endpoints, its ids and the module's byID forget what is no longer listed; names that lists bring are bounded; bodies share a quarter of the memory. Tests let endpoints, connections and ids come and go, and look at the tables.

--- a/balancer.go
+++ b/balancer.go
@@ -1136,11 +1136,12 @@
 		b.entry(now, l, x)
 	}
 	b.listed = b.listed[:0]
-	for _, e := range b.byID {
+	for id, e := range b.byID {
 		if e.listed {
 			b.listed = append(b.listed, e)
 		} else {
 			b.leave(e)
+			delete(b.byID, id) // calls that are out hold on to it
 		}
 	}
 	b.weigh()
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -211,6 +211,60 @@
 	}
 }
 
+// Every endpoint sends some answers that are of no use. The call may have run, and its endpoint is as well as
+// before: no isolation, no slow start, no blame.
+func TestSpoiltAnswerCostsTheEndpointNothing(t *testing.T) {
+	d := start(t, settings(), 4)
+	d.serve(40, nil)
+	id := d.ask(read)
+	spoilt := d.last()
+	d.end(spoilt, Spoilt, 5*ms)
+	if again := d.last(); again.id != id || again.attempt != 1 {
+		t.Errorf("retry %v, want %s once more", again, id)
+	}
+	d.end(d.last(), OK, 20*ms)
+	d.ask(pay)
+	d.end(d.last(), Spoilt, 5*ms)
+	if len(d.fails) != 1 || len(d.refusals) != 0 {
+		t.Errorf("an unsafe call that may have run: %d failed, %d refused", len(d.fails), len(d.refusals))
+	}
+	bad := d.last().to
+	for range 3 {
+		d.ask(read)
+		for d.last().to == bad {
+			d.end(d.last(), Spoilt, 5*ms)
+			d.ask(read)
+		}
+		d.end(d.last(), OK, 20*ms)
+	}
+	if got := d.serve(100, nil); got[bad] < 10 || d.fetches != 0 || len(d.logs) > 0 {
+		t.Errorf("%d of 100 sends to it, %d lists fetched, logs %q", got[bad], d.fetches, d.logs)
+	}
+}
+
+// Endpoints that have gone are forgotten, and what is still out to them ends without harm.
+func TestGoneEndpointsAreForgotten(t *testing.T) {
+	d := start(t, settings(), 1)
+	for i := 2; i < 100; i++ {
+		d.ask(read)
+		late := d.last()
+		d.list(Entry{Endpoint: EndpointID(i), Weight: 1})
+		d.list(Entry{Endpoint: EndpointID(i - 1), State: Gone})
+		if i%2 == 0 {
+			d.list(Entry{Endpoint: EndpointID(i - 1), State: Gone})
+		}
+		d.b.Probed(d.now, Probed{Endpoint: EndpointID(i - 1)})
+		d.end(late, []Status{OK, Reset, Error, ConnectFailed, Cancelled}[i%5], 5*ms)
+		for d.attempts[late.id] > 1 && d.last().id == late.id && d.b.requests[late.id] != nil {
+			d.end(d.last(), OK, 5*ms)
+		}
+		d.pass(20 * ms)
+	}
+	if len(d.b.byID) != 1 || len(d.b.listed) != 1 || len(d.b.requests) != 0 || d.b.out != 0 {
+		t.Errorf("%d endpoints, %d listed, %d requests, %d out", len(d.b.byID), len(d.b.listed), len(d.b.requests), d.b.out)
+	}
+}
+
 func TestNewStartInTheListEndsIsolation(t *testing.T) {
 	d := start(t, settings(), 2)
 	d.ask(read)
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -64,17 +64,19 @@
 // endpoint is one start of an endpoint at one address. When either changes, another takes its place.
 type endpoint struct {
 	id      gingerlead.EndpointID
+	uid     string
 	address string
 	bootMS  int64
-	open    atomic.Bool // it may get new attempts
+	open    atomic.Bool  // it may get new attempts
+	waiting atomic.Int32 // attempts that wait for its answer, on connections that stand
 }
 
-// endpoints is the table of all that lists have named. The loop owns it.
+// endpoints is the table of the endpoints that are listed. One that has gone is forgotten at once: what is
+// still out to it holds on to its endpoint, that is open to nothing new. The loop owns the table.
 type endpoints struct {
 	origin time.Time // zero of the event clock
 	byID   map[gingerlead.EndpointID]*endpoint
 	ids    map[string]gingerlead.EndpointID
-	owner  map[gingerlead.EndpointID]string
 	zones  names
 	models names
 }
@@ -82,17 +84,24 @@
 // names numbers names as the settings do, and those that they lack after them.
 type names map[string]int
 
-func (n names) index(name string) int {
-	if _, ok := n[name]; !ok {
-		n[name] = len(n)
+// mostNames bounds the names of one sort that lists may bring.
+const mostNames = 256
+
+// index is false when there are too many names.
+func (n names) index(name string) (int, bool) {
+	if i, ok := n[name]; ok {
+		return i, true
+	}
+	if len(n) >= mostNames {
+		return 0, false
 	}
-	return n[name]
+	n[name] = len(n)
+	return n[name], true
 }
 
 func newEndpoints(zones, models []string, origin time.Time) *endpoints {
 	t := &endpoints{origin: origin, byID: map[gingerlead.EndpointID]*endpoint{},
-		ids: map[string]gingerlead.EndpointID{}, owner: map[gingerlead.EndpointID]string{},
-		zones: names{}, models: names{}}
+		ids: map[string]gingerlead.EndpointID{}, zones: names{}, models: names{}}
 	for _, z := range zones {
 		t.zones.index(z)
 	}
@@ -116,21 +125,36 @@
 		n = uint64(h.Sum32())
 	}
 	id := gingerlead.EndpointID(n)
-	for t.owner[id] != "" {
+	for t.byID[id] != nil {
 		id++
 	}
-	t.ids[uid], t.owner[id] = id, uid
 	return id
 }
 
+// put puts an endpoint into the table, in the place of one that it replaces.
+func (t *endpoints) put(e *endpoint) {
+	t.byID[e.id], t.ids[e.uid] = e, e.id
+}
+
+// forget takes an endpoint that has gone out of the table.
+func (t *endpoints) forget(e *endpoint) {
+	e.open.Store(false)
+	delete(t.byID, e.id)
+	delete(t.ids, e.uid)
+}
+
 // update takes a list in and returns it in the Balancer's terms, with the endpoints whose idle connections
 // are of no more use.
 func (t *endpoints) update(l endpointList) (entries []gingerlead.Entry, retired []*endpoint) {
 	listed := map[gingerlead.EndpointID]bool{}
 	for _, x := range l.Targets {
 		state, ok := states[x.State]
-		if _, _, err := net.SplitHostPort(x.Address); !ok || x.UID == "" || err != nil && state == gingerlead.Ready {
-			log.Printf("discovery: entry %q passed over: state %q, endpoint %q", x.UID, x.State, x.Address)
+		zone, zoneOK := t.zones.index(x.Zone)
+		model, modelOK := t.models.index(x.Model)
+		_, _, err := net.SplitHostPort(x.Address)
+		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == gingerlead.Ready {
+			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID, x.State,
+				x.Address, x.Zone, x.Model)
 			continue
 		}
 		id := t.id(x.UID)
@@ -141,19 +165,23 @@
 				e.open.Store(false)
 				retired = append(retired, e)
 			}
-			e = &endpoint{id: id, address: x.Address, bootMS: x.BootMS}
-			t.byID[id] = e
+			e = &endpoint{id: id, uid: x.UID, address: x.Address, bootMS: x.BootMS}
+			t.put(e)
 		}
 		e.open.Store(state == gingerlead.Ready)
 		if state != gingerlead.Ready {
 			retired = append(retired, e)
 		}
-		entries = append(entries, gingerlead.Entry{Endpoint: id, Zone: t.zones.index(x.Zone),
-			Kind: t.models.index(x.Model), Cell: x.Cell, State: state, Weight: x.Weight, Started: t.started(x.BootMS)})
+		if state == gingerlead.Gone {
+			t.forget(e)
+		}
+		entries = append(entries, gingerlead.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
+			Weight: x.Weight, Started: t.started(x.BootMS)})
 	}
 	if l.All {
 		for id, e := range t.byID {
-			if !listed[id] && e.open.Swap(false) {
+			if !listed[id] {
+				t.forget(e)
 				retired = append(retired, e)
 			}
 		}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -21,6 +21,11 @@
 // An endpoint's number is the same at every sidecar, in whatever order lists name it, and no two share one.
 func TestEndpointIDs(t *testing.T) {
 	a, b := newEndpoints(nil, nil, time.Now()), newEndpoints(nil, nil, time.Now())
+	put := func(t *endpoints, uid string) gingerlead.EndpointID {
+		id := t.id(uid)
+		t.put(&endpoint{id: id, uid: uid})
+		return id
+	}
 	if a.id("s-00000001") != 1 || a.id("s-5be2a07c") != 0x5be2a07c {
 		t.Error("the uid's own number is not used")
 	}
@@ -28,7 +33,7 @@
 	if b.id("s-00000001") != a.id("s-00000001") || a.id("box.west") != b.id("box.west") {
 		t.Error("the order tells")
 	}
-	if x, y := a.id("s-1"), a.id("t-1"); x == y || x != a.id("s-1") || y != a.id("t-1") {
+	if x, y := put(a, "s-1"), put(a, "t-1"); x == y || x != a.id("s-1") || y != a.id("t-1") {
 		t.Errorf("two uids have %d and %d", x, y)
 	}
 }
@@ -72,9 +77,17 @@
 		t.Error("a delta closed what it does not name, or left the old address open")
 	}
 	e.update(endpointList{All: true, Targets: []target{x}})
-	if e.byID[2].open.Load() {
+	if e.byID[2] != nil || len(e.ids) != 1 {
 		t.Error("an endpoint that left the whole list is open")
 	}
+	for i := range 2 * mostNames {
+		y := ready("s-3", 0)
+		y.Zone, y.Model = fmt.Sprint(i), fmt.Sprint(i)
+		e.update(endpointList{Targets: []target{y}})
+	}
+	if len(e.zones) > mostNames || len(e.models) > mostNames {
+		t.Error("names that lists bring are kept without end")
+	}
 	if entries, _ := e.update(endpointList{Targets: []target{{UID: "s-3", Address: "nowhere", State: "Ready"}}}); len(entries) != 0 {
 		t.Error("an endpoint without an address is told to the Balancer")
 	}
@@ -94,7 +107,7 @@
 			t.Error("an older list undid a drain")
 		}
 		l.targets(endpointList{Rev: 6, All: true, Targets: []target{ready("s-1", 0)}}, fromFetch)
-		if !l.endpoints.byID[1].open.Load() || l.endpoints.byID[2].open.Load() {
+		if !l.endpoints.byID[1].open.Load() || l.endpoints.byID[2] != nil {
 			t.Error("a newer list is not followed")
 		}
 	})
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -22,6 +22,7 @@
 	events chan func()
 	origin time.Time   // zero of the event clock
 	ready  atomic.Bool // the Balancer has a list
+	bodies budget
 
 	config    *Config
 	rev       uint64 // version of the list that the Balancer has
@@ -60,6 +61,7 @@
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
+	l.bodies.left.Store(int64(bodyShare * float64(c.Limits.MemoryMB<<20)))
 	l.watcher = newWatcher(c.Discovery, l)
 	var err error
 	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
@@ -108,6 +110,11 @@
 // lapse tells the Balancer that a client has gone.
 func (l *loop) lapse(r *request) {
 	if l.requests[r.ID] != r || r.answered {
+		select {
+		case a := <-r.answer: // crossed the client's going
+			l.discard(a.response)
+		default:
+		}
 		return
 	}
 	r.answered = true
@@ -118,20 +125,33 @@
 	l.forget(r)
 }
 
+// bodyShare is the part of the memory that bodies may use.
+const bodyShare = 0.25
+
+// budget bounds the bytes that are held for the bodies of all requests and answers together.
+type budget struct{ left atomic.Int64 }
+
+func (b *budget) take(n int) bool {
+	if b.left.Add(-int64(n)) >= 0 {
+		return true
+	}
+	b.give(n)
+	return false
+}
+
+func (b *budget) give(n int) { b.left.Add(int64(n)) }
+
 // closed takes the end of an attempt; its connection is closed or fit for another one.
 func (l *loop) closed(a *attempt, res result) {
 	r := a.request
 	l.pool.release(a.endpoint, res.conn)
 	r.out = nil
-	if res.status == gingerlead.Reset && l.pool.alive(a.endpoint) {
-		// A process that ends takes all its connections along. Taken for that, one broken connection would
-		// cost a sound endpoint its place, and then a slow start.
-		res.status = gingerlead.Spoilt
-	}
 	final := r.answered
 	if res.status == gingerlead.OK && !r.answered {
 		final = true
 		l.finish(r, answer{response: res.response})
+	} else {
+		l.discard(res.response)
 	}
 	l.balancer.Outcome(l.now(), gingerlead.Outcome{
 		ID: r.ID, Endpoint: a.endpoint.id, Attempt: a.number, Final: final,
@@ -140,6 +160,13 @@
 	l.forget(r)
 }
 
+// discard lets go of a response.
+func (l *loop) discard(r *response) {
+	if r != nil {
+		l.bodies.give(len(r.body))
+	}
+}
+
 func (l *loop) finish(r *request, a answer) {
 	if r.answered {
 		return
@@ -197,7 +224,7 @@
 		defer a.cancel()
 		res := result{status: gingerlead.Moot}
 		if ok {
-			res = a.run(c, l.config.Settings.ConnectTimeout)
+			res = a.run(c, l.config.Settings.ConnectTimeout, &l.bodies)
 		}
 		l.post(func() { l.closed(a, res) })
 	}()
@@ -230,6 +257,9 @@
 
 func (l *loop) Probe(to gingerlead.EndpointID) {
 	e := l.endpoints.byID[to]
+	if e == nil {
+		return
+	}
 	sent := time.Now()
 	go func() {
 		status := probe(e, l.config.Settings.ConnectTimeout)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -92,6 +92,15 @@
 		http.Error(w, fault, status)
 		return
 	}
+	// An attempt writes a copy of the body.
+	if held := 2 * int(r.ContentLength); held > 0 {
+		if !s.loop.bodies.take(held) {
+			w.Header().Set("Connection", "close")
+			s.write(w, answer{refused: true, retryAfter: time.Second})
+			return
+		}
+		defer s.loop.bodies.give(held)
+	}
 	// The limit on reading holds for the body alone. Left in place, it would pass for the client going away.
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(began.Add(readTimeout))
@@ -110,6 +119,7 @@
 	select {
 	case a := <-req.answer:
 		s.write(w, a)
+		s.loop.discard(a.response)
 	case <-r.Context().Done():
 		s.loop.post(func() { s.loop.lapse(req) })
 		// To return would send an empty 200 to a client that has closed only its side.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"gingerlead"
 )
 
 // patience bounds what a test waits for; it only passes when something is wrong.
@@ -276,15 +279,23 @@
 		spoil func(r *http.Request)
 		want  int
 	}{
-		"unknown class":  {func(r *http.Request) { r.Header.Set("X-Lane", "freight") }, 400},
-		"no class":       {func(r *http.Request) { r.Header.Del("X-Lane") }, 400},
-		"no id":          {func(r *http.Request) { r.Header.Del("X-Txn") }, 400},
-		"no key":         {func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
-		"no time":        {func(r *http.Request) { r.Header.Del("X-Remaining") }, 400},
-		"no unit":        {func(r *http.Request) { r.Header.Set("X-Remaining", "480") }, 400},
-		"not a number":   {func(r *http.Request) { r.Header.Set("X-Remaining", "NaNm") }, 400},
-		"negative time":  {func(r *http.Request) { r.Header.Set("X-Remaining", "-5m") }, 400},
-		"boundless time": {func(r *http.Request) { r.Header.Set("X-Remaining", "1e300m") }, 400},
+		"unknown class":         {func(r *http.Request) { r.Header.Set("X-Lane", "freight") }, 400},
+		"no class":              {func(r *http.Request) { r.Header.Del("X-Lane") }, 400},
+		"no id":                 {func(r *http.Request) { r.Header.Del("X-Txn") }, 400},
+		"no key":                {func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"no time":               {func(r *http.Request) { r.Header.Del("X-Remaining") }, 400},
+		"no unit":               {func(r *http.Request) { r.Header.Set("X-Remaining", "480") }, 400},
+		"not a number":          {func(r *http.Request) { r.Header.Set("X-Remaining", "NaNm") }, 400},
+		"negative time":         {func(r *http.Request) { r.Header.Set("X-Remaining", "-5m") }, 400},
+		"time with an exponent": {func(r *http.Request) { r.Header.Set("X-Remaining", "1e2m") }, 400},
+		"time with a sign":      {func(r *http.Request) { r.Header.Set("X-Remaining", "+100m") }, 400},
+		"two ids":               {func(r *http.Request) { r.Header.Add("X-Txn", "other") }, 400},
+		"two classes":           {func(r *http.Request) { r.Header.Add("X-Lane", "once") }, 400},
+		"two times":             {func(r *http.Request) { r.Header.Add("X-Remaining", "9m") }, 400},
+		"long id":               {func(r *http.Request) { r.Header.Set("X-Txn", strings.Repeat("x", maxName+1)) }, 400},
+		"other method":          {func(r *http.Request) { r.Method = "PUT" }, 400},
+		"other host":            {func(r *http.Request) { r.URL.Opaque = "http://other/api" }, 400},
+		"boundless time":        {func(r *http.Request) { r.Header.Set("X-Remaining", "1e300m") }, 400},
 		"large body": {func(r *http.Request) {
 			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(large)), int64(len(large))
 		}, 413},
@@ -540,6 +551,157 @@
 	}
 }
 
+// An id is one request's. Another request with it, while it is out or shortly after, is turned away and goes
+// nowhere: endpoints would run it twice, or blame themselves for it.
+func TestTakenIDIsTurnedAway(t *testing.T) {
+	came, serve := make(chan bool, 8), make(chan bool)
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-serve
+		fmt.Fprint(w, "ok")
+	}))
+	first := rg.request("once", 9*time.Second)
+	id := first.Header.Get("X-Txn")
+	done := make(chan int)
+	go func() {
+		status, _ := rg.ask(first)
+		done <- status
+	}()
+	<-came
+	again := func() int {
+		r := rg.request("once", 9*time.Second)
+		r.Header.Set("X-Txn", id)
+		status, _ := rg.ask(r)
+		return status
+	}
+	if status := again(); status != http.StatusBadGateway {
+		t.Errorf("got %d while the first is open", status)
+	}
+	close(serve)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("the first one got %d", status)
+	}
+	if status := again(); status != http.StatusBadGateway || len(came) > 0 {
+		t.Errorf("got %d after the first, with %d requests more at the endpoint", status, len(came))
+	}
+}
+
+// Endpoints, connections and requests come and go; nothing is kept of what has gone.
+func TestTablesEndEmpty(t *testing.T) {
+	rg := start(t, 1024, ready("s-ffffffff", 0))
+	l := rg.server.loop
+	tell := func(rev uint64, all bool, targets ...target) {
+		line, _ := json.Marshal(endpointList{Rev: rev, All: all, Targets: targets})
+		rg.lists <- string(line)
+		rg.until("the list is taken in", func() (done bool) {
+			rg.inLoop(func() { done = l.rev == rev })
+			return done
+		})
+	}
+	full := l.bodies.left.Load()
+	rev := uint64(1)
+	for i := range 20 {
+		x := peer(t, fmt.Sprintf("s-%08x", i), func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })
+		rev++
+		tell(rev, i%2 == 0, x)
+		if status, body := rg.ask(rg.request("once", 9*time.Second)); status != 200 {
+			t.Fatalf("got %d %q", status, body)
+		}
+		if rev++; i%4 < 2 {
+			x.State = "Gone"
+			tell(rev, false, x)
+		} else {
+			tell(rev, true)
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	rg.until("all is forgotten", func() (done bool) {
+		rg.inLoop(func() {
+			e, p := l.endpoints, &l.pool
+			done = len(e.byID)+len(e.ids)+len(p.idle)+p.order.Len()+p.open+len(l.requests) == 0 &&
+				l.bodies.left.Load() == full
+		})
+		cs := &rg.server.callers
+		cs.mu.Lock()
+		defer cs.mu.Unlock()
+		for i := range cs.stages {
+			done = done && cs.stages[i].Len() == 0
+		}
+		return done && cs.open == 0
+	})
+	var past past
+	for i := range 3 * pastMost {
+		past.add(gingerlead.RequestID(fmt.Sprint(i)), 0)
+	}
+	past.add("last", 2*pastFor)
+	if len(past.at) != 1 || len(past.ids) != 1 || past.has("1", 2*pastFor) || !past.has("last", 2*pastFor) {
+		t.Errorf("%d ids are kept", len(past.at))
+	}
+}
+
+// Connections that say nothing are in nobody's way: they go before idle ones, and are closed in time.
+func TestMuteCallersMakeRoom(t *testing.T) {
+	rg := start(t, leastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
+	http.DefaultClient.CloseIdleConnections()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		return c
+	}
+	usual := dial()
+	reader := bufio.NewReader(usual)
+	ask := func() {
+		t.Helper()
+		rg.request("once", 9*time.Second).Write(usual)
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("the usual client got %v, %v", res, err)
+		}
+		io.Copy(io.Discard, res.Body)
+	}
+	ask()
+	var crowd []net.Conn
+	for range 5 * rg.server.callers.most {
+		crowd = append(crowd, dial())
+	}
+	ask()
+	if status, _ := rg.ask(rg.request("once", 9*time.Second)); status != 200 {
+		t.Errorf("a new client got %d", status)
+	}
+	for i, c := range crowd {
+		if got, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("mute connection %d got %q, %v", i, got, err)
+		}
+	}
+}
+
+// What does not come whole in time gets an error or a close, however it is cut.
+func TestSlowRequestsEnd(t *testing.T) {
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { t.Error("it was passed on") }))
+	head := "POST /api HTTP/1.1\r\nHost: h\r\nX-Txn: a\r\nX-Lane: once\r\nX-Remaining: 900m\r\n"
+	ended := make(chan bool)
+	texts := []string{"", "POST", head, head + "Content-Length: 9\r\n\r\n", head + "Content-Length: 9\r\n\r\nabc"}
+	began := time.Now()
+	for _, text := range texts {
+		go func() {
+			if status, _ := rg.raw(text); status > 0 && status < 400 {
+				t.Errorf("%.80q: got %d", text, status)
+			}
+			ended <- true
+		}()
+	}
+	for range texts {
+		<-ended
+	}
+	if took := time.Since(began); took > readTimeout+patience/4 {
+		t.Errorf("took %v", took)
+	}
+}
+
 // Accepting goes on when connections use up their share: the one that has been idle the longest goes.
 func TestIdleCallersMakeRoom(t *testing.T) {
 	rg := start(t, leastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -173,16 +173,6 @@
 	}
 }
 
-// alive tells whether any idle connection to an endpoint is, and closes those that are not.
-func (p *pool) alive(e *endpoint) bool {
-	for _, c := range slices.Clone(p.idle[e]) {
-		if !c.alive() {
-			p.close(c)
-		}
-	}
-	return len(p.idle[e]) > 0
-}
-
 // sweep closes connections that have been idle for too long or whose peer has closed them.
 func (p *pool) sweep(now time.Time) {
 	for at := p.order.Front(); at != nil; {
@@ -232,7 +222,7 @@
 // run makes the attempt: one write on one connection, and the answer to it. net/http's Transport would send
 // a request again by itself and does not tell whether its last byte was written, so it is not used here.
 // When run returns, the connection is either closed or free, so the Balancer may send again.
-func (a *attempt) run(c *conn, connectTimeout time.Duration) (res result) {
+func (a *attempt) run(c *conn, connectTimeout time.Duration, bodies *budget) (res result) {
 	defer func() { res.took = time.Since(a.sent) }()
 	if c != nil {
 		time.Sleep(time.Until(c.idleSince.Add(settle)))
@@ -242,20 +232,50 @@
 		}
 	}
 	if c == nil {
-		dialer := net.Dialer{Timeout: connectTimeout}
-		raw, err := dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
-		if err != nil {
+		var err error
+		if c, err = a.dial(connectTimeout); err != nil {
 			return result{status: a.unsent()}
 		}
-		c = newConn(raw)
 	}
-	return a.over(c)
+	res = a.over(c, bodies)
+	if res.status == gingerlead.Reset {
+		a.whatBroke(&res, connectTimeout)
+	}
+	return res
+}
+
+// dial makes a connection. One that fails at once is tried once more: endpoints reset new connections now and
+// then, and a dead one does it twice.
+func (a *attempt) dial(timeout time.Duration) (*conn, error) {
+	dialer := net.Dialer{Timeout: timeout}
+	raw, err := dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
+	if timeout := net.Error(nil); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		raw, err = dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+// whatBroke tells a connection that alone broke from an endpoint that did: one that ends takes all its
+// connections along and accepts no new ones. Taken for that, one connection would cost a sound endpoint its
+// place, and then a slow start. The new connection takes the broken one's place.
+func (a *attempt) whatBroke(res *result, connectTimeout time.Duration) {
+	time.Sleep(resetsSpread)
+	if a.endpoint.waiting.Load() > 0 {
+		res.status = gingerlead.Spoilt
+		return
+	}
+	if c, err := a.dial(connectTimeout); err == nil {
+		res.status, res.conn = gingerlead.Spoilt, c
+	}
 }
 
 // over makes the attempt over a connection.
-func (a *attempt) over(c *conn) result {
+func (a *attempt) over(c *conn, bodies *budget) result {
 	release := context.AfterFunc(a.ctx, func() { c.Close() })
-	res := a.exchange(c)
+	res := a.exchange(c, bodies)
 	if !release() || res.conn == nil {
 		c.Close()
 		res.conn = nil
@@ -273,7 +293,7 @@
 	return gingerlead.ConnectFailed
 }
 
-func (a *attempt) exchange(c *conn) result {
+func (a *attempt) exchange(c *conn, bodies *budget) result {
 	deadline, _ := a.ctx.Deadline()
 	text := a.request.encode(time.Until(deadline))
 	// The dial may have outlasted the endpoint's welcome.
@@ -283,7 +303,9 @@
 	if n, err := c.Write(text); err != nil && n < len(text) {
 		return result{status: a.unsent()}
 	}
-	res, err := a.read(c)
+	a.endpoint.waiting.Add(1)
+	res, err := a.read(c, bodies)
+	a.endpoint.waiting.Add(-1)
 	switch {
 	case err == nil:
 	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
@@ -293,7 +315,6 @@
 	case errors.As(err, new(*net.OpError)), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
 		errors.Is(err, io.ErrClosedPipe):
 		res.status = gingerlead.Reset
-		time.Sleep(resetsSpread) // so that the loop can tell whether the others broke as well
 	default:
 		// The endpoint has run it and is well, but what it says cannot be used.
 		res.status = gingerlead.Spoilt
@@ -304,11 +325,12 @@
 var (
 	errTooLarge = errors.New("too large")
 	errSpoilt   = errors.New("cannot be read")
+	errNoRoom   = errors.New("no memory for the body")
 )
 
 // read takes the response to the request that was written. An error that is not the connection's means that
 // the response cannot be used; its connection is of no more use then.
-func (a *attempt) read(c *conn) (res result, err error) {
+func (a *attempt) read(c *conn, bodies *budget) (res result, err error) {
 	c.left = maxAnswerHead
 	var code int
 	var header textproto.MIMEHeader
@@ -324,6 +346,11 @@
 	if code < http.StatusOK {
 		return res, errSpoilt // its real answer is still to come
 	}
+	if !bodies.take(maxBody) {
+		return res, errNoRoom
+	}
+	kept := 0
+	defer func() { bodies.give(maxBody - kept) }()
 	c.left = maxBody + maxAnswerHead // beside the body, what its chunks take
 	body, err := readBody(c.reader, code, header)
 	if err != nil {
@@ -338,6 +365,7 @@
 		res.status = gingerlead.OK
 		removeHopByHop(http.Header(header))
 		res.response = &response{header: http.Header(header), body: body}
+		kept = len(body)
 	case code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout:
 		if header.Get("X-Turned-Away") == "1" {
 			res.status = gingerlead.Full
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -27,9 +27,16 @@
 		go during(a)
 	}
 	if c == nil {
-		return a.run(nil, patience)
+		return a.run(nil, patience, roomy())
 	}
-	return a.over(newConn(c))
+	return a.over(newConn(c), roomy())
+}
+
+// roomy is a budget for bodies that is not used up.
+func roomy() *budget {
+	b := &budget{}
+	b.give(1 << 30)
+	return b
 }
 
 // pipe plays the endpoint's side of a connection, byte by byte.
@@ -155,6 +162,31 @@
 	}
 }
 
+// An answer that there is no memory for is given up, and what was set aside for others is given back.
+func TestAnswersShareTheMemory(t *testing.T) {
+	answer := func(far net.Conn) {
+		readRequest(far)
+		io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+	try := func(b *budget) result {
+		r := &request{deadline: time.Now().Add(patience), inbound: inbound{method: "GET", target: "/", host: "h"}}
+		e := &endpoint{}
+		e.open.Store(true)
+		a := newAttempt(r, e, 0)
+		defer a.cancel()
+		return a.over(newConn(pipe(t, answer)), b)
+	}
+	tight := &budget{}
+	tight.give(maxBody - 1)
+	if res := try(tight); res.status != gingerlead.Spoilt || tight.left.Load() != maxBody-1 {
+		t.Errorf("status %v, %d bytes left", res.status, tight.left.Load())
+	}
+	tight.give(1)
+	if res := try(tight); res.status != gingerlead.OK || tight.left.Load() != maxBody-2 {
+		t.Errorf("status %v, %d bytes left", res.status, tight.left.Load())
+	}
+}
+
 // What comes after an answer, however late, must not be served to the next request.
 func TestLateExtraIsNotServed(t *testing.T) {
 	c, far := tcpPair(t)
@@ -179,7 +211,7 @@
 	e.open.Store(true)
 	a := newAttempt(&request{deadline: time.Now().Add(patience), inbound: inbound{method: "GET", target: "/", host: "h"}}, e, 0)
 	defer a.cancel()
-	if res := a.run(c, patience); res.status != gingerlead.OK || string(res.response.body) != "new" {
+	if res := a.run(c, patience, roomy()); res.status != gingerlead.OK || string(res.response.body) != "new" {
 		t.Errorf("status %v, response %+v", res.status, res.response)
 	}
 }
@@ -233,12 +265,12 @@
 	e.open.Store(true)
 	a := newAttempt(&request{deadline: time.Now().Add(patience)}, e, 0)
 	defer a.cancel()
-	if res := a.run(nil, 100*time.Millisecond); res.status != gingerlead.ConnectFailed {
+	if res := a.run(nil, 100*time.Millisecond, roomy()); res.status != gingerlead.ConnectFailed {
 		t.Errorf("status %v", res.status)
 	}
 	a = newAttempt(&request{deadline: time.Now().Add(100 * time.Millisecond)}, e, 0)
 	defer a.cancel()
-	if res := a.run(nil, patience); res.status != gingerlead.Moot {
+	if res := a.run(nil, patience, roomy()); res.status != gingerlead.Moot {
 		t.Errorf("status %v at the request's deadline", res.status)
 	}
 }
