Send lost calls again, and do not let them use up the limit

In a line of the module's state each half second nine calls were out against a limit of nine, none was answered for 4 s, and 30 were held. Checked: each attempt with its connection. Three of the four fronts left about one call in five without an answer for 6 s, on new connections and on used ones, and answered the others. Ruled out: stale connections (no link with the time that they had stood idle); our sidecars of the second tier (they answered all that came, within 1.4 s, and got nothing from those fronts); isolation. At fault: balancer.go. Silence is only that of a whole endpoint; with cancels allowed a call has no time-out of its own; and as answers fail to come, refit lowers the limit to what the lost calls fill. Now a call that four later ones have overtaken leaves room for others after 0.6 of the latency that one answer in a hundred passes, counts as lost after 1.1 of it, and is sent again if its endpoint loses over 12 in 100.

--- a/balancer.go
+++ b/balancer.go
@@ -69,10 +69,14 @@
 	suspectAfter  = 3.0 // mean latencies until an endpoint is passed over
 	tailStart     = 6.0 // first guess of the latency that one answer in a hundred passes, in means
 	tailShare     = 0.01
-	tailStep      = 0.3 // how far one answer moves that guess, in means
-	silentTails   = 4.0 // such latencies until silence isolates on one call
-	silentCalls   = 2   // so many calls isolate it at suspectAfter already
-	othersAnswers = 4   // answers of others in that time that make silence its own
+	tailStep      = 0.3  // how far one answer moves that guess, in means
+	silentTails   = 4.0  // such latencies until silence isolates on one call
+	silentCalls   = 2    // so many calls isolate it at suspectAfter already
+	othersAnswers = 4    // answers of others in that time that make silence its own
+	lossWeight    = 0.05 // of one call in an endpoint's share of lost ones: two in a row pass losesAt
+	losesAt       = 0.12 // share of calls that an endpoint loses, not one that is slow now and then
+	stuckTails    = 0.6  // such latencies until a call that so many later ones overtook leaves room for others,
+	lostTails     = 1.1  // and until it counts as lost
 
 	// Errors: an endpoint is judged against the fleet, for the tier below may be at fault.
 	errorWeight   = 0.3  // of one answer in an endpoint's error share: two in a row pass ejectAt
@@ -86,7 +90,7 @@
 	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure
 	returnedWarm  = 0.75 // share of Cold that an endpoint skips in its ramp if nothing showed a restart
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
-	retryShare    = 0.1  // further attempts earned by each answered call
+	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
 	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held
 	repeatWeight  = 0.05 // of one repeat in the mean time that repeats have spent
@@ -118,6 +122,7 @@
 	scratch  []*endpoint
 
 	out      int     // attempts in flight
+	lost     int     // those of them that no answer is expected for
 	answered int     // answers of any kind
 	rate     flow    // base latencies answered a second: the calls in flight at little load
 	limit    float64 // on calls in flight
@@ -247,7 +252,7 @@
 		b.rateClasses()
 	}
 	for len(b.held) > 0 {
-		if float64(b.out) >= b.limit || b.paced && b.credit < 1 {
+		if float64(b.out-b.lost) >= b.limit || b.paced && b.credit < 1 {
 			break
 		}
 		i := b.next(now)
@@ -434,7 +439,7 @@
 	}
 	// A cold endpoint with a warm one's calls in flight would answer none of them in time.
 	most := (endpointShare*b.limit/max(b.subset, 1)/b.slow(e) + limitSlack) * b.share(now, e)
-	return float64(b.load(now, e)) < max(most, limitSlack)
+	return float64(b.load(now, e)-e.lost) < max(most, limitSlack)
 }
 
 // load is the number of own calls in flight, with those that failed a short while ago: few in flight must
@@ -626,6 +631,7 @@
 // send makes an attempt.
 func (b *Balancer) send(now time.Duration, r *request, e *endpoint, trial bool) {
 	r.to, r.sentAt, r.trial, r.answered, r.quit = e, now, trial, b.answered, false
+	r.overtaken, r.lost = 0, false
 	r.attempts++
 	b.credit--
 	if e.mark != isolated {
@@ -703,6 +709,8 @@
 	}
 	switch o.Status {
 	case OK:
+		b.overtake(r)
+		e.losses -= lossWeight * e.losses
 		b.learn(now, r, e, o.Elapsed)
 		b.press(now, r.class, o.Elapsed)
 		if now <= r.aimBy {
@@ -1078,8 +1086,10 @@
 	switch token {
 	case tokenTick:
 		b.ticking = false
+		b.lost = 0
 		for _, e := range b.listed {
 			b.age(now, e)
+			b.miss(now, e)
 		}
 		b.place(now)
 		b.arm()
@@ -1106,6 +1116,42 @@
 	}
 }
 
+// overtake notes that a call was answered before others that were sent earlier.
+func (b *Balancer) overtake(by *request) {
+	for _, e := range b.listed {
+		for _, r := range e.calls {
+			if r.sentAt >= by.sentAt {
+				break
+			}
+			r.overtaken++
+		}
+	}
+}
+
+// miss looks for calls that an endpoint has lost, though it answers others: out for longer than hardly any,
+// and overtaken. They are sent again while there is time, and do not use up the limit: the limit falls as
+// answers fail to come, until those that were lost are all that it allows.
+func (b *Balancer) miss(now time.Duration, e *endpoint) {
+	e.lost = 0
+	for _, r := range e.calls {
+		age, long := now-r.sentAt, r.class.tail*r.class.mean
+		if r.overtaken < othersAnswers || age <= seconds(stuckTails*long) {
+			continue
+		}
+		e.lost++
+		if !r.lost && age > seconds(lostTails*long) {
+			r.lost = true
+			e.losses += lossWeight * (1 - e.losses)
+		}
+		if r.lost && e.losses > losesAt && b.retriable(now, r) {
+			b.withdraw(r)
+		}
+	}
+	if e.mark != isolated {
+		b.lost += e.lost
+	}
+}
+
 // allOlder tells whether two calls at least have been out for suspectAfter mean latencies.
 func (b *Balancer) allOlder(now time.Duration, e *endpoint) bool {
 	r := e.calls[silentCalls-1]
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -367,6 +367,54 @@
 	}
 }
 
+// An endpoint that answers most calls and loses some is not silent. Its lost calls are sent again once later
+// ones have overtaken them, and until then leave room for others; an unsafe one is left alone.
+func TestLostCallIsSentAgain(t *testing.T) {
+	d := start(t, settings(), 4)
+	d.serve(60, nil)
+	lost := map[RequestID]sent{}
+	atOne, again := 0, 0
+	for range 200 {
+		d.ask(read)
+		s := d.last()
+		if s.to == 1 {
+			atOne++
+		}
+		if s.to == 1 && atOne%2 == 0 {
+			lost[s.id] = s
+		} else {
+			d.end(s, OK, 20*ms)
+		}
+		d.pass(20 * ms)
+		for _, c := range d.cancels {
+			s, ok := lost[c.id]
+			if !ok {
+				t.Fatalf("%s is withdrawn, and was answered or is sent again", c.id)
+			}
+			delete(lost, c.id)
+			d.end(s, Cancelled, 150*ms)
+			if next := d.last(); next.id != c.id || next.to == s.to {
+				t.Fatalf("%s is not sent to another endpoint: %v", c.id, next)
+			}
+			again++
+			d.end(d.last(), OK, 20*ms)
+		}
+		d.cancels = nil
+	}
+	if again < 3 || len(lost) > 4 {
+		t.Errorf("%d lost calls sent again, %d still out", again, len(lost))
+	}
+	id := d.ask(pay)
+	for range 40 {
+		d.pass(20 * ms)
+		d.ask(read)
+		d.end(d.last(), OK, 20*ms)
+	}
+	if r := d.b.requests[id]; d.attempts[id] != 1 || r == nil || !r.lost || r.quit || d.b.lost == 0 {
+		t.Errorf("the unsafe call: %d attempts, %+v", d.attempts[id], r)
+	}
+}
+
 func TestUnsafeIsNeverSentTwice(t *testing.T) {
 	d := start(t, settings(), 3)
 	id := d.ask(pay)
--- a/state.go
+++ b/state.go
@@ -39,6 +39,8 @@
 	lastAnswer time.Duration
 	fullUntil  time.Duration // turned a call away: passed over until then
 	errors     float64       // smoothed share of answers that are errors
+	losses     float64       // and of calls that it lost
+	lost       int           // own calls in flight that it will hardly answer
 	trialAt    time.Duration
 	trialPause time.Duration
 	tokens     float64 // sends a ramping endpoint may get now
@@ -66,6 +68,9 @@
 	stream   bool
 	done     bool
 	quit     bool // withdrawn by us: the outcome is still to come
+
+	overtaken int  // answers to calls that were sent after the attempt that is out
+	lost      bool // that attempt will hardly be answered
 }
 
 // class is a class of request with what was seen of its latency.
