--- a/cmd/quincegap/main_test.go
+++ b/cmd/quincegap/main_test.go
@@ -1,11 +1,18 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -36,3 +43,58 @@
 		}
 	}
 }
+
+// SIGHUP makes the program read its file again; uncaught it would end it. After SIGTERM it ends by itself.
+func TestSignals(t *testing.T) {
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"rev":1,"all":true,"targets":[]}`+"\n")
+		http.NewResponseController(w).Flush()
+		if r.URL.Query().Has("follow") {
+			<-r.Context().Done()
+		}
+	}))
+	defer discovery.Close()
+	defer discovery.CloseClientConnections()
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"a1",
+		"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"allowed":{"connectTimeout":2000000},
+		"discovery":"push","instances":1,"services":[{"name":"read","aim":1000000,"deadline":1000000,
+		"effect":"read_like","gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, discovery.Listener.Addr())
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG="+file)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(stderr)
+	for _, step := range []struct {
+		word string // of the log, that shows that the step before is done
+		next os.Signal
+	}{
+		{"serving on", syscall.SIGHUP}, {"reload: discovery is", syscall.SIGHUP}, {"reload: discovery is", syscall.SIGTERM},
+	} {
+		for {
+			if !lines.Scan() {
+				t.Fatalf("it ended before it said %q", step.word)
+			}
+			if strings.Contains(lines.Text(), step.word) {
+				break
+			}
+		}
+		if err := cmd.Process.Signal(step.next); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -249,7 +249,7 @@
 func (a *attempt) dial(timeout time.Duration) (*conn, error) {
 	dialer := net.Dialer{Timeout: timeout}
 	raw, err := dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
-	if timeout := net.Error(nil); err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 		raw, err = dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
 	}
 	if err != nil {
