Serve callers on their open connections until shortly before the kill

Mend: after SIGTERM the sidecar goes on accepting and serving, until 0.2 s before the earliest SIGKILL, or until nobody is connected. The loop cuts what attempts, X-Remaining and held requests have left to that, and calls off what is out then, so that each request has its answer before. The module (Leave) knows the end: what can hardly be served is refused at once, by the only instance with the time at which its successor serves in Retry-After. Where there are other instances, idle connections are closed 0.7 s before the end.

So the module is told how many callers' connections are idle (Request.Idle), and as the only instance that ends it refuses a request when two are not left.

Closing the connection with each late refusal used them up as well; that was dropped.

To make room in balancer.go, look folds two copies of the same smoothing into follow, which changes no figure.

--- a/api.go
+++ b/api.go
@@ -155,6 +155,7 @@
 	Hint   time.Duration // expected work, where given
 	Repeat bool          // the client marks it as a repeat
 	Write  bool
+	Idle   int // callers' connections to this instance that stand idle beside its own
 }
 
 // Status is how an attempt or a probe ended.
--- a/balancer.go
+++ b/balancer.go
@@ -3,6 +3,7 @@
 package gingerlead
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -97,6 +98,8 @@
 	firstTryShare = 0.97 // of the longest time left seen: less tells of a repeat
 	classMemory   = 100  // requests of a class that its part served in time is remembered over
 	classAsked    = 5    // and requests from which it counts
+	successor     = 1.5  // seconds from an instance's end until the next one serves in its place
+	idleLeast     = 2    // callers' connections that the only instance keeps idle once it is told to end
 	tickQuanta    = 4    // quanta between looks at held and overdue calls
 )
 
@@ -145,6 +148,7 @@
 
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
 
+	endsAt     time.Duration // when this instance ends, where that is known
 	fetchAt    time.Duration // no fetch before
 	watchPause time.Duration
 }
@@ -162,11 +166,8 @@
 	}
 	b := &Balancer{set: set, host: host, rng: rand.New(rand.NewPCG(seed, 0x6a617370)),
 		byID: map[EndpointID]*endpoint{}, requests: map[RequestID]*request{}, budget: retryReserve,
-		queue: queueHolds}
-	b.window = set.Fall
-	if b.window == 0 {
-		b.window = time.Second
-	}
+		queue: queueHolds, endsAt: math.MaxInt64}
+	b.window = cmp.Or(set.Fall, time.Second)
 	b.tick = max(tickQuanta*set.Quantum, time.Millisecond)
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, class{Class: c, tail: tailStart})
@@ -189,10 +190,10 @@
 func (b *Balancer) Request(now time.Duration, q Request) {
 	c := &b.classes[q.Class]
 	low, spare := b.beyondShare(now, q)
-	r := &request{id: q.ID, class: c, deadline: now + q.Left, low: low}
-	r.aimBy = now + c.Aim - b.spent(c, q)
+	r := &request{id: q.ID, class: c, deadline: min(now+q.Left, b.endsAt), low: low}
+	r.aimBy = min(now+c.Aim-b.spent(c, q), b.endsAt)
 	b.requests[q.ID] = r
-	if q.Left <= 0 || low && !spare {
+	if q.Left <= 0 || low && !spare || b.closing(now, c, q) {
 		b.finish(now, r)
 		return
 	}
@@ -203,6 +204,28 @@
 	b.arm()
 }
 
+// Leave tells when this instance ends. All that it has or takes is answered by then: what can hardly be
+// served in time is refused at once. Calls that are out then are the host's to end.
+func (b *Balancer) Leave(now, at time.Duration) {
+	b.endsAt = at
+	for _, r := range b.requests {
+		r.deadline, r.aimBy = min(r.deadline, at), min(r.aimBy, at)
+	}
+	b.place(now)
+}
+
+// closing tells whether an instance that ends refuses a request: for want of time, or, as the only one, of
+// connections. Callers open no more; who finds all in use, by a burst or by slow endpoints, finds nobody and
+// stops looking. Where callers do open more, some are refused in vain.
+func (b *Balancer) closing(now time.Duration, c *class, q Request) bool {
+	return b.ends(now, c) || b.endsAt < math.MaxInt64 && b.set.Instances == 1 && q.Idle < idleLeast
+}
+
+// ends tells whether this instance ends before a call sent then is answered, slow as it may be.
+func (b *Balancer) ends(then time.Duration, c *class) bool {
+	return then+seconds(slackMeans*c.mean) >= b.endsAt
+}
+
 // spent is a lower bound of the time that had passed for the client when the request arrived. Clients'
 // tries begin with the same time left; a shorter one tells of a repeat, or of work in the tiers above.
 func (b *Balancer) spent(c *class, q Request) time.Duration {
@@ -431,10 +454,7 @@
 
 // room tells whether an endpoint may get one more call.
 func (b *Balancer) room(now time.Duration, e *endpoint) bool {
-	if e.fullUntil > now {
-		return false
-	}
-	if e.mark == ramping && !b.rampRoom(now, e) {
+	if e.fullUntil > now || e.mark == ramping && !b.rampRoom(now, e) {
 		return false
 	}
 	// A cold endpoint with a warm one's calls in flight would answer none of them in time.
@@ -911,20 +931,19 @@
 	// The base latency comes to lie well under the mean of an easy tier, as it follows the lowest windows;
 	// strain measured against it held calls back on quiet days.
 	if c.windows <= baseSkip+1 {
-		c.usual = mean
-	} else if mean < c.usual {
-		c.usual += baseFall * (mean - c.usual)
-	} else {
-		c.usual += usualRise * (mean - c.usual)
+		c.usual, c.base = mean, mean
+		return
 	}
-	switch {
-	case c.windows <= baseSkip+1:
-		c.base = mean
-	case mean < c.base:
-		c.base += baseFall * (mean - c.base)
-	default:
-		c.base += baseRise * (mean - c.base)
+	c.usual = follow(c.usual, mean, usualRise)
+	c.base = follow(c.base, mean, baseRise)
+}
+
+// follow moves a latency towards a mean: faster where that is lower.
+func follow(latency, mean, rise float64) float64 {
+	if mean < latency {
+		rise = baseFall
 	}
+	return latency + rise*(mean-latency)
 }
 
 func (b *Balancer) noteError(e *endpoint, x float64) {
@@ -996,10 +1015,7 @@
 	if now < b.fetchAt {
 		return
 	}
-	pace := b.set.AskEvery
-	if pace == 0 {
-		pace = max(b.set.Cold, b.window)
-	}
+	pace := cmp.Or(b.set.AskEvery, max(b.set.Cold, b.window))
 	b.fetchAt = now + b.jitter(seconds(refreshShare*pace.Seconds()))
 	b.host.Fetch()
 }
@@ -1030,7 +1046,7 @@
 	r.done = true
 	if r.mayRun == nil && r.to == nil || r.class.Effect == Safe ||
 		r.class.Effect == Keyed && r.class.Scope == ScopeAll {
-		b.host.Refuse(r.id, b.comeBack(now))
+		b.host.Refuse(r.id, b.comeBack(now, r.class))
 	} else {
 		b.host.Fail(r.id)
 	}
@@ -1040,13 +1056,17 @@
 }
 
 // comeBack is when a refused client should ask again: when what is held and in flight now will have been
-// answered at the present rate. Clients that come sooner find the same queue; 0 gives no advice.
-func (b *Balancer) comeBack(now time.Duration) time.Duration {
-	rate := b.served.value(now, b.window)
-	if rate == 0 {
-		return 0
+// answered at the present rate, or, where that outlasts the only instance, when its successor serves. Clients
+// that come sooner find the same queue, or nobody; 0 gives no advice.
+func (b *Balancer) comeBack(now time.Duration, c *class) time.Duration {
+	wait := time.Duration(0)
+	if rate := b.served.value(now, b.window); rate > 0 {
+		wait = seconds(min(float64(len(b.held)+b.out)/rate, b.set.MaxRetryAfter.Seconds()))
+	}
+	if b.set.Instances == 1 && b.ends(now+wait, c) {
+		wait = min(b.endsAt+seconds(successor)-now, b.set.MaxRetryAfter)
 	}
-	return seconds(min(float64(len(b.held)+b.out)/rate, b.set.MaxRetryAfter.Seconds()))
+	return wait
 }
 
 // Lapsed tells that the client has gone: nothing is owed, and work for it is called off.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1155,3 +1155,59 @@
 		t.Error("two runs of the same events differ")
 	}
 }
+
+// An instance that ends sends nothing that it could hardly answer, and says when its successor serves.
+func TestLeavingRefusesWhatComesTooLate(t *testing.T) {
+	s := settings()
+	s.MaxRetryAfter = 5 * time.Second
+	d := start(t, s, 4)
+	d.serve(100, nil) // 20 ms each
+	d.ask(pay)
+	out := d.last()
+	endsAt := d.now + 200*ms
+	d.b.Leave(d.now, endsAt)
+	ask := func(idle int) (sends, refusals int) {
+		d.n++
+		sends, refusals = len(d.sent), len(d.refusals)
+		d.b.Request(d.now, Request{ID: RequestID(fmt.Sprint("r", d.n)), Class: read, Left: 1500 * ms, Idle: idle})
+		return len(d.sent) - sends, len(d.refusals) - refusals
+	}
+	if sends, _ := ask(idleLeast); sends != 1 {
+		t.Error("in good time: not sent")
+	}
+	if sends, refusals := ask(idleLeast - 1); sends != 0 || refusals != 1 {
+		t.Errorf("with hardly a connection idle: %d sends, %d refusals", sends, refusals)
+	}
+	d.pass(180 * ms)
+	if sends, refusals := ask(idleLeast); sends != 0 || refusals != 1 {
+		t.Errorf("too late: %d sends, %d refusals", sends, refusals)
+	}
+	if got, want := d.advice[len(d.advice)-1], endsAt+seconds(successor)-d.now; got != want {
+		t.Errorf("told to come back after %v, the successor serves after %v", got, want)
+	}
+	d.pass(20 * ms)
+	sends := len(d.sent)
+	d.end(out, Cancelled, 200*ms)
+	if len(d.sent) != sends || len(d.fails) != 1 || d.fails[0] != out.id {
+		t.Errorf("what was out at the end: %d more sends, failed %v", len(d.sent)-sends, d.fails)
+	}
+}
+
+// Where others serve on, clients come back as soon as the queue is worked off, and may find no connection here.
+func TestLeavingAmongOthers(t *testing.T) {
+	s := settings()
+	s.Instances, s.MaxRetryAfter = 2, 5*time.Second
+	d := start(t, s, 4)
+	d.serve(100, nil)
+	sends := len(d.sent)
+	d.b.Leave(d.now, d.now+200*ms)
+	d.ask(read)
+	if len(d.sent) != sends+1 {
+		t.Error("in good time: not sent")
+	}
+	d.pass(190 * ms)
+	d.ask(read)
+	if len(d.refusals) != 1 || d.advice[0] >= time.Second {
+		t.Errorf("too late: refused %v, told to come back after %v", d.refusals, d.advice)
+	}
+}
--- a/internal/sidecar/callers.go
+++ b/internal/sidecar/callers.go
@@ -169,18 +169,19 @@
 	return c.began, c.over
 }
 
-// served notes that a request has come whole.
-func (c *caller) served() {
+// served notes that a request has come whole, and tells how many connections stand idle beside its own.
+func (c *caller) served() (idles int) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	c.callers.move(c, serving)
+	return c.callers.stages[idle].Len()
 }
 
-// lastCame is when the last connection came.
-func (cs *callers) lastCame() time.Time {
+// quietFor tells whether no connection is open and none has come for a while.
+func (cs *callers) quietFor(d time.Duration) bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.newest
+	return cs.open == 0 && time.Since(cs.newest) >= d
 }
 
 type callerKey struct{}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -25,8 +25,9 @@
 	bodies budget
 
 	config    *Config
-	rev       uint64 // version of the list that the Balancer has
-	moved     bool   // that list is another discovery's than the one that is followed now
+	endsAt    time.Time // when all must be answered; zero unless this sidecar was told to stop
+	rev       uint64    // version of the list that the Balancer has
+	moved     bool      // that list is another discovery's than the one that is followed now
 	balancer  *gingerlead.Balancer
 	requests  map[gingerlead.RequestID]*request
 	past      past
@@ -102,11 +103,37 @@
 		return
 	}
 	r.deadline = received.Add(r.Left - l.config.Settings.GraceToAnswer)
-	r.Left = time.Until(r.deadline)
+	r.Left = time.Until(r.deadline) // also where this sidecar ends before: the Balancer knows
+	r.endBy(l.endsAt)
 	l.requests[r.ID] = r
 	l.balancer.Request(l.now(), r.Request)
 }
 
+// leave has everything answered by a given time. What is out then is called off.
+func (l *loop) leave(end time.Time) {
+	l.endsAt = end
+	for _, r := range l.requests {
+		r.endBy(end)
+	}
+	l.balancer.Leave(l.now(), end.Sub(l.origin))
+	time.AfterFunc(time.Until(end), func() {
+		l.post(func() {
+			for _, r := range l.requests {
+				if r.out != nil {
+					r.out.cancel()
+				}
+			}
+		})
+	})
+}
+
+// endBy cuts the time of a request's further attempts; a zero time leaves it.
+func (r *request) endBy(end time.Time) {
+	if !end.IsZero() && end.Before(r.deadline) {
+		r.deadline = end
+	}
+}
+
 // lapse tells the Balancer that a client has gone.
 func (l *loop) lapse(r *request) {
 	if l.requests[r.ID] != r || r.answered {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,10 +26,20 @@
 	maxHeader    = 8 << 10
 	maxName      = 128 // bytes of an id
 	maxRemaining = time.Hour
-	// quietAfter is how long no new connection must have come before a sidecar that was told to stop
-	// closes its listener, and what waits in the backlog is lost.
+	// quietAfter is how long no new connection must have come before a sidecar that was told to stop, and that
+	// no caller is connected to, ends.
 	quietAfter = 500 * time.Millisecond
-	stopPoll   = 20 * time.Millisecond
+	// The platform kills a sidecar that was told to stop no sooner than its longest deadline, or killCap if that
+	// is shorter, and killGrace later. All answers are out killMargin before that.
+	killCap    = 3 * time.Second
+	killGrace  = 700 * time.Millisecond
+	killMargin = 200 * time.Millisecond
+	// lastAnswers is how long before that each answer says that it is the last on its connection: a request
+	// that is on its way when an idle one is closed has to be sent again.
+	lastAnswers = 100 * time.Millisecond
+	// handOver is how long before its end a sidecar that was told to stop sends its callers to the other ones.
+	handOver = 700 * time.Millisecond
+	stopPoll = 20 * time.Millisecond
 )
 
 // inbound is what goes on to an endpoint unchanged.
@@ -47,20 +58,24 @@
 	config   *Config
 	classes  map[string]int
 	tenants  map[string]int
-	longest  time.Duration // deadline of a class
-	quiet    time.Duration // see quietAfter
-	stopping atomic.Bool
+	longest  time.Duration             // deadline of a class
+	quiet    time.Duration             // see quietAfter
+	linger   time.Duration             // from being told to stop until all is answered
+	handOver time.Duration             // see handOver
+	end      atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
 
 	callers callers
 }
 
 func newServer(c *Config, l *loop) *server {
-	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter}
+	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
+		handOver: handOver}
 	s.callers.most = int((1 - outboundShare) * float64(c.Limits.Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
 	}
+	s.linger = min(s.longest, killCap) + killGrace - killMargin
 	for i, tenant := range c.Settings.Tenants {
 		s.tenants[tenant.Name] = i
 	}
@@ -73,7 +88,7 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/ready" && r.Header.Get("X-Txn") == "" {
-		if !s.loop.ready.Load() || s.stopping.Load() {
+		if !s.loop.ready.Load() || s.end.Load() != nil {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
@@ -112,7 +127,7 @@
 		return
 	}
 	received := time.Now()
-	c.served()
+	req.Idle = c.served()
 	removeHopByHop(r.Header)
 	req.inbound = inbound{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: body}
 	s.loop.post(func() { s.loop.arrive(req, received) })
@@ -216,6 +231,9 @@
 
 // write gives the final answer.
 func (s *server) write(w http.ResponseWriter, a answer) {
+	if end := s.end.Load(); end != nil && time.Until(*end) < lastAnswers {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case a.response != nil:
 		header := w.Header()
@@ -249,24 +267,27 @@
 	}
 }
 
-// stop ends the server once nothing new comes and what was taken is answered. Until then it goes on
-// accepting, for connections in the backlog may hold requests; each answer closes its connection.
+// stop ends the server shortly before it would be killed, with all answered that it has taken. Until then it
+// goes on serving: no front sends it new callers, but those that it has go on using their connections, and
+// where it is the only sidecar, or the others are gone or just starting, whom it cuts off has nowhere to go.
+// Where there are others it closes what is idle handOver before the end, so that its last callers move there.
+// It ends early when nobody is connected any more. It does harm where the platform kills sooner than it says.
 func (s *server) stop() error {
-	s.stopping.Store(true)
-	s.http.SetKeepAlivesEnabled(false) // closes idle connections, too
 	told := time.Now()
-	end := told.Add(s.quiet + s.quiet/4) // a flood must not put off the end, and with it all that is served
-	for time.Now().Before(end) {
-		last := s.callers.lastCame()
-		if last.Before(told) {
-			last = told
-		}
-		if time.Since(last) >= s.quiet {
-			break
-		}
+	end := told.Add(s.linger)
+	s.loop.post(func() { s.loop.leave(end) })
+	s.end.Store(&end)
+	last := end
+	if s.config.Settings.Instances > 1 {
+		last = end.Add(-min(s.handOver, s.linger-s.quiet))
+	}
+	for time.Now().Before(last) && (time.Since(told) < s.quiet || !s.callers.quietFor(s.quiet)) {
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.longest+writeTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(killMargin/2))
 	defer cancel()
-	return s.http.Shutdown(ctx)
+	if err := s.http.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return s.http.Close() // what is left has not brought a whole request, or does not read its answer
 }
