Keep three callers' connections idle while the only sidecar stops

A refusal holds its connection for about 2.5 ms (the client's way there and back), and bursts bring 100 requests a second, so two more in that time are likely in the course of a stop, three are not.

Tried and reverted: the reserve also where there are other sidecars.

--- a/balancer.go
+++ b/balancer.go
@@ -99,7 +99,7 @@
 	classMemory   = 100  // requests of a class that its part served in time is remembered over
 	classAsked    = 5    // and requests from which it counts
 	successor     = 1.5  // seconds from an instance's end until the next one serves in its place
-	idleLeast     = 2    // callers' connections that the only instance keeps idle once it is told to end
+	idleLeast     = 3    // callers' connections that the only instance keeps idle once it is told to end
 	tickQuanta    = 4    // quanta between looks at held and overdue calls
 )
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -575,7 +575,7 @@
 		fmt.Fprint(w, "ok")
 	}))
 	rg.server.quiet, rg.server.linger = time.Millisecond, time.Hour
-	idles := rg.connect(4)
+	idles := rg.connect(5)
 	answer := make(chan *http.Response)
 	ask := func(c *net.TCPConn) { answer <- rg.send(c, rg.request("once", 9*time.Second)) }
 	go ask(idles[0])
@@ -619,7 +619,7 @@
 		gaveUp <- true
 	}))
 	rg.server.linger = linger
-	idles := rg.connect(4)
+	idles := rg.connect(5)
 	answer := make(chan *http.Response, 2)
 	ask := func(c *net.TCPConn) { answer <- rg.send(c, rg.request("once", time.Minute)) }
 	go ask(idles[0])
@@ -653,7 +653,7 @@
 		}
 	})
 	for _, c := range []struct{ idles, instances, status int }{
-		{1, 1, http.StatusServiceUnavailable}, {2, 1, http.StatusOK}, {0, 2, http.StatusOK},
+		{2, 1, http.StatusServiceUnavailable}, {3, 1, http.StatusOK}, {0, 2, http.StatusOK},
 	} {
 		rg := startOneOf(t, c.instances, 1024, one)
 		rg.server.linger = time.Hour
