--- a/balancer_test.go
+++ b/balancer_test.go
@@ -432,7 +432,7 @@
 
 func TestKeyedStaysInItsCellAndWindow(t *testing.T) {
 	d := start(t, settings(), 6)
-	id := d.ask(book)
+	d.ask(book)
 	first := d.last()
 	d.end(first, Error, ms)
 	if again := d.last(); again.attempt != 1 || (again.to-1)/2 != (first.to-1)/2 {
@@ -441,7 +441,7 @@
 	s := settings()
 	s.Classes[book].Window = 100 * ms
 	d = start(t, s, 6)
-	id = d.ask(book)
+	id := d.ask(book)
 	d.pass(200 * ms)
 	d.end(d.last(), Error, 200*ms)
 	d.pass(3 * time.Second)
--- a/cmd/quincegap/main.go
+++ b/cmd/quincegap/main.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"flag"
 	"fmt"
 	"log"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"gingerlead/internal/product"
 	"gingerlead/internal/sidecar"
 )
 
@@ -17,7 +19,13 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP) // first of all: uncaught, it ends the process
-	config, err := sidecar.LoadConfig(os.Getenv)
+	file := flag.String("config", "", "the product's file (TOML); without it, all comes from the environment")
+	flag.Parse()
+	if flag.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "quincegap: unknown argument %q; settings come from -config FILE and the environment\n", flag.Arg(0))
+		os.Exit(2)
+	}
+	config, err := product.Sidecar(*file, os.Getenv)
 	if err == nil {
 		err = sidecar.Run(config, stop, reload)
 	}
--- /dev/null
+++ b/cmd/quincegapctl/main.go
@@ -0,0 +1,11 @@
+// Command quincegapctl writes and checks the configuration of quincegap's
+// sidecars.
+package main
+
+import (
+	"os"
+
+	"gingerlead/internal/tool"
+)
+
+func main() { os.Exit(tool.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/apps/written.go
@@ -0,0 +1,363 @@
+package apps
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"gingerlead/internal/appfile"
+	"gingerlead/internal/doc"
+	"gingerlead/internal/finding"
+	"gingerlead/internal/schema"
+)
+
+// The header and the trailer of a written file. Their lines are comments to everybody else.
+const (
+	headBy     = "# Written by quincegapctl for "
+	headFrom   = " from "
+	headDigest = "# digest: "
+	trailer    = "# What was written, by which an edit is found (end of the file as it was written):"
+	keyMark    = "#: "
+)
+
+var headText = []string{
+	"# Change it there and write again. An edit made here is never lost: quincegapctl diff shows it,",
+	"# write --keep-edits keeps it, and adopt takes it back.",
+}
+
+// Generate writes an application's file: the keys that apps.toml sets for it, each with its help, between a
+// header with a digest and a trailer with a short digest of each key. The same model gives the same bytes.
+func Generate(app *App, source string) []byte {
+	body := app.File.Text() + "\n" + trailerOf(app.File)
+	return []byte(head(app.Name, source, digest([]byte(body))) + body)
+}
+
+func head(name, source, digest string) string {
+	return headBy + name + headFrom + source + ".\n" + strings.Join(headText, "\n") + "\n" + headDigest + digest + "\n"
+}
+
+func trailerOf(f *schema.File) string {
+	var b strings.Builder
+	b.WriteString(trailer + "\n")
+	for _, s := range f.Settings() {
+		fmt.Fprintf(&b, "%s%s %s\n", keyMark, short(s.Canonical), s.ID())
+	}
+	return b.String()
+}
+
+func digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:])
+}
+
+// short is enough to tell two values of one key apart by mistake, not by malice.
+func short(canonical string) string { return digest([]byte(canonical))[:12] }
+
+// Written is what a file says of how it was written.
+type Written struct {
+	App    string
+	Source string
+	Base   map[string]string // the short digest of each key that was written
+	Keys   []string          // those keys, in order
+	Edited bool              // the text has changed since, be it in comments only
+	Cut    bool              // its end is missing
+}
+
+// ParseWritten reads the header and the trailer; it is nil where there is no header of the tool's.
+func ParseWritten(text []byte) *Written {
+	lines := strings.Split(strings.ReplaceAll(string(text), "\r\n", "\n"), "\n")
+	if len(lines) < 4 || !strings.HasPrefix(lines[0], headBy) {
+		return nil
+	}
+	w := &Written{Base: map[string]string{}, Cut: true}
+	var ok bool
+	w.App, w.Source, ok = strings.Cut(strings.TrimPrefix(lines[0], headBy), headFrom)
+	if !ok {
+		return nil
+	}
+	w.Source = strings.TrimSuffix(w.Source, ".")
+	want, at := "", 0
+	for i, line := range lines {
+		switch {
+		case want == "" && strings.HasPrefix(line, headDigest):
+			want, at = strings.TrimPrefix(line, headDigest), i+1
+		case line == trailer:
+			w.Cut = false
+		case !w.Cut && strings.HasPrefix(line, keyMark):
+			if sum, key, ok := strings.Cut(strings.TrimPrefix(line, keyMark), " "); ok {
+				w.Base[key] = sum
+				w.Keys = append(w.Keys, key)
+			}
+		}
+	}
+	// By the text itself, not by the lines above: a change of line ends is an edit too.
+	var rest []byte
+	for n := 0; n < at; n++ {
+		_, after, _ := bytes.Cut(text, []byte("\n"))
+		text = after
+	}
+	rest = text
+	w.Edited = want == "" || digest(rest) != want
+	return w
+}
+
+// Edit is a key that was changed by hand in a written file.
+type Edit struct {
+	Path    []string
+	Place   schema.Place
+	Key     *schema.Key
+	Raw     string // as the file has it now; empty where it was taken away
+	Was     string // as apps.toml has it, where that is known to be what was written
+	Now     string // what apps.toml has now, empty where it has none
+	Clashes bool   // apps.toml has changed it too, otherwise
+}
+
+// ID is the key's path as text.
+func (e Edit) ID() string { return doc.Dotted(e.Path) }
+
+// String tells the edit and where it is.
+func (e Edit) String() string { return fmt.Sprintf("%s: %s", e.Place, e.Words()) }
+
+// Words tells the edit.
+func (e Edit) Words() string {
+	switch now := cmp.Or(e.Now, "nothing"); {
+	case e.Clashes && e.Raw == "":
+		return fmt.Sprintf("%s was taken away by hand, and apps.toml now says %s", e.ID(), now)
+	case e.Clashes:
+		return fmt.Sprintf("%s = %s was set by hand, and apps.toml now says %s", e.ID(), e.Raw, now)
+	case e.Raw == "":
+		return fmt.Sprintf("%s was taken away by hand (it was %s)", e.ID(), e.Was)
+	case e.Was == "":
+		return fmt.Sprintf("%s = %s was added by hand", e.ID(), e.Raw)
+	}
+	return fmt.Sprintf("%s = %s was set by hand (it was %s)", e.ID(), e.Raw, e.Was)
+}
+
+// State is a written file beside what would be written now.
+type State struct {
+	App     *App   // as apps.toml has it
+	Path    string // of the file
+	Text    []byte // of the file; nil where there is none
+	New     []byte // what would be written
+	Written *Written
+	File    *schema.File // the file, decoded
+	Doc     *doc.Doc
+	Edits   []Edit
+}
+
+// Compare reads an application's file as it is and tells what stands against writing it: findings where it
+// cannot be read, and edits. A text of nil stands for no file.
+func Compare(s *schema.Schema, app *App, source, path string, text []byte, found *finding.List) *State {
+	st := &State{App: app, Path: path, Text: text, New: Generate(app, source)}
+	if text == nil || bytes.Equal(text, st.New) {
+		return st
+	}
+	st.Written = ParseWritten(text)
+	switch {
+	case st.Written == nil:
+		found.Add(path, finding.Pos{Line: 1, Col: 1}, "was not written by quincegapctl (its header is missing), so it is left alone; move it away first")
+		return st
+	case st.Written.App != app.Name:
+		found.Add(path, finding.Pos{Line: 1, Col: 1}, "was written for %s, not for %s; move it away first", st.Written.App, app.Name)
+		return st
+	case st.Written.Cut:
+		found.Add(path, finding.Pos{Line: 1, Col: 1}, "its end is missing: it was cut after it was written; write --discard-edits makes it whole")
+		return st
+	case !st.Written.Edited:
+		return st
+	}
+	before := found.Len()
+	st.Doc = doc.ReadTOML(text, MostFileBytes, found.In(path))
+	if st.Doc == nil || found.Len() > before {
+		return st
+	}
+	st.File = s.Decode(found, schema.Options{}, schema.Layer{Doc: st.Doc, Table: st.Doc.Root, File: path})
+	st.edits()
+	return st
+}
+
+// edits finds the keys that were changed by hand.
+func (st *State) edits() {
+	base := func(id string) string { return st.Written.Base[id] }
+	add := func(path []string, key *schema.Key, here *schema.Setting) {
+		id := doc.Dotted(path)
+		e := Edit{Path: path, Key: key, Place: schema.Place{File: st.Path, Pos: finding.Pos{Line: 1, Col: 1}}}
+		hereSum, nowSum := "", ""
+		if here != nil {
+			e.Raw, e.Place, hereSum = here.Raw, here.Place, short(here.Canonical)
+		} else {
+			e.Place = st.File.Place(path...)
+		}
+		if now := st.App.File.Setting(path...); now != nil {
+			e.Now, nowSum = now.Raw, short(now.Canonical)
+			if e.Now == "" {
+				e.Now = now.Canonical
+			}
+		}
+		if hereSum == base(id) || hereSum == nowSum {
+			return // not changed here, or to what is written anyhow
+		}
+		if nowSum == base(id) {
+			e.Was = e.Now
+		} else {
+			e.Clashes = true
+		}
+		st.Edits = append(st.Edits, e)
+	}
+	for _, s := range st.File.Settings() {
+		add(s.Path, s.Key, s)
+	}
+	for _, id := range st.Written.Keys {
+		if path := splitID(id); path != nil && st.File.Setting(path...) == nil {
+			add(path, nil, nil)
+		}
+	}
+}
+
+// splitID is the path that Dotted made the text of.
+func splitID(id string) (path []string) {
+	d := doc.ReadTOML([]byte(id+" = 0\n"), len(id)+5, func(finding.Pos, string, ...any) {})
+	if d == nil {
+		return nil
+	}
+	for t := d.Root; t != nil && len(t.Entries) == 1; t = t.Entries[0].Value.Table {
+		path = append(path, t.Entries[0].Name)
+	}
+	return path
+}
+
+// Edited tells whether the file was changed since it was written, be it in comments or spacing only.
+func (st *State) Edited() bool { return st.Written != nil && (st.Written.Edited || st.Written.Cut) }
+
+// Clashes are the edits to keys that apps.toml has changed otherwise.
+func (st *State) Clashes() (clashes []Edit) {
+	for _, e := range st.Edits {
+		if e.Clashes {
+			clashes = append(clashes, e)
+		}
+	}
+	return clashes
+}
+
+// Merge is the file with all that write changes, and the edits kept. It starts from the edited text, so that
+// comments by hand stay. The header goes on telling what apps.toml says, so that edits are known as such.
+// There must be no clash.
+func (st *State) Merge() []byte {
+	d := st.Doc
+	again := func(text []byte) {
+		d = doc.ReadTOML(text, len(text), func(finding.Pos, string, ...any) {})
+	}
+	kept := map[string]bool{}
+	for _, e := range st.Edits {
+		kept[e.ID()] = true
+	}
+	for _, s := range st.App.File.Settings() {
+		if here := st.File.Setting(s.Path...); !kept[s.ID()] && (here == nil || here.Canonical != s.Canonical) {
+			raw := s.Raw
+			if raw == "" || strings.ContainsAny(raw, "\r\n") {
+				raw = s.Canonical
+			}
+			again(d.Set(s.Path, raw, s.Key.Help))
+		}
+	}
+	for _, s := range st.File.Settings() {
+		if !kept[s.ID()] && st.App.File.Setting(s.Path...) == nil {
+			again(d.Delete(s.Path, s.Key.Help))
+		}
+	}
+	return restamp(d.Text, st.New)
+}
+
+// restamp gives an edited text the header and the trailer of a generated one.
+func restamp(text, generated []byte) []byte {
+	nl := doc.Newline(text)
+	lines := strings.Split(string(text), "\n")
+	fresh := strings.Split(string(generated), "\n")
+	of := func(lines []string, marked func(string) bool) (all []string) {
+		for _, l := range lines {
+			if marked(strings.TrimSuffix(l, "\r")) {
+				all = append(all, strings.TrimSuffix(l, "\r"))
+			}
+		}
+		return all
+	}
+	isKey := func(l string) bool { return strings.HasPrefix(l, keyMark) }
+	keys := of(fresh, isKey)
+	var out []string
+	for _, l := range lines {
+		bare := strings.TrimSuffix(l, "\r")
+		switch {
+		case isKey(bare):
+		case strings.HasPrefix(bare, headBy):
+			out = append(out, fresh[0])
+		case strings.HasPrefix(bare, headDigest):
+			out = append(out, of(fresh, func(l string) bool { return strings.HasPrefix(l, headDigest) })[0])
+		case bare == trailer:
+			out = append(append(out, bare), keys...)
+		default:
+			out = append(out, bare)
+		}
+	}
+	return []byte(strings.Join(out, nl))
+}
+
+// Lost are the keys that were written and that the file has no more. Such a key has fallen back to its
+// default without a word, which a changed one has not.
+func Lost(w *Written, f *schema.File, path string, found *finding.List) {
+	for _, id := range w.Keys {
+		if p := splitID(id); p != nil && f.Setting(p...) == nil {
+			at := f.Place(p...)
+			found.Add(path, at.Pos, "%s was written here and is gone; put it back, or take it out of %s and write again", id, w.Source)
+		}
+	}
+}
+
+// Adopt takes the edits of written files back into apps.toml. It gives the new text of apps.toml; with
+// findings it is not to be used.
+func (m *Model) Adopt(states []*State, found *finding.List) []byte {
+	d := m.Doc
+	for _, st := range states {
+		for _, e := range st.Edits {
+			path := append([]string{"apps", st.App.Name}, e.Path...)
+			inherited := d.Root.Lookup(append([]string{"defaults"}, e.Path...)...)
+			switch {
+			case e.Clashes:
+				found.Add(e.Place.File, e.Place.Pos, "%s: edited by hand, and changed in %s since; settle it in one of the two", e.ID(), m.Name)
+				continue
+			case e.ID() == "sidecar.application":
+				found.Add(e.Place.File, e.Place.Pos, "the application's name cannot be adopted: it is its table's in %s", m.Name)
+				continue
+			case e.Raw == "" && d.Root.Lookup(path...) == nil && inherited != nil:
+				found.Add(e.Place.File, e.Place.Pos, "%s comes from [defaults] in line %d of %s and cannot be taken away for one application; set it to another value",
+					e.ID(), inherited.At.Line, m.Name)
+				continue
+			case e.Raw == "":
+				d = reread(d.Delete(path))
+			case inherited != nil && d.Root.Lookup(path...) != nil && inherited.Value.Text == unquoted(e.Raw):
+				d = reread(d.Delete(path)) // the default again
+			default:
+				d = reread(d.Set(path, e.Raw))
+			}
+		}
+	}
+	return d.Text
+}
+
+func unquoted(raw string) string { return strings.Trim(raw, `"'`) }
+
+func reread(text []byte) *doc.Doc {
+	return doc.ReadTOML(text, len(text), func(finding.Pos, string, ...any) {})
+}
+
+// FromFiles is a model of the files of single applications, for checking them together.
+func FromFiles(files []*schema.File) (all []*App) {
+	for _, f := range files {
+		name := appfile.SidecarTable.In(f).Application
+		all = append(all, &App{Name: name, File: f, Place: f.Place("sidecar", "application")})
+	}
+	return slices.Clip(all)
+}
--- /dev/null
+++ b/internal/doc/doc.go
@@ -0,0 +1,210 @@
+// Package doc reads TOML and JSON text into trees in which each key and value
+// knows its line and column, reports all that cannot be read and not only the
+// first, and edits TOML text without touching any other line. It does no I/O.
+package doc
+
+import (
+	"bytes"
+	"sort"
+	"strings"
+	"unicode/utf8"
+
+	"gingerlead/internal/finding"
+)
+
+// Kind is what a value is.
+type Kind int
+
+// The kinds of a value.
+const (
+	String Kind = iota
+	Integer
+	Float
+	Bool
+	Time
+	Array
+	TableKind
+	Null
+)
+
+func (k Kind) String() string {
+	return [...]string{"a string", "a whole number", "a number", "true or false", "a date or time", "a list", "a table", "null"}[k]
+}
+
+// Value is a value in a document.
+type Value struct {
+	Kind       Kind
+	At         finding.Pos
+	Start, End int      // bytes of a scalar in the text
+	Text       string   // of a String what it says, of another scalar what is written
+	Items      []*Value // of an Array
+	Table      *Table   // of a TableKind
+}
+
+// Entry is a key with its value.
+type Entry struct {
+	Name   string
+	At     finding.Pos
+	Value  *Value
+	Start  int    // first byte of its line
+	End    int    // behind its last line, the line end included
+	prefix string // of a dotted key, what stands before its last part
+}
+
+// Table is a set of keys, in the order of the text.
+type Table struct {
+	Path    []string
+	At      finding.Pos // of its header, or of the key that first names it
+	Entries []*Entry
+
+	index  map[string]*Entry
+	header bool // a header defines it
+	dotted bool // a dotted key or an inline table defines it
+	list   bool // an element of an array of tables
+	start  int  // first byte of the header's line
+	last   int  // behind the last line that belongs to the header
+}
+
+// Get is the entry of a name, or nil.
+func (t *Table) Get(name string) *Entry {
+	if t == nil {
+		return nil
+	}
+	return t.index[name]
+}
+
+// Sub is the table of a name, or nil where there is none or a value in its place.
+func (t *Table) Sub(name string) *Table {
+	if e := t.Get(name); e != nil && e.Value.Kind == TableKind {
+		return e.Value.Table
+	}
+	return nil
+}
+
+// Lookup follows a path to an entry, or nil.
+func (t *Table) Lookup(path ...string) *Entry {
+	for _, name := range path[:len(path)-1] {
+		if t = t.Sub(name); t == nil {
+			return nil
+		}
+	}
+	return t.Get(path[len(path)-1])
+}
+
+func (t *Table) add(e *Entry) {
+	if t.index == nil {
+		t.index = map[string]*Entry{}
+	}
+	t.index[e.Name] = e
+	t.Entries = append(t.Entries, e)
+}
+
+// Doc is a document that has been read.
+type Doc struct {
+	Text []byte
+	Root *Table
+
+	lines []int // first byte of each line
+}
+
+func newDoc(text []byte) *Doc {
+	d := &Doc{Text: text, Root: &Table{At: finding.Pos{Line: 1, Col: 1}}, lines: []int{0}}
+	for i, b := range text {
+		if b == '\n' {
+			d.lines = append(d.lines, i+1)
+		}
+	}
+	return d
+}
+
+// Pos is the place of a byte.
+func (d *Doc) Pos(offset int) finding.Pos {
+	offset = min(max(offset, 0), len(d.Text))
+	line := sort.SearchInts(d.lines, offset+1) - 1
+	// What cannot be a character counts one a byte.
+	return finding.Pos{Line: line + 1, Col: utf8.RuneCount(d.Text[d.lines[line]:offset]) + 1}
+}
+
+// line is the number, from 0, of the line that a byte stands in.
+func (d *Doc) line(offset int) int { return sort.SearchInts(d.lines, offset+1) - 1 }
+
+// lineEnd is the first byte of the line behind the one that a byte stands in.
+func (d *Doc) lineEnd(offset int) int {
+	if n := d.line(offset) + 1; n < len(d.lines) {
+		return d.lines[n]
+	}
+	return len(d.Text)
+}
+
+// readable reports what makes a text useless as a whole: it is then not read.
+func (d *Doc) readable(most int, report finding.Reporter) bool {
+	text := d.Text
+	switch {
+	case len(text) > most:
+		report(finding.Pos{}, "has %d bytes; at most %d are read", len(text), most)
+	case bytes.HasPrefix(text, []byte("\xef\xbb\xbf")):
+		report(finding.Pos{Line: 1, Col: 1}, "begins with a byte order mark (BOM); save it as UTF-8 without one")
+	case bytes.HasPrefix(text, []byte("\xff\xfe")) || bytes.HasPrefix(text, []byte("\xfe\xff")):
+		report(finding.Pos{Line: 1, Col: 1}, "is UTF-16; save it as UTF-8")
+	case !utf8.Valid(text):
+		at := 0
+		for {
+			r, n := utf8.DecodeRune(text[at:])
+			if r == utf8.RuneError && n <= 1 {
+				break
+			}
+			at += n
+		}
+		report(d.Pos(at), "the byte 0x%02x is not UTF-8", text[at])
+	case bytes.IndexByte(text, 0) >= 0:
+		report(d.Pos(bytes.IndexByte(text, 0)), "a NUL byte: this is no text file")
+	default:
+		return true
+	}
+	return false
+}
+
+// Dotted writes a path as in a table's header: parts that are no bare key in quotes.
+func Dotted(path []string) string {
+	parts := make([]string, len(path))
+	for i, p := range path {
+		parts[i] = QuoteKey(p)
+	}
+	return strings.Join(parts, ".")
+}
+
+// QuoteKey writes a key, in quotes where it must be.
+func QuoteKey(key string) string {
+	if key != "" && strings.Trim(key, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_-") == "" {
+		return key
+	}
+	return Quote(key)
+}
+
+// Quote writes a TOML basic string.
+func Quote(s string) string {
+	var b strings.Builder
+	b.WriteByte('"')
+	for _, r := range s {
+		switch {
+		case r == '"' || r == '\\':
+			b.WriteByte('\\')
+			b.WriteRune(r)
+		case r == '\t':
+			b.WriteString(`\t`)
+		case r == '\n':
+			b.WriteString(`\n`)
+		case r == '\r':
+			b.WriteString(`\r`)
+		case r < 0x20 || r == 0x7f:
+			const hex = "0123456789ABCDEF"
+			b.WriteString(`\u00`)
+			b.WriteByte(hex[r>>4])
+			b.WriteByte(hex[r&15])
+		default:
+			b.WriteRune(r)
+		}
+	}
+	b.WriteByte('"')
+	return b.String()
+}
--- /dev/null
+++ b/internal/doc/json.go
@@ -0,0 +1,129 @@
+package doc
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"gingerlead/internal/finding"
+)
+
+// ReadJSON reads a text of at most a number of bytes that holds one object. It is nil where it cannot be
+// read: JSON gives no place to go on from.
+func ReadJSON(text []byte, most int, report finding.Reporter) *Doc {
+	d := newDoc(text)
+	if !d.readable(most, report) {
+		return nil
+	}
+	r := jsonReader{Doc: d, report: report, decoder: json.NewDecoder(bytes.NewReader(text))}
+	r.decoder.UseNumber()
+	v, err := r.value(nil, 0)
+	if err == nil {
+		if v.Kind != TableKind {
+			report(v.At, "holds %s, not an object", v.Kind)
+			return nil
+		}
+		if r.next(); r.at < len(text) {
+			err = errors.New("more text behind the end of the object")
+		}
+	}
+	if err != nil {
+		at := r.at
+		var syntax *json.SyntaxError
+		switch {
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+			at, err = len(bytes.TrimRight(text, " \t\r\n")), errors.New("it ends before the object does")
+		case errors.As(err, &syntax):
+			at = max(at, int(syntax.Offset)-1)
+		}
+		report(d.Pos(at), "cannot be read: %v", err)
+		return nil
+	}
+	d.Root = v.Table
+	return d
+}
+
+type jsonReader struct {
+	*Doc
+	report  finding.Reporter
+	decoder *json.Decoder
+	at      int // where the token that is read begins
+}
+
+// next moves to the next token's first byte.
+func (r *jsonReader) next() {
+	for r.at = int(r.decoder.InputOffset()); r.at < len(r.Text); r.at++ {
+		if !bytes.ContainsRune([]byte(" \t\r\n,:"), rune(r.Text[r.at])) {
+			return
+		}
+	}
+}
+
+func (r *jsonReader) token() (json.Token, error) {
+	r.next()
+	return r.decoder.Token()
+}
+
+func (r *jsonReader) value(path []string, depth int) (*Value, error) {
+	token, err := r.token()
+	if err != nil {
+		return nil, err
+	}
+	v := &Value{At: r.Pos(r.at), Start: r.at, End: int(r.decoder.InputOffset())}
+	v.Text = string(r.Text[v.Start:v.End])
+	switch x := token.(type) {
+	case json.Delim:
+		if depth >= mostDepth {
+			return nil, errors.New("too many lists and objects within one another")
+		}
+		if x == '{' {
+			return v, r.object(v, path, depth)
+		}
+		v.Kind = Array
+		for r.decoder.More() {
+			item, err := r.value(path, depth+1)
+			if err != nil {
+				return nil, err
+			}
+			v.Items = append(v.Items, item)
+		}
+		_, err = r.token()
+		return v, err
+	case string:
+		v.Kind, v.Text = String, x
+	case json.Number:
+		v.Kind = Integer
+		if bytes.ContainsAny([]byte(x), ".eE") {
+			v.Kind = Float
+		}
+	case bool:
+		v.Kind = Bool
+	case nil:
+		v.Kind = Null
+	}
+	return v, nil
+}
+
+func (r *jsonReader) object(v *Value, path []string, depth int) error {
+	v.Kind, v.Table = TableKind, &Table{Path: path, At: v.At}
+	for r.decoder.More() {
+		token, err := r.token()
+		if err != nil {
+			return err
+		}
+		name, _ := token.(string)
+		at := r.Pos(r.at)
+		inner, err := r.value(append(path[:len(path):len(path)], name), depth+1)
+		if err != nil {
+			return err
+		}
+		if e := v.Table.Get(name); e != nil {
+			r.report(at, "%q stands twice: first in line %d", name, e.At.Line)
+			continue
+		}
+		v.Table.add(&Entry{Name: name, At: at, Value: inner})
+	}
+	_, err := r.token()
+	return err
+}
--- /dev/null
+++ b/internal/secretfile/secretfile.go
@@ -0,0 +1,59 @@
+// Package secretfile reads secrets from files, and says which files are not fit
+// to hold one. What it returns of a secret's content is the secret alone: no
+// error carries any of it.
+package secretfile
+
+import (
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"strings"
+)
+
+// MostBytes bounds a secret.
+const MostBytes = 16 << 10
+
+// Read reads the secret in a file, white space around it left out.
+func Read(path string) (string, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return "", fmt.Errorf("the secret cannot be read: %w", err)
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return "", fmt.Errorf("the secret cannot be read: %w", err)
+	}
+	if err := fit(info); err != nil {
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	text, err := io.ReadAll(io.LimitReader(f, MostBytes+1))
+	if err != nil {
+		return "", fmt.Errorf("the secret cannot be read: %w", err)
+	}
+	secret := strings.TrimSpace(string(text))
+	switch {
+	case len(text) > MostBytes:
+		return "", fmt.Errorf("%s: has more than %d bytes, so it is no secret", path, MostBytes)
+	case secret == "":
+		return "", fmt.Errorf("%s: is empty, so it holds no secret", path)
+	case strings.ContainsFunc(secret, func(r rune) bool { return r <= ' ' || r >= 0x7f }):
+		return "", fmt.Errorf("%s: holds more than one word of plain characters, so it is no token", path)
+	}
+	return secret, nil
+}
+
+// fit guards against a secret that others can read, or put in place of the real one. Rights of the group are
+// left to the operator: some run under a group for it.
+func fit(info fs.FileInfo) error {
+	switch mode := info.Mode(); {
+	case !mode.IsRegular():
+		return fmt.Errorf("is no regular file, so it is no secret")
+	case mode.Perm()&0o002 != 0:
+		return fmt.Errorf("the file can be written by everybody (mode %04o), so the secret is not to be trusted; chmod o-w", mode.Perm())
+	case mode.Perm()&0o004 != 0:
+		return fmt.Errorf("the file can be read by everybody (mode %04o), so it is no secret; chmod o-r", mode.Perm())
+	}
+	return nil
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -4,12 +4,20 @@
 package sidecar
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
+	"time"
 
+	"gingerlead"
+	"gingerlead/internal/appfile"
+	"gingerlead/internal/finding"
+	"gingerlead/internal/schema"
+	"gingerlead/internal/secretfile"
 	"gingerlead/internal/settings"
 )
 
@@ -23,7 +31,13 @@
 	Known     endpointList // the endpoints as this sidecar last had them; may be old
 	Settings  settings.Settings
 
-	getenv func(string) string // where it was loaded from
+	tuning *tuning      // what the product's file may set, or its defaults
+	token  string       // for discovery; never logged
+	file   *schema.File // the product's file; nil without one
+
+	getenv  func(string) string          // where it was loaded from:
+	product func() (*schema.File, error) // nil without a product's file
+	resolve func(path string) string     // a path that the product's file names
 }
 
 // Limits are those of the machine the sidecar runs on.
@@ -36,16 +50,65 @@
 // LoadConfig reads the configuration file that BALANCER_CONFIG names.
 // BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY win over the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
-	return load(getenv, true)
+	return LoadWith(getenv, nil, nil)
+}
+
+// LoadWith reads the product's file as well, by a function that checks it; another one resolves the paths
+// that it names. Where BALANCER_CONFIG names a file, that wins: it is the platform's word. Without it the
+// product's file says all.
+func LoadWith(getenv func(string) string, product func() (*schema.File, error), resolve func(string) string) (*Config, error) {
+	c := &Config{getenv: getenv, product: product, resolve: resolve}
+	return c.load(true)
 }
 
 // reload reads the file again. Whoever replaced it meant its discovery: the environment is as old as the
 // process, and wins no more.
 func (c *Config) reload() (*Config, error) {
-	return load(c.getenv, false)
+	fresh, err := c.load(false)
+	if err != nil || c.file == nil {
+		return fresh, err
+	}
+	var refused finding.List
+	for _, s := range schema.Changed(c.file, fresh.file) {
+		if s.Key.Change == schema.AtStart {
+			refused.Add(s.Place.File, s.Place.Pos, "%s has changed, which takes effect at a start only", s.ID())
+		}
+	}
+	return fresh, refused.Err()
+}
+
+// load reads all files anew, whole, before anything is taken up.
+func (c *Config) load(envDiscovery bool) (*Config, error) {
+	var file *schema.File
+	if c.product != nil {
+		var err error
+		if file, err = c.product(); err != nil {
+			return nil, err
+		}
+	}
+	fresh, err := (*Config)(nil), error(nil)
+	if file != nil && c.getenv("BALANCER_CONFIG") == "" {
+		fresh, err = standalone(file)
+	} else {
+		fresh, err = platform(c.getenv, envDiscovery)
+	}
+	if err != nil {
+		return nil, err
+	}
+	fresh.getenv, fresh.product, fresh.resolve = c.getenv, c.product, c.resolve
+	fresh.file, fresh.tuning = file, tuningOf(file)
+	if file != nil {
+		if secret := appfile.DiscoveryTable.In(file).TokenFile; secret != "" {
+			if fresh.token, err = secretfile.Read(c.resolve(secret)); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return fresh, nil
 }
 
-func load(getenv func(string) string, envDiscovery bool) (*Config, error) {
+// platform reads the configuration that the platform gives.
+func platform(getenv func(string) string, envDiscovery bool) (*Config, error) {
 	path := getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("BALANCER_CONFIG: not set")
@@ -54,6 +117,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
+	c, err := parsePlatform(text, getenv, envDiscovery)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// CheckPlatform tells why a sidecar would not run with a platform's configuration, nil if it would.
+func CheckPlatform(text []byte) error {
+	c, err := parsePlatform(text, func(string) string { return "" }, false)
+	if err == nil {
+		_, err = gingerlead.New(c.Settings.Settings, c.Seed, nil)
+	}
+	return err
+}
+
+func parsePlatform(text []byte, getenv func(string) string, envDiscovery bool) (*Config, error) {
+	var err error
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -64,9 +145,9 @@
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
-	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, getenv: getenv}
+	c := &Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits}
 	fromEnv := map[string]*string{"BALANCER_NAME": &c.Name, "BALANCER_LISTEN": &c.Listen}
 	if envDiscovery {
 		fromEnv["BALANCER_DISCOVERY"] = &c.Discovery
@@ -80,23 +161,20 @@
 		c.Known = *file.Known
 	}
 	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("%s: seed: %q is not a hexadecimal number of 64 bits", path, file.Seed)
+		return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", file.Seed)
 	}
 	if len(file.Settings) == 0 {
-		return nil, fmt.Errorf("%s: settings: missing", path)
+		return nil, fmt.Errorf("settings: missing")
 	}
 	if c.Settings, _, err = settings.Parse(file.Settings); err != nil {
-		return nil, fmt.Errorf("%s: settings: %w", path, err)
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if err := c.check(); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+		return nil, err
 	}
 	return c, nil
 }
 
-// leastSockets leaves room for some connections beside those that are reserved.
-const leastSockets = 64
-
 // check names the first value that a sidecar cannot run with.
 func (c *Config) check() error {
 	for name, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
@@ -111,10 +189,51 @@
 		return fmt.Errorf("limits.cores: %v is not above 0", c.Limits.Cores)
 	case c.Limits.MemoryMB <= 0:
 		return fmt.Errorf("limits.memory_mb: %v is not above 0", c.Limits.MemoryMB)
-	case c.Limits.Sockets < leastSockets:
-		return fmt.Errorf("limits.sockets: %v is below %d", c.Limits.Sockets, leastSockets)
+	case c.Limits.Sockets < appfile.LeastSockets:
+		return fmt.Errorf("limits.sockets: %v is below %d", c.Limits.Sockets, appfile.LeastSockets)
 	case c.Settings.ConnectTimeout <= 0:
 		return fmt.Errorf("settings: allowed.connectTimeout: not above 0")
 	}
 	return nil
 }
+
+const (
+	// standaloneGrace is how long after the client's deadline an answer still counts, and standaloneQuantum the
+	// smallest time between two rounds of decisions, where no platform tells.
+	standaloneGrace   = 20 * time.Millisecond
+	standaloneQuantum = 5 * time.Millisecond
+	// standaloneWhole weighs all that is served against the worst-served class.
+	standaloneWhole = 0.9
+)
+
+// standalone is the configuration that the product's file gives where there is no platform.
+func standalone(f *schema.File) (*Config, error) {
+	who, limits, found := appfile.SidecarTable.In(f), appfile.LimitsTable.In(f), appfile.DiscoveryTable.In(f)
+	attempts, warmup := appfile.AttemptsTable.In(f), appfile.WarmupTable.In(f)
+	c := &Config{Name: cmp.Or(who.Instance, who.Application), Listen: who.Listen, Discovery: found.Address,
+		Limits: Limits{Cores: limits.Cores, MemoryMB: limits.Memory >> 20, Sockets: limits.Sockets}}
+	c.Seed = rand.Uint64()
+	if who.Seed != "" {
+		c.Seed, _ = strconv.ParseUint(who.Seed, 16, 64) // its form was checked
+	}
+	s := &c.Settings
+	s.GraceToAnswer = standaloneGrace
+	s.Settings = gingerlead.Settings{
+		Instances: who.Instances, Ordinal: who.Ordinal, Tiers: 1, Quantum: standaloneQuantum, GoalWhole: standaloneWhole,
+		MayCancel: attempts.Cancel, MayProbe: attempts.Probes, MaxAttempts: attempts.Most,
+		MaxRetryAfter: attempts.MaxRetryAfter, ConnectTimeout: attempts.ConnectTimeout,
+		MustAsk: found.Mode == appfile.Ask, AskEvery: found.AskEvery, PassesDeadline: true,
+		ColdFrom: warmup.ColdShare, Cold: warmup.WarmAfter, TipMultiple: warmup.TipMultiple, Fall: warmup.TipWindow,
+	}
+	if len(appfile.CallsTable.All(f)) > 0 {
+		s.Tiers = 2 // a call may wait at the applications behind this one too
+	}
+	for _, v := range appfile.ClassTable.All(f) {
+		s.Classes = append(s.Classes, gingerlead.Class{Name: v.Name, Aim: v.Value.Aim, Deadline: v.Value.Deadline, Worth: v.Value.Worth,
+			LateWorth: v.Value.LateWorth, Effect: v.Value.Effect, Scope: v.Value.KeyScope, Window: v.Value.KeyWindow})
+	}
+	for _, v := range appfile.TenantTable.All(f) {
+		s.Tenants = append(s.Tenants, gingerlead.Tenant{Name: v.Name, QuotaPerS: v.Value.Quota})
+	}
+	return c, c.check()
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -203,6 +203,7 @@
 // its goroutines bring is heard only while they are wanted.
 type watcher struct {
 	url      string
+	token    string // for discovery, or empty; never logged
 	loop     *loop
 	client   *http.Client
 	again    bool // reconnect by itself: where lists are pushed, asking costs nothing
@@ -210,9 +211,9 @@
 	fetching bool
 }
 
-func newWatcher(address string, l *loop) *watcher {
+func newWatcher(address, token string, l *loop) *watcher {
 	dialer := &net.Dialer{Timeout: l.config.Settings.ConnectTimeout}
-	return &watcher{url: "http://" + address + "/v1/endpoints", loop: l, again: !l.config.Settings.MustAsk,
+	return &watcher{url: "http://" + address + "/v1/endpoints", token: token, loop: l, again: !l.config.Settings.MustAsk,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
 }
 
@@ -353,6 +354,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if w.token != "" {
+		r.Header.Set("Authorization", "Bearer "+w.token)
+	}
 	res, err := w.client.Do(r)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -126,7 +126,7 @@
 		}
 	}))
 	defer discovery.Close()
-	config := &Config{Discovery: discovery.Listener.Addr().String(), Limits: Limits{Sockets: 1024}, Seed: 1,
+	config := &Config{Discovery: discovery.Listener.Addr().String(), Limits: Limits{Sockets: 1024}, Seed: 1, tuning: tuningOf(nil),
 		Known: endpointList{Rev: 41, All: true, Targets: []target{ready("s-1", 0)}}}
 	config.Settings.ConnectTimeout = patience
 	config.Settings.Instances = 1
@@ -172,7 +172,7 @@
 	defer silent.Close()
 	defer silent.CloseClientConnections()
 	rg := start(t, 1024, ready("s-1", 0))
-	rg.inLoop(func() { rg.server.loop.follow(silent.Listener.Addr().String()) })
+	rg.inLoop(func() { rg.server.loop.follow(silent.Listener.Addr().String(), "") })
 	for range 2 { // the watch and the whole list, that follow asks for
 		<-asked
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -62,8 +62,8 @@
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
-	l.bodies.left.Store(int64(bodyShare * float64(c.Limits.MemoryMB<<20)))
-	l.watcher = newWatcher(c.Discovery, l)
+	l.bodies.left.Store(int64(c.tuning.callers.BodyShare * float64(c.Limits.MemoryMB<<20)))
+	l.watcher = newWatcher(c.Discovery, c.token, l)
 	var err error
 	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
 	return l, err
@@ -152,9 +152,6 @@
 	l.forget(r)
 }
 
-// bodyShare is the part of the memory that bodies may use.
-const bodyShare = 0.25
-
 // budget bounds the bytes that are held for the bodies of all requests and answers together.
 type budget struct{ left atomic.Int64 }
 
@@ -314,9 +311,9 @@
 
 // follow turns to the discovery at another address. Its versions may count otherwise, so its whole list is
 // asked for, and nothing that the old one still says is heard. Until that comes, the list stays as it is.
-func (l *loop) follow(address string) {
+func (l *loop) follow(address, token string) {
 	l.watcher.stop()
-	l.watcher = newWatcher(address, l)
+	l.watcher = newWatcher(address, token, l)
 	l.moved = true
 	l.watcher.fetch()
 	if l.config.Settings.MustAsk {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -18,28 +18,16 @@
 	// excessSockets: callers that come when all connections are busy, and are turned away.
 	reservedSockets = 32
 	excessSockets   = 12
-	// readTimeout is for a whole request, from the first byte or, of the first one, from the connection on:
-	// who takes longer is in the way of others.
-	readTimeout  = 2500 * time.Millisecond
-	idleTimeout  = 30 * time.Second
-	writeTimeout = 10 * time.Second // beyond the longest deadline
-	maxHeader    = 8 << 10
-	maxName      = 128 // bytes of an id
-	maxRemaining = time.Hour
+	writeTimeout    = 10 * time.Second // beyond the longest deadline
+	maxName         = 128              // bytes of an id
+	maxRemaining    = time.Hour
 	// quietAfter is how long no new connection must have come before a sidecar that was told to stop, and that
 	// no caller is connected to, ends.
 	quietAfter = 500 * time.Millisecond
-	// The platform kills a sidecar that was told to stop no sooner than its longest deadline, or killCap if that
-	// is shorter, and killGrace later. All answers are out killMargin before that.
-	killCap    = 3 * time.Second
-	killGrace  = 700 * time.Millisecond
-	killMargin = 200 * time.Millisecond
 	// lastAnswers is how long before that each answer says that it is the last on its connection: a request
 	// that is on its way when an idle one is closed has to be sent again.
 	lastAnswers = 100 * time.Millisecond
-	// handOver is how long before its end a sidecar that was told to stop sends its callers to the other ones.
-	handOver = 700 * time.Millisecond
-	stopPoll = 20 * time.Millisecond
+	stopPoll    = 20 * time.Millisecond
 )
 
 // inbound is what goes on to an endpoint unchanged.
@@ -53,35 +41,33 @@
 
 // server takes callers' requests to the loop, and its answers back.
 type server struct {
-	http     http.Server
-	loop     *loop
-	config   *Config
-	classes  map[string]int
-	tenants  map[string]int
-	longest  time.Duration             // deadline of a class
-	quiet    time.Duration             // see quietAfter
-	linger   time.Duration             // from being told to stop until all is answered
-	handOver time.Duration             // see handOver
-	end      atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
+	http    http.Server
+	loop    *loop
+	config  *Config
+	classes map[string]int
+	tenants map[string]int
+	longest time.Duration             // deadline of a class
+	quiet   time.Duration             // see quietAfter
+	tuning  atomic.Pointer[tuning]    // as the configuration file has it now
+	end     atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
 
 	callers callers
 }
 
 func newServer(c *Config, l *loop) *server {
-	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter,
-		handOver: handOver}
-	s.callers.most = int((1 - outboundShare) * float64(c.Limits.Sockets-reservedSockets))
+	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter}
+	s.tuning.Store(c.tuning)
+	s.callers.most = int(c.tuning.callers.Share * float64(c.Limits.Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
 	}
-	s.linger = min(s.longest, killCap) + killGrace - killMargin
 	for i, tenant := range c.Settings.Tenants {
 		s.tenants[tenant.Name] = i
 	}
 	s.http = http.Server{
-		Handler: s, ConnContext: withCaller, ConnState: s.callers.state, MaxHeaderBytes: maxHeader,
-		ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: s.longest + writeTimeout,
+		Handler: s, ConnContext: withCaller, ConnState: s.callers.state, MaxHeaderBytes: int(c.tuning.callers.MaxHeader),
+		ReadHeaderTimeout: c.tuning.callers.RequestTimeout, IdleTimeout: c.tuning.callers.IdleTimeout, WriteTimeout: s.longest + writeTimeout,
 	}
 	return s
 }
@@ -118,7 +104,7 @@
 	}
 	// The limit on reading holds for the body alone. Left in place, it would pass for the client going away.
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(began.Add(readTimeout))
+	control.SetReadDeadline(began.Add(s.config.tuning.callers.RequestTimeout))
 	body, err := readAll(r.Body)
 	control.SetReadDeadline(time.Time{})
 	if err != nil {
@@ -152,7 +138,7 @@
 		// A chunked body may hide another request: net/http drops the Content-Length that contradicts it, so
 		// the pair cannot be seen here. Callers know the length of what they send.
 		return nil, http.StatusLengthRequired, "a request must tell its Content-Length"
-	case r.ContentLength > maxBody:
+	case r.ContentLength > s.tuning.Load().callers.MaxBody:
 		return nil, http.StatusRequestEntityTooLarge, "request body too large"
 	}
 	if req, fault = s.read(r); fault != "" {
@@ -270,21 +256,23 @@
 // stop ends the server shortly before it would be killed, with all answered that it has taken. Until then it
 // goes on serving: no front sends it new callers, but those that it has go on using their connections, and
 // where it is the only sidecar, or the others are gone or just starting, whom it cuts off has nowhere to go.
-// Where there are others it closes what is idle handOver before the end, so that its last callers move there.
+// Where there are others it closes what is idle hand_over before the end, so that its last callers move there.
 // It ends early when nobody is connected any more. It does harm where the platform kills sooner than it says.
 func (s *server) stop() error {
 	told := time.Now()
-	end := told.Add(s.linger)
+	how := s.tuning.Load().stop
+	linger := min(s.longest, how.Longest) + how.Grace - how.Margin
+	end := told.Add(linger)
 	s.loop.post(func() { s.loop.leave(end) })
 	s.end.Store(&end)
 	last := end
 	if s.config.Settings.Instances > 1 {
-		last = end.Add(-min(s.handOver, s.linger-s.quiet))
+		last = end.Add(-min(how.HandOver, max(0, linger-s.quiet)))
 	}
 	for time.Now().Before(last) && (time.Since(told) < s.quiet || !s.callers.quietFor(s.quiet)) {
 		time.Sleep(stopPoll)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(killMargin/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(how.Margin/2))
 	defer cancel()
 	if err := s.http.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
 		return err
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,8 +51,9 @@
 	return <-stopped
 }
 
-// reload takes up the discovery that the configuration file names now. All else is as it was at the start.
-// A file that cannot be used changes nothing.
+// reload reads the configuration files again: it takes up the discovery that they name now, and of the
+// product's file the keys that may change. A file that cannot be used, or that changes a key that may not,
+// changes nothing.
 func (s *server) reload() {
 	c, err := s.config.reload()
 	if err != nil {
@@ -60,5 +61,11 @@
 		return
 	}
 	log.Printf("reload: discovery is %s", c.Discovery)
-	s.loop.post(func() { s.loop.follow(c.Discovery) })
+	// One event for the loop and one pointer for the handlers: no half of it is ever in force.
+	s.tuning.Store(c.tuning)
+	s.loop.post(func() {
+		s.loop.pool.maxIdle = s.config.maxIdle(c.tuning)
+		s.loop.follow(c.Discovery, c.token)
+	})
+	s.config.file = c.file
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/appfile"
 )
 
 // patience bounds what a test waits for; it only passes when something is wrong.
@@ -124,6 +125,13 @@
 	}
 }
 
+// linger sets how long the sidecar serves after it was told to stop, and its hand-over.
+func (rg *rig) linger(d, handOver time.Duration) {
+	t := *rg.server.tuning.Load()
+	t.stop = Stop{Grace: d + t.stop.Margin, Margin: t.stop.Margin, HandOver: handOver}
+	rg.server.tuning.Store(&t)
+}
+
 // inLoop reads state that the loop owns.
 func (rg *rig) inLoop(f func()) {
 	done := make(chan bool)
@@ -399,11 +407,10 @@
 func TestAnswerIsOutBeforeTheDeadline(t *testing.T) {
 	const left = 1500 * time.Millisecond
 	mute := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { gone(r) })
-	rg := start(t, 1024, mute)
 	draining := mute
 	draining.State = "Terminating"
 	for want, targets := range map[int][]target{502: {mute}, 503: {draining}} {
-		rg = start(t, 1024, targets...)
+		rg := start(t, 1024, targets...)
 		sent := time.Now()
 		if status, body := rg.ask(rg.request("once", left)); status != want {
 			t.Errorf("got %d %q, want %d", status, body, want)
@@ -575,7 +582,8 @@
 		<-serve
 		fmt.Fprint(w, "ok")
 	}))
-	rg.server.quiet, rg.server.linger = time.Millisecond, time.Hour
+	rg.server.quiet = time.Millisecond
+	rg.linger(time.Hour, 0)
 	idles := rg.connect(5)
 	answer := make(chan *http.Response)
 	ask := func(c *net.TCPConn) { answer <- rg.send(c, rg.request("once", 9*time.Second)) }
@@ -619,7 +627,7 @@
 		gone(r)
 		gaveUp <- true
 	}))
-	rg.server.linger = linger
+	rg.linger(linger, 700*time.Millisecond)
 	idles := rg.connect(5)
 	answer := make(chan *http.Response, 2)
 	ask := func(c *net.TCPConn) { answer <- rg.send(c, rg.request("once", time.Minute)) }
@@ -657,7 +665,7 @@
 		{2, 1, http.StatusServiceUnavailable}, {3, 1, http.StatusOK}, {0, 2, http.StatusOK},
 	} {
 		rg := startOneOf(t, c.instances, 1024, one)
-		rg.server.linger = time.Hour
+		rg.linger(time.Hour, 700*time.Millisecond)
 		if status, _ := rg.ask(rg.request("once", 9*time.Second)); status != http.StatusOK {
 			t.Fatalf("before the stop: %d", status)
 		}
@@ -727,7 +735,8 @@
 		<-serve
 		fmt.Fprint(w, "ok")
 	}))
-	rg.server.quiet, rg.server.linger, rg.server.handOver = time.Millisecond, time.Hour, time.Hour
+	rg.server.quiet = time.Millisecond
+	rg.linger(time.Hour, time.Hour)
 	idles := rg.connect(2)
 	answer := make(chan *http.Response)
 	go func() { answer <- rg.send(idles[0], rg.request("once", 9*time.Second)) }()
@@ -834,7 +843,7 @@
 
 // Connections that say nothing are in nobody's way: they go before idle ones, and are closed in time.
 func TestMuteCallersMakeRoom(t *testing.T) {
-	rg := start(t, leastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
+	rg := start(t, appfile.LeastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
 	http.DefaultClient.CloseIdleConnections()
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
@@ -890,14 +899,14 @@
 	for range texts {
 		<-ended
 	}
-	if took := time.Since(began); took > readTimeout+patience/4 {
+	if took := time.Since(began); took > CallersTable.Default().RequestTimeout+patience/4 {
 		t.Errorf("took %v", took)
 	}
 }
 
 // Accepting goes on when connections use up their share: the one that has been idle the longest goes.
 func TestIdleCallersMakeRoom(t *testing.T) {
-	rg := start(t, leastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
+	rg := start(t, appfile.LeastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
 	var first net.Conn
 	for i := range 3 * rg.server.callers.most {
 		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
@@ -931,7 +940,7 @@
 // it has sent. Nothing of it has run, so it is refused.
 func TestCallerBeyondTheBoundIsAnswered(t *testing.T) {
 	serve := make(chan bool)
-	rg := start(t, leastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+	rg := start(t, appfile.LeastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
 		<-serve
 		fmt.Fprint(w, "ok")
 	}))
--- /dev/null
+++ b/internal/sidecar/tables.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"time"
+
+	"gingerlead/internal/schema"
+)
+
+// Callers bounds what callers may do.
+type Callers struct {
+	IdleTimeout    time.Duration
+	RequestTimeout time.Duration
+	MaxHeader      int64
+	MaxBody        int64
+	Share          float64
+	BodyShare      float64
+}
+
+// CallersTable is [callers].
+var CallersTable = schema.NewTable("callers", "Connections and requests from callers.",
+	schema.Duration("idle_timeout", func(c *Callers) *time.Duration { return &c.IdleTimeout },
+		schema.Bounds[time.Duration]{Default: 30 * time.Second, Least: time.Second, Most: time.Hour}, schema.AtStart,
+		"How long a caller's connection may stand idle."),
+	schema.Duration("request_timeout", func(c *Callers) *time.Duration { return &c.RequestTimeout },
+		schema.Bounds[time.Duration]{Default: 2500 * time.Millisecond, Least: 100 * time.Millisecond, Most: time.Minute}, schema.AtStart,
+		"How long a whole request may take to come, from its first byte, or from connecting."),
+	schema.Size("max_header", func(c *Callers) *int64 { return &c.MaxHeader },
+		schema.Bounds[int64]{Default: 8 << 10, Least: 1 << 10, Most: 64 << 10}, schema.AtStart,
+		"The headers of one request."),
+	schema.Size("max_body", func(c *Callers) *int64 { return &c.MaxBody },
+		schema.Bounds[int64]{Default: maxBody, Least: 0, Most: maxBody}, schema.OnReload,
+		"The body of one request; a larger one is answered 413."),
+	schema.Float("caller_share", func(c *Callers) *float64 { return &c.Share },
+		schema.Bounds[float64]{Default: 0.6, Least: 0.05, Most: 0.95}, schema.AtStart,
+		"The share of limits.sockets, less the 32 reserved, that callers' connections may use."),
+	schema.Float("body_share", func(c *Callers) *float64 { return &c.BodyShare },
+		schema.Bounds[float64]{Default: 0.25, Least: 0.01, Most: 0.5}, schema.AtStart,
+		"The share of limits.memory that bodies of requests and answers may hold together."),
+).Check(func(f *schema.File, _ string, c *Callers, report schema.Reporter) {
+	if e := EndpointsTable.In(f); c.Share+e.Share > 1+1e-9 {
+		report("caller_share", "%g and endpoints.endpoint_share, %g (%s), are more than all sockets", c.Share, e.Share,
+			f.Place("endpoints", "endpoint_share"))
+	}
+})
+
+// Endpoints bounds connections to endpoints.
+type Endpoints struct {
+	Share    float64
+	KeepIdle time.Duration
+}
+
+// EndpointsTable is [endpoints].
+var EndpointsTable = schema.NewTable("endpoints", "Connections to endpoints.",
+	schema.Float("endpoint_share", func(e *Endpoints) *float64 { return &e.Share },
+		schema.Bounds[float64]{Default: 0.4, Least: 0.05, Most: 0.95}, schema.AtStart,
+		"The share of limits.sockets, less the 32 reserved, that connections to endpoints may use."),
+	schema.Duration("keep_idle", func(e *Endpoints) *time.Duration { return &e.KeepIdle },
+		schema.Bounds[time.Duration]{Least: 10 * time.Millisecond, Most: time.Hour, Optional: true, Example: `"10s"`}, schema.OnReload,
+		"How long an idle connection to an endpoint is kept; it has to be well below the time after which the endpoint closes it. "+
+			"Where it is left out, half of what the platform tells, or 10s."),
+)
+
+// Stop says how a sidecar ends that was told to.
+type Stop struct {
+	Longest  time.Duration
+	Grace    time.Duration
+	Margin   time.Duration
+	HandOver time.Duration
+}
+
+// StopTable is [stop].
+var StopTable = schema.NewTable("stop", "How the sidecar ends on SIGTERM; it goes on serving until shortly before SIGKILL.",
+	schema.Duration("stop_longest", func(s *Stop) *time.Duration { return &s.Longest },
+		schema.Bounds[time.Duration]{Default: 3 * time.Second, Least: 0, Most: time.Hour}, schema.OnReload,
+		"SIGKILL comes no sooner than the longest deadline, or this if it is shorter, and kill_grace after SIGTERM."),
+	schema.Duration("kill_grace", func(s *Stop) *time.Duration { return &s.Grace },
+		schema.Bounds[time.Duration]{Default: 700 * time.Millisecond, Least: 50 * time.Millisecond, Most: time.Hour}, schema.OnReload,
+		"What is added to that."),
+	schema.Duration("kill_margin", func(s *Stop) *time.Duration { return &s.Margin },
+		schema.Bounds[time.Duration]{Default: 200 * time.Millisecond, Least: 10 * time.Millisecond, Most: time.Minute}, schema.OnReload,
+		"How long before SIGKILL all answers are out."),
+	schema.Duration("hand_over", func(s *Stop) *time.Duration { return &s.HandOver },
+		schema.Bounds[time.Duration]{Default: 700 * time.Millisecond, Least: 0, Most: time.Minute}, schema.OnReload,
+		"How long before its end a sidecar among several closes its idle connections, so that callers move on."),
+).Check(func(f *schema.File, _ string, s *Stop, report schema.Reporter) {
+	if s.Margin >= s.Grace {
+		report("kill_margin", "%s is no shorter than kill_grace, %s (%s): nothing would be served after SIGTERM",
+			schema.FormatDuration(s.Margin), schema.FormatDuration(s.Grace), f.Place("stop", "kill_grace"))
+	}
+})
+
+// Tables are this package's, in the order in which a file has them.
+func Tables() []*schema.Table {
+	return []*schema.Table{CallersTable.Table, EndpointsTable.Table, StopTable.Table}
+}
+
+// tuning is what these tables say.
+type tuning struct {
+	callers   Callers
+	endpoints Endpoints
+	stop      Stop
+}
+
+// tuningOf reads a file; nil stands for one that sets nothing.
+func tuningOf(f *schema.File) *tuning {
+	if f == nil {
+		return &tuning{*CallersTable.Default(), *EndpointsTable.Default(), *StopTable.Default()}
+	}
+	return &tuning{*CallersTable.In(f), *EndpointsTable.In(f), *StopTable.In(f)}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -25,8 +25,6 @@
 const (
 	maxBody       = 64 << 10
 	maxAnswerHead = 16 << 10
-	// outboundShare is the part of the sockets that connections to endpoints may use.
-	outboundShare = 0.4
 	// idleShare is the part of connIdle after which an idle connection is retired: a request that is written
 	// while the endpoint closes it would be lost as a reset.
 	idleShare      = 0.5
@@ -103,14 +101,22 @@
 }
 
 func newPool(c *Config) pool {
-	p := pool{idle: map[*endpoint][]*conn{}, maxIdle: idleDefault,
-		most: int(outboundShare * float64(c.Limits.Sockets-reservedSockets))}
-	if idle := c.Settings.ConnIdle; idle > 0 {
-		p.maxIdle = time.Duration(idleShare * float64(idle))
-	}
+	p := pool{idle: map[*endpoint][]*conn{}, maxIdle: c.maxIdle(c.tuning),
+		most: int(c.tuning.endpoints.Share * float64(c.Limits.Sockets-reservedSockets))}
 	return p
 }
 
+// maxIdle is how long an idle connection to an endpoint is kept.
+func (c *Config) maxIdle(t *tuning) time.Duration {
+	switch idle := c.Settings.ConnIdle; {
+	case t.endpoints.KeepIdle > 0:
+		return t.endpoints.KeepIdle
+	case idle > 0:
+		return time.Duration(idleShare * float64(idle))
+	}
+	return idleDefault
+}
+
 // acquire takes the most recently used connection; nil asks for a new one. It is false when there may be no
 // further connection. Whether the connection is alive shows when it is used.
 func (p *pool) acquire(e *endpoint, now time.Time) (c *conn, ok bool) {
