--- /dev/null
+++ b/cmd/quincegap/file_test.go
@@ -0,0 +1,422 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gingerlead/internal/standin/booking"
+)
+
+const patience = 30 * time.Second
+
+const goodFile = `[sidecar]
+application = "booking-front.example.org"
+listen = "127.0.0.1:0"
+
+[discovery]
+address = %q
+
+[class.book-trip]
+aim = "2500ms"
+deadline = "6s"
+effect = "keyed"
+key_scope = "cell"
+key_window = "10s"
+
+[class.find-trip]
+aim = "2s"
+deadline = "6s"
+effect = "safe"
+`
+
+// process is the program with a product's file, and its log.
+type process struct {
+	t    testing.TB
+	cmd  *exec.Cmd
+	file string
+	url  string
+	log  chan string
+}
+
+// launch starts the program with a text for its file, and waits until it serves.
+func launch(t testing.TB, text string, env ...string) *process {
+	t.Helper()
+	p := &process{t: t, file: filepath.Join(t.TempDir(), "sidecar.toml"), log: make(chan string, 10000)}
+	p.put(text)
+	p.cmd = exec.Command(os.Args[0], "-config", p.file)
+	p.cmd.Env = append(append(os.Environ(), "BE_QUINCEGAP=1"), env...)
+	stderr, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			p.log <- lines.Text()
+		}
+		close(p.log)
+	}()
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		<-read
+		p.cmd.Wait()
+	})
+	p.url = "http://" + regexp.MustCompile(`127\.0\.0\.1:\d+`).FindString(p.said("serving on"))
+	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
+		if res, err := http.Get(p.url + "/ready"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return p
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ready")
+		}
+	}
+}
+
+// put replaces the program's file at one stroke.
+func (p *process) put(text string) {
+	p.t.Helper()
+	if err := os.WriteFile(p.file+".new", []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.Rename(p.file+".new", p.file); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// said waits for a line of the log that holds a word, and returns all up to it.
+func (p *process) said(word string) string {
+	p.t.Helper()
+	late := time.After(patience)
+	var lines []string
+	for {
+		select {
+		case line, ok := <-p.log:
+			if lines = append(lines, line); strings.Contains(line, word) {
+				return strings.Join(lines, "\n")
+			}
+			if !ok {
+				p.t.Fatalf("it ended before it said %q:\n%s", word, strings.Join(lines, "\n"))
+			}
+		case <-late:
+			p.t.Fatalf("it never said %q:\n%s", word, strings.Join(lines, "\n"))
+		}
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+var txn atomic.Int64
+
+// book sends a booking and returns the status.
+func (p *process) book(client *http.Client, body string) (int, error) {
+	r, err := http.NewRequest(http.MethodPost, p.url+"/trips", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	n := txn.Add(1)
+	r.Header.Set("X-Txn", fmt.Sprintf("t%d", n))
+	r.Header.Set("X-Lane", "book-trip")
+	r.Header.Set("X-Remaining", "6000m")
+	r.Header.Set("Idempotency-Key", fmt.Sprintf("k%d", n))
+	res, err := client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
+// site is a discovery with endpoints.
+func site(t testing.TB, n int) *booking.Discovery {
+	t.Helper()
+	var targets []booking.Target
+	for i := range n {
+		e, err := booking.StartEndpoint(fmt.Sprintf("box-%d", i), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		targets = append(targets, e.Target())
+	}
+	d, err := booking.StartDiscovery("", targets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+// With the product's file alone, and no platform, the program serves, and takes a token along to discovery.
+func TestProductFileAlone(t *testing.T) {
+	d := site(t, 2)
+	d.Token = "t0ken"
+	dir := t.TempDir()
+	token := filepath.Join(dir, "token")
+	if err := os.WriteFile(token, []byte("t0ken\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf(goodFile, d.Address())
+	p := launch(t, strings.Replace(text, "[discovery]", fmt.Sprintf("[discovery]\ntoken_file = %q", token), 1))
+	if status, err := p.book(http.DefaultClient, "trip"); err != nil || status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+	p.signal(syscall.SIGTERM)
+	if said := p.said("stopping"); strings.Contains(said, "t0ken") {
+		t.Error("the token is in the log")
+	}
+	for range p.log {
+	}
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
+// A file that cannot be used ends the program with the messages of quincegapctl check, before it listens.
+func TestBadFileEndsTheProgram(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "sidecar.toml")
+	os.WriteFile(file, []byte("[sidecar]\nlisten = \"127.0.0.1\"\n[limts]\n"), 0o600)
+	for args, want := range map[string][]string{
+		"-config " + file:            {file + `:2:10: sidecar.listen: "127.0.0.1" has no port`, file + `:3:2: unknown table "limts"; did you mean "limits"?`},
+		"-config /nowhere":           {"/nowhere: cannot be read: no such file or directory"},
+		"-config " + file + " extra": {`unknown argument "extra"`},
+		"-confg " + file:             {"flag provided but not defined"},
+	} {
+		cmd := exec.Command(os.Args[0], strings.Fields(args)...)
+		cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG=")
+		out, err := cmd.CombinedOutput()
+		if err == nil {
+			t.Errorf("%s: it started", args)
+		}
+		for _, w := range want {
+			if !strings.Contains(string(out), w) {
+				t.Errorf("%s: got\n%s\nwant %s", args, out, w)
+			}
+		}
+	}
+}
+
+// With a platform's configuration the product's file needs to say nothing of what that says, and the platform
+// wins.
+func TestProductFileUnderAPlatform(t *testing.T) {
+	d := site(t, 1)
+	platform := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"a1","limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"settings":{"allowed":{"connectTimeout":2000000},"discovery":"push","instances":1,"services":[{"name":"book-trip","aim":1000000,
+		"deadline":6000000,"effect":"idempotency_key","keyScope":"all","window":10000000,"gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, d.Address())
+	if err := os.WriteFile(platform, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := launch(t, "[callers]\nmax_body = \"1KiB\"\n[limits]\nsockets = 99\n", "BALANCER_CONFIG="+platform)
+	if status, err := p.book(http.DefaultClient, strings.Repeat("x", 1025)); err != nil || status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d, %v", status, err)
+	}
+	if status, err := p.book(http.DefaultClient, "trip"); err != nil || status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
+
+// Under load, SIGHUP with every kind of broken file, and with files that change what may not change, loses no
+// request and changes nothing; a good file then takes effect at once.
+func TestReloadUnderLoad(t *testing.T) {
+	broken, err := filepath.Glob(filepath.Join("..", "..", "internal", "tool", "testdata", "mistakes", "*.toml"))
+	if err != nil || len(broken) < 80 {
+		t.Fatalf("%d broken files, %v", len(broken), err)
+	}
+	d := site(t, 3)
+	good := fmt.Sprintf(goodFile, d.Address())
+	p := launch(t, good)
+
+	var served atomic.Int64
+	done := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if status, err := p.book(client, "trip"); err != nil || status != http.StatusOK {
+					t.Errorf("status %d, %v", status, err)
+					return
+				}
+				served.Add(1)
+			}
+		})
+	}
+	refused := func(what string, wants ...string) {
+		t.Helper()
+		p.signal(syscall.SIGHUP)
+		said := p.said("the old configuration stays")
+		for _, want := range wants {
+			if !strings.Contains(said, want) {
+				t.Errorf("%s: said\n%s\nwant %q", what, said, want)
+			}
+		}
+	}
+	for _, path := range broken {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(string(text))
+		refused(path, p.file+":")
+	}
+	if err := os.Remove(p.file); err != nil {
+		t.Fatal(err)
+	}
+	refused("no file", "no such file")
+	p.put(good + "[limits]\nsockets = 999\n[callers]\nmax_body = \"2KiB\"\n")
+	refused("sockets", fmt.Sprintf("%s:20:1: limits.sockets has changed, which takes effect at a start only", p.file))
+	p.put(strings.Replace(good, "[class.find-trip]\naim = \"2s\"\ndeadline = \"6s\"\neffect = \"safe\"\n", "", 1))
+	refused("a class gone", "class.find-trip.aim has changed")
+
+	// Nothing of these was taken up: a body of 3 KiB still passes.
+	if status, err := p.book(http.DefaultClient, strings.Repeat("x", 3<<10)); err != nil || status != http.StatusOK {
+		t.Errorf("status %d, %v", status, err)
+	}
+	// A good file is taken up whole: the bound, and another discovery.
+	other := site(t, 2)
+	p.put(strings.Replace(good, d.Address(), other.Address(), 1) + "[callers]\nmax_body = \"2KiB\"\n")
+	p.signal(syscall.SIGHUP)
+	p.said("reload: discovery is " + other.Address())
+	if status, err := p.book(http.DefaultClient, strings.Repeat("x", 3<<10)); err != nil || status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d, %v", status, err)
+	}
+	before := served.Load()
+	for end := time.Now().Add(patience); served.Load() < before+50 && !t.Failed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nothing is served any more")
+		}
+	}
+	close(done)
+	callers.Wait()
+	if served.Load() == 0 {
+		t.Error("nothing was served")
+	}
+}
+
+// A file on which only the listener is taken fails with its address.
+func TestListenerTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	d := site(t, 1)
+	file := filepath.Join(t.TempDir(), "sidecar.toml")
+	text := strings.Replace(fmt.Sprintf(goodFile, d.Address()), "127.0.0.1:0", taken.Addr().String(), 1)
+	os.WriteFile(file, []byte(text), 0o600)
+	cmd := exec.Command(os.Args[0], "-config", file)
+	cmd.Env = append(os.Environ(), "BE_QUINCEGAP=1", "BALANCER_CONFIG=")
+	if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), taken.Addr().String()) {
+		t.Errorf("%v: %s", err, out)
+	}
+}
+
+// BenchmarkStart starts the program, with a platform's configuration alone and with the product's file, and
+// reports the time until it is ready and the memory that it then holds. Run it with a built program:
+//
+//	go build -o bin/ ./cmd/quincegap && QUINCEGAP=$PWD/bin/quincegap go test ./cmd/quincegap -run '^$' -bench Start -benchtime 20x
+func BenchmarkStart(b *testing.B) {
+	program := os.Getenv("QUINCEGAP")
+	if program == "" {
+		b.Skip("QUINCEGAP names no program")
+	}
+	d := site(b, 3)
+	dir := b.TempDir()
+	platform, file := filepath.Join(dir, "config.json"), filepath.Join(dir, "sidecar.toml")
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	address := taken.Addr().String()
+	taken.Close()
+	os.WriteFile(platform, []byte(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"a1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"settings":{"allowed":{"connectTimeout":2000000},"discovery":"push","instances":1,"services":[{"name":"book-trip","aim":1000000,
+		"deadline":6000000,"effect":"idempotency_key","keyScope":"all","window":10000000,"gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, address, d.Address())), 0o600)
+	os.WriteFile(file, []byte(strings.Replace(fmt.Sprintf(goodFile, d.Address()), "127.0.0.1:0", address, 1)), 0o600)
+	overlay := filepath.Join(dir, "overlay.toml")
+	os.WriteFile(overlay, []byte("[callers]\nmax_body = \"32KiB\"\n"), 0o600)
+	for _, c := range []struct {
+		name string
+		args []string
+		env  string
+	}{
+		{"platform", nil, "BALANCER_CONFIG=" + platform},
+		{"platform+file", []string{"-config", overlay}, "BALANCER_CONFIG=" + platform},
+		{"file", []string{"-config", file}, "BALANCER_CONFIG="},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			var rss, peak float64
+			for range b.N {
+				cmd := exec.Command(program, c.args...)
+				cmd.Env = append(os.Environ(), c.env)
+				if err := cmd.Start(); err != nil {
+					b.Fatal(err)
+				}
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+				for end := time.Now().Add(patience); ; time.Sleep(200 * time.Microsecond) {
+					if res, err := client.Get("http://" + address + "/ready"); err == nil {
+						res.Body.Close()
+						if res.StatusCode == http.StatusOK {
+							break
+						}
+					}
+					if time.Now().After(end) {
+						b.Fatal("never ready")
+					}
+				}
+				b.StopTimer()
+				status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+				if err != nil {
+					b.Fatal(err)
+				}
+				rss += kilobytes(string(status), "VmRSS:")
+				peak += kilobytes(string(status), "VmHWM:")
+				cmd.Process.Kill()
+				cmd.Wait()
+				b.StartTimer()
+			}
+			b.ReportMetric(rss/float64(b.N)/1024, "MiB-rss")
+			b.ReportMetric(peak/float64(b.N)/1024, "MiB-peak")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/1000, "ms/start")
+		})
+	}
+}
+
+func kilobytes(status, name string) (kb float64) {
+	if _, rest, ok := strings.Cut(status, name); ok {
+		fmt.Sscan(rest, &kb)
+	}
+	return kb
+}
--- a/internal/appfile/appfile.go
+++ b/internal/appfile/appfile.go
@@ -310,11 +310,11 @@
 	return []string{SidecarTable.Name, DiscoveryTable.Name, LimitsTable.Name, AttemptsTable.Name, WarmupTable.Name, ClassTable.Name, TenantTable.Name}
 }
 
-// Named says who an application is, as a layer below what its file says.
-func Named(application string) schema.Layer {
+// Named says who an application is, as a layer below what a file says of it from some place on.
+func Named(application, file string, at finding.Pos) schema.Layer {
 	text := []byte("[sidecar]\napplication = " + doc.Quote(application) + "\n")
 	d := doc.ReadTOML(text, len(text), func(_ finding.Pos, format string, args ...any) { panic(fmt.Sprintf(format, args...)) })
-	return schema.Layer{Doc: d, Table: d.Root}
+	return schema.Layer{Doc: d, Table: d.Root, File: file, At: &at}
 }
 
 // unknownClass words that a file serves no such class.
--- a/internal/apps/apps.go
+++ b/internal/apps/apps.go
@@ -33,7 +33,7 @@
 		schema.Bounds[int]{Default: 12, Least: 1, Most: 100000}, schema.AtStart,
 		"How many attempts one request may at worst become at any application, over all tiers above it."),
 	schema.Int("most_tiers", func(c *Chain) *int { return &c.Depth },
-		schema.Bounds[int]{Default: 8, Least: 1, Most: 1000}, schema.AtStart,
+		schema.Bounds[int]{Default: 8, Least: 1, Most: 100000}, schema.AtStart,
 		"How many applications a request may pass one after another, each counted once."),
 )
 
@@ -126,7 +126,7 @@
 		}
 		own := schema.Layer{Doc: d, Table: table, File: file}
 		m.Apps = append(m.Apps, &App{Name: e.Name, Place: schema.Place{File: file, Pos: e.At},
-			File: s.Decode(found, schema.Options{Partial: !whole}, appfile.Named(e.Name), defaults, own)})
+			File: s.Decode(found, schema.Options{Partial: !whole}, appfile.Named(e.Name, file, e.At), defaults, own)})
 	}
 	return m
 }
--- a/internal/apps/check.go
+++ b/internal/apps/check.go
@@ -354,6 +354,10 @@
 	calls := map[spot][]*edge{}
 	own := func(n *node) int { return appfile.AttemptsTable.In(n.File).Most }
 	for _, n := range g.nodes {
+		if own(n) > most {
+			at := n.File.Place("attempts", "most_attempts")
+			g.found.Add(at.File, at.Pos, "attempts.most_attempts: %d, by itself above %s", own(n), bound(most, frame))
+		}
 		for _, e := range n.out {
 			at := spot{n, e.call.Class}
 			calls[at] = append(calls[at], e)
@@ -445,13 +449,18 @@
 	}
 	slices.Reverse(way)
 	slices.Reverse(factors)
-	bound := fmt.Sprintf("chain.most_attempts_in_chain, %d", most)
+	e.report(g.found, "to", "attempts multiply to %d (%s) on the way %s, above %s", n, strings.Join(factors, " x "), strings.Join(way, " -> "), bound(most, frame))
+}
+
+// bound names the bound on attempts, and where it is set.
+func bound(most int, frame *schema.File) string {
+	text := fmt.Sprintf("chain.most_attempts_in_chain, %d", most)
 	if frame != nil {
 		if s := frame.Setting("chain", "most_attempts_in_chain"); s != nil {
-			bound += fmt.Sprintf(" (%s)", s.Place)
+			text += fmt.Sprintf(" (%s)", s.Place)
 		}
 	}
-	e.report(g.found, "to", "attempts multiply to %d (%s) on the way %s, above %s", n, strings.Join(factors, " x "), strings.Join(way, " -> "), bound)
+	return text
 }
 
 // tiers reports ways through more applications than are allowed, each counted once. A ring counts with all
--- a/internal/apps/written.go
+++ b/internal/apps/written.go
@@ -247,6 +247,9 @@
 // comments by hand stay. The header goes on telling what apps.toml says, so that edits are known as such.
 // There must be no clash.
 func (st *State) Merge() []byte {
+	if st.File == nil {
+		return st.New // it was not edited
+	}
 	d := st.Doc
 	again := func(text []byte) {
 		d = doc.ReadTOML(text, len(text), func(finding.Pos, string, ...any) {})
--- /dev/null
+++ b/internal/apps/written_test.go
@@ -0,0 +1,336 @@
+package apps
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gingerlead/internal/doc"
+	"gingerlead/internal/finding"
+)
+
+const base = `# ours
+[apps.a.sidecar]
+listen = "127.0.0.1:8080"
+instances = 3
+
+[apps.a.discovery]
+address = "127.0.0.1:8500"
+
+[apps.a.limits]
+cores = 1.0 # one
+memory = "192MiB"
+sockets = 1024
+
+[apps.a.class.c]
+aim = "1s"
+deadline = "3s"
+effect = "safe"
+`
+
+func model(t interface{ Fatal(...any) }, text string) *Model {
+	var found finding.List
+	m := Read(testSchema, "apps.toml", []byte(text), &found)
+	if found.Len() > 0 {
+		t.Fatal(found.Err(), text)
+	}
+	return m
+}
+
+// compare compares a file with what an apps.toml says.
+func compare(t interface{ Fatal(...any) }, apps, file string) *State {
+	var found finding.List
+	st := Compare(testSchema, model(t, apps).Apps[0], "apps.toml", "a.toml", []byte(file), &found)
+	if found.Len() > 0 {
+		t.Fatal(found.Err(), file)
+	}
+	return st
+}
+
+func generate(t interface{ Fatal(...any) }, apps string) string {
+	return string(Generate(model(t, apps).Apps[0], "apps.toml"))
+}
+
+func TestGenerateIsTheSameEveryTime(t *testing.T) {
+	file := generate(t, base)
+	if file != generate(t, base) {
+		t.Error("two texts")
+	}
+	w := ParseWritten([]byte(file))
+	if w == nil || w.App != "a" || w.Source != "apps.toml" || w.Edited || w.Cut || len(w.Base) != 10 {
+		t.Errorf("got %+v", w)
+	}
+	if st := compare(t, base, file); st.Edited() || len(st.Edits) > 0 {
+		t.Errorf("got %+v", st.Edits)
+	}
+}
+
+// An edit on a line above, below or beside one that write changes is merged; on the same key it clashes
+// unless both say the same.
+func TestMerge(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		here, apps [2]string // what is replaced, and by what
+		clash      bool
+		want       []string
+	}{
+		{"above", [2]string{"cores = 1.0", "cores = 2"}, [2]string{`"192MiB"`, `"256MiB"`}, false, []string{"cores = 2\n", `memory = "256MiB"`}},
+		{"below", [2]string{"sockets = 1024", "sockets = 512"}, [2]string{`"192MiB"`, `"256MiB"`}, false, []string{"sockets = 512\n", `memory = "256MiB"`}},
+		{"on it", [2]string{`"192MiB"`, `"128MiB"`}, [2]string{`"192MiB"`, `"256MiB"`}, true, nil},
+		{"on it, the same", [2]string{`"192MiB"`, `"256MiB"`}, [2]string{`"192MiB"`, `"256MiB"`}, false, []string{`memory = "256MiB"`}},
+		{"on it, the same otherwise written", [2]string{`"1s"`, `"2000ms"`}, [2]string{`"1s"`, `"2s"`}, false, []string{`aim = "2000ms"`}},
+		{"a comment on it", [2]string{`memory = "192MiB"`, "# why\nmemory = \"192MiB\" # so"}, [2]string{`"192MiB"`, `"256MiB"`}, false, []string{"# why\nmemory = \"256MiB\" # so"}},
+		{"taken away here, changed there", [2]string{"sockets = 1024\n", ""}, [2]string{"sockets = 1024", "sockets = 99"}, true, nil},
+		{"changed here, taken away there", [2]string{"sockets = 1024", "sockets = 512"}, [2]string{"sockets = 1024\n", ""}, true, nil},
+		{"taken away here", [2]string{"sockets = 1024\n", ""}, [2]string{`"192MiB"`, `"256MiB"`}, false, []string{`memory = "256MiB"`}},
+		{"taken away there", [2]string{"cores = 1.0", "cores = 2"}, [2]string{"sockets = 1024\n", ""}, false, []string{"cores = 2"}},
+		{"taken away on both", [2]string{"sockets = 1024\n", ""}, [2]string{"sockets = 1024\n", ""}, false, nil},
+		{"added on both, the same", [2]string{"[discovery]", "[discovery]\nmode = \"ask\""}, [2]string{"[apps.a.discovery]", "[apps.a.discovery]\nmode = \"ask\""}, false, []string{"mode = \"ask\""}},
+		{"added on both, otherwise", [2]string{"[discovery]", "[discovery]\nmode = \"ask\""}, [2]string{"[apps.a.discovery]", "[apps.a.discovery]\nmode = \"push\""}, true, nil},
+		{"a table here", [2]string{"[discovery]", "[tenant.x]\nquota_per_s = 5\n[discovery]"}, [2]string{`"192MiB"`, `"256MiB"`}, false, []string{"[tenant.x]\nquota_per_s = 5\n", `memory = "256MiB"`}},
+		{"a table there", [2]string{"cores = 1.0", "cores = 2"}, [2]string{"[apps.a.discovery]", "[apps.a.tenant.x]\nquota_per_s = 5\n[apps.a.discovery]"}, false, []string{"[tenant.x]\n", "quota_per_s = 5\n", "cores = 2"}},
+		{"a table gone there", [2]string{"cores = 1.0", "cores = 2"}, [2]string{"instances = 3\n", ""}, false, []string{"cores = 2"}},
+	} {
+		for _, nl := range []string{"\n", "\r\n"} {
+			written := generate(t, base)
+			edited := strings.Replace(written, c.here[0], c.here[1], 1)
+			apps := strings.Replace(base, c.apps[0], c.apps[1], 1)
+			if edited == written || apps == base {
+				t.Fatal(c.name, "replaces nothing")
+			}
+			edited = strings.ReplaceAll(edited, "\n", nl)
+			st := compare(t, apps, edited)
+			if !st.Edited() || (len(st.Clashes()) > 0) != c.clash {
+				t.Errorf("%s: edits %v", c.name, st.Edits)
+				continue
+			}
+			if c.clash {
+				continue
+			}
+			merged := string(st.Merge())
+			if nl == "\r\n" && strings.Count(merged, "\n") != strings.Count(merged, "\r\n") {
+				t.Errorf("%s: line ends are mixed", c.name)
+			}
+			plain := strings.ReplaceAll(merged, "\r", "")
+			for _, w := range c.want {
+				if !strings.Contains(plain, w) {
+					t.Errorf("%s: %q is missing in\n%s", c.name, w, plain)
+				}
+			}
+			// Merging again changes nothing, and the edits are still known as such.
+			again := compare(t, apps, merged)
+			if got := string(again.Merge()); got != merged {
+				t.Errorf("%s: no fixed point:\n%s", c.name, got)
+			}
+			for _, e := range st.Edits {
+				if !slices.ContainsFunc(again.Edits, func(f Edit) bool { return f.ID() == e.ID() }) {
+					t.Errorf("%s: the edit of %s is forgotten", c.name, e.ID())
+				}
+			}
+		}
+	}
+}
+
+func TestFilesThatAreNotOurs(t *testing.T) {
+	file := generate(t, base)
+	for name, c := range map[string][2]string{
+		"no header":   {"[sidecar]\n", "was not written by quincegapctl"},
+		"another app": {strings.Replace(file, " for a from", " for b from", 1), "was written for b, not for a"},
+		"cut":         {file[:len(file)/2], "its end is missing"},
+		"unreadable":  {strings.Replace(file, "cores = 1.0", "cores = 1.0x", 1), "cannot be read"},
+		"unsound":     {strings.Replace(file, "cores = 1.0", "cores = -1.0", 1), "is below"},
+	} {
+		var found finding.List
+		Compare(testSchema, model(t, base).Apps[0], "apps.toml", "a.toml", []byte(c[0]), &found)
+		if found.Len() != 1 || !strings.Contains(found.All()[0].Message, c[1]) {
+			t.Errorf("%s: %v", name, found.Err())
+		}
+	}
+}
+
+// Every cut of a written file is seen, whatever byte it falls on.
+func TestEveryCutIsSeen(t *testing.T) {
+	file := generate(t, base)
+	for n := range len(file) {
+		if w := ParseWritten([]byte(file[:n])); w != nil && !w.Edited && !w.Cut {
+			t.Fatalf("cut at %d: passes as it was written", n)
+		}
+	}
+}
+
+func TestAdopt(t *testing.T) {
+	withDefaults := "[defaults.attempts]\nmost_attempts = 3 # all\n\n" + base
+	for _, c := range []struct {
+		name, apps string
+		here       [2]string
+		want       string // the lines of apps.toml that went and came, or the finding
+		fault      bool
+	}{
+		{"set", base, [2]string{"cores = 1.0", "cores = 2"}, "-cores = 1.0 # one +cores = 2 # one", false},
+		{"add", base, [2]string{"[discovery]", "[discovery]\nmode = \"ask\""}, `+mode = "ask"`, false},
+		{"a table", base, [2]string{"[discovery]", "[tenant.x]\nquota_per_s = 5\n[discovery]"}, "+[apps.a.tenant.x] +quota_per_s = 5 +", false},
+		{"take away", base, [2]string{"sockets = 1024\n", ""}, "-sockets = 1024", false},
+		{"set a default", withDefaults, [2]string{"most_attempts = 3", "most_attempts = 2"}, "+[apps.a.attempts] +most_attempts = 2 +", false},
+		{"take a default away", withDefaults, [2]string{"most_attempts = 3\n", ""}, "comes from [defaults] in line 2", true},
+		{"rename", base, [2]string{`application = "a"`, `application = "b"`}, "cannot be adopted", true},
+	} {
+		edited := strings.Replace(generate(t, c.apps), c.here[0], c.here[1], 1)
+		st := compare(t, c.apps, edited)
+		var found finding.List
+		after := string(model(t, c.apps).Adopt([]*State{st}, &found))
+		if c.fault {
+			if found.Len() != 1 || !strings.Contains(found.All()[0].Message, c.want) {
+				t.Errorf("%s: %v", c.name, found.Err())
+			}
+			continue
+		}
+		if got := lines(c.apps, after); got != c.want || found.Len() > 0 {
+			t.Errorf("%s: got %q, want %q, %v", c.name, got, c.want, found.Err())
+		}
+		// What apps.toml now says is what the file says: no edit is left.
+		if st := compare(t, after, edited); len(st.Edits) > 0 {
+			t.Errorf("%s: left over: %v", c.name, st.Edits)
+		}
+	}
+}
+
+// lines lists the lines that went and those that came.
+func lines(before, after string) string {
+	a, b := strings.Split(before, "\n"), strings.Split(after, "\n")
+	var out []string
+	for _, l := range a {
+		if !slices.Contains(b, l) {
+			out = append(out, "-"+l)
+		}
+	}
+	count := map[string]int{}
+	for _, l := range a {
+		count[l]++
+	}
+	for _, l := range b {
+		if count[l]--; count[l] < 0 {
+			out = append(out, "+"+l)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// Random edits on both sides, against maps: merging takes each key from the side that changed it, refuses
+// just where both did otherwise, loses no comment, and adopting leaves no edit.
+func TestMergeFollowsMaps(t *testing.T) {
+	keys := [][]string{{"sidecar", "instances"}, {"limits", "sockets"}, {"attempts", "most_attempts"}, {"tenant", "x", "quota_per_s"}, {"tenant", "y", "quota_per_s"}}
+	rapid.Check(t, func(rt *rapid.T) {
+		side := func(name string, from map[string]string) map[string]string {
+			to := maps.Clone(from)
+			for _, k := range keys {
+				switch rapid.SampledFrom([]string{"keep", "keep", "set", "drop"}).Draw(rt, name) {
+				case "set":
+					to[doc.Dotted(k)] = fmt.Sprint(rapid.IntRange(64, 66).Draw(rt, "value"))
+				case "drop":
+					delete(to, doc.Dotted(k))
+				}
+			}
+			return to
+		}
+		// apply makes a text say what a map does.
+		apply := func(text string, prefix []string, from, to map[string]string) string {
+			for _, k := range keys {
+				id, path := doc.Dotted(k), append(slices.Clone(prefix), k...)
+				if from[id] == to[id] {
+					continue
+				}
+				d := reread([]byte(text))
+				if to[id] == "" {
+					text = string(d.Delete(path, help(k)))
+				} else {
+					text = string(d.Set(path, to[id]))
+				}
+			}
+			return text
+		}
+		start := strings.Replace(strings.Replace(base, "instances = 3\n", "", 1), "sockets = 1024\n", "", 1)
+		first := side("base", map[string]string{})
+		appsText := apply(start, []string{"apps", "a"}, nil, first)
+		here, there := side("here", first), side("there", first)
+		written := generate(rt, appsText)
+		edited := apply(written, nil, first, here)
+		edited = strings.Replace(edited, "[limits]", "# by hand\n[limits]", 1)
+		nowText := apply(appsText, []string{"apps", "a"}, first, there)
+
+		st := compare(rt, nowText, edited)
+		clash := map[string]bool{}
+		want := maps.Clone(there)
+		for _, k := range keys {
+			id := doc.Dotted(k)
+			switch {
+			case here[id] == first[id] || here[id] == there[id]:
+			case there[id] == first[id]:
+				want[id] = here[id]
+			default:
+				clash[id] = true
+			}
+		}
+		got := map[string]bool{}
+		for _, e := range st.Clashes() {
+			got[e.ID()] = true
+		}
+		if !maps.Equal(got, clash) {
+			rt.Fatalf("clashes %v, want %v\nbase %v here %v there %v", got, clash, first, here, there)
+		}
+		if len(clash) > 0 {
+			return
+		}
+		merged := string(st.Merge())
+		says := compare(rt, nowText, merged)
+		for _, k := range keys {
+			id := doc.Dotted(k)
+			value := ""
+			if s := says.File.Setting(k...); s != nil {
+				value = s.Canonical
+			}
+			if value != want[id] {
+				rt.Fatalf("%s is %q, want %q\nbase %v here %v there %v\n%s", id, value, want[id], first, here, there, merged)
+			}
+		}
+		if strings.Count(merged, "# by hand") != 1 {
+			rt.Fatalf("a comment is lost:\n%s", merged)
+		}
+		var found finding.List
+		after := string(model(rt, nowText).Adopt([]*State{st}, &found))
+		if found.Len() > 0 || strings.Count(after, "# ours") != 1 || strings.Count(after, "# one") != 1 {
+			rt.Fatalf("adopt: %v\n%s", found.Err(), after)
+		}
+		if left := compare(rt, after, merged); len(left.Edits) > 0 {
+			rt.Fatalf("adopt leaves %v", left.Edits)
+		}
+	})
+}
+
+// help is what stands above a key in a written file.
+func help(path []string) string {
+	for _, k := range testSchema.Table(path[0]).Keys {
+		if k.Name == path[len(path)-1] {
+			return k.Help
+		}
+	}
+	return ""
+}
+
+// Whatever a file's header holds, reading it ends.
+func FuzzParseWritten(f *testing.F) {
+	var found finding.List
+	m := Read(testSchema, "apps.toml", []byte(base), &found)
+	f.Add(Generate(m.Apps[0], "apps.toml"))
+	f.Add([]byte(headBy + "a" + headFrom + "b.\n\n\n" + trailer + "\n#: x y\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var found finding.List
+		st := Compare(testSchema, m.Apps[0], "apps.toml", "a.toml", text, &found)
+		if found.Len() == 0 && st.File != nil && len(st.Clashes()) == 0 {
+			st.Merge()
+		}
+	})
+}
--- a/internal/doc/doc.go
+++ b/internal/doc/doc.go
@@ -175,10 +175,15 @@
 
 // QuoteKey writes a key, in quotes where it must be.
 func QuoteKey(key string) string {
-	if key != "" && strings.Trim(key, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789_-") == "" {
-		return key
+	for i := range len(key) {
+		if c := key[i] | 0x20; !('a' <= c && c <= 'z' || '0' <= key[i] && key[i] <= '9' || key[i] == '_' || key[i] == '-') {
+			return Quote(key)
+		}
+	}
+	if key == "" {
+		return Quote(key)
 	}
-	return Quote(key)
+	return key
 }
 
 // Quote writes a TOML basic string.
--- /dev/null
+++ b/internal/doc/doc_test.go
@@ -0,0 +1,252 @@
+package doc
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gingerlead/internal/finding"
+)
+
+// read reads TOML and gives the findings as line:column.
+func read(t *testing.T, text string) (*Doc, []string) {
+	t.Helper()
+	var found finding.List
+	d := ReadTOML([]byte(text), 1<<20, found.In("f"))
+	var at []string
+	for _, f := range found.All() {
+		at = append(at, fmt.Sprintf("%d:%d", f.Line, f.Column))
+	}
+	return d, at
+}
+
+// Each text is read to its end: all of its mistakes are found, each at its place, and nothing else.
+func TestAllMistakesAreFound(t *testing.T) {
+	for text, want := range map[string]string{
+		"a = 1\nb = \"x\"\n[t]\nc = true # so\n": "",
+		"a = 1\r\n[t]\r\nb = 2\r\n":              "",
+		"a =\nb = 2\nc = 3ms\n":                  "1:4 3:6",
+		"a = 1\na = 2\n":                         "2:1",
+		"[t]\na = 1\n[t]\na = 2\n":               "3:2",
+		"[t\nunder = 1\n[u]\nb = oops\n":         "1:3 4:5",
+		"a = [1,\n2\nb = 3\n":                    "1:1",
+		"a = \"\"\"x\nmore\nb = 1\n":             "1:1",
+		"a.b = 1\na = 2\n":                       "2:1",
+		"a = 1\na.b = 2\n":                       "2:1",
+		"a.b = 1\n[a]\nc = 1\n":                  "2:2",
+		"[a.b]\nx = 1\n[a]\ny = 2\n":             "",
+		"ä = 1\n\"ä\" = \"ö\" x\n":               "1:1 2:11",
+		"one\ntwo\nthree\n":                      "1:4",
+		"a = 1 \r b = 2\n":                       "1:7",
+		strings.Repeat("a = [\n", 3):             "1:1 2:1 3:6",
+		"x = " + strings.Repeat("[", 99) + "]":   "1:104",
+		"a={b={c={d={e={f={g={h={i={j={k={l={m={n={o={p={q=1}}}}}}}}}}}}}}}}": "1:48",
+	} {
+		if _, at := read(t, text); strings.Join(at, " ") != want {
+			t.Errorf("%.60q: found at %v, want %s", text, at, want)
+		}
+	}
+}
+
+// Behind a header that cannot be read nothing is taken for another table's key.
+func TestKeysBehindABrokenHeaderGoNowhere(t *testing.T) {
+	d, _ := read(t, "[t]\na = 1\n[u\na = 2\nb = 3\n[v]\nc = 4\n")
+	if d.Root.Sub("t").Get("b") != nil || d.Root.Lookup("v", "c") == nil || d.Root.Sub("t").Get("a").Value.Text != "1" {
+		t.Error("keys went to the wrong table")
+	}
+}
+
+// Junk of any size is given up on soon.
+func TestJunkIsBounded(t *testing.T) {
+	for _, line := range []string{"x = [\n", "%$ nonsense\n", "[[[\n", "\"\"\"\n", "= = =\n", "a = '''\n"} {
+		var found finding.List
+		ReadTOML([]byte(strings.Repeat(line, 10<<20/len(line))), 16<<20, found.In("f"))
+		if n := found.Len(); n == 0 || line != "a = '''\n" && n > mostUnread+1 || len(found.All()) > finding.Most {
+			t.Errorf("%q: %d findings", line, n)
+		}
+	}
+	var found finding.List
+	if ReadTOML(make([]byte, 101), 100, found.In("f")) != nil || found.Len() != 1 {
+		t.Error("a text over its bound was read")
+	}
+}
+
+func TestPlaces(t *testing.T) {
+	d, _ := read(t, "# first\n[t]\n  key = \"välue\" # so\nü = 3\n")
+	e := d.Root.Lookup("t", "key")
+	if e.At != (finding.Pos{Line: 3, Col: 3}) || e.Value.At != (finding.Pos{Line: 3, Col: 9}) || string(d.Text[e.Value.Start:e.Value.End]) != `"välue"` {
+		t.Errorf("got %+v %+v", e, e.Value)
+	}
+	j := ReadJSON([]byte("{\n \"a\": [1, {\"b\": true}],\n \"ü\": null}"), 100, func(at finding.Pos, f string, args ...any) { t.Errorf(f, args...) })
+	if b := j.Root.Get("a").Value.Items[1].Table.Get("b"); b.At != (finding.Pos{Line: 2, Col: 12}) || b.Value.At != (finding.Pos{Line: 2, Col: 17}) {
+		t.Errorf("got %+v %+v", b, b.Value)
+	}
+	if u := j.Root.Get("ü"); u.Value.Kind != Null || u.Value.At != (finding.Pos{Line: 3, Col: 7}) {
+		t.Errorf("got %+v", u.Value)
+	}
+}
+
+func TestEdits(t *testing.T) {
+	const text = "# head\ntop = 1\n\n[t] # the table\n# about a\na = 1 # so\nb = 2\n\n[t.u]\nc = 3\n\n[z]\nd = 4\nx.y = 5\n"
+	for _, c := range []struct {
+		name string
+		edit func(d *Doc) []byte
+		want string // of the lines that came and went
+	}{
+		{"replace", func(d *Doc) []byte { return d.Set([]string{"t", "a"}, "9") }, "-a = 1 # so +a = 9 # so"},
+		{"add to a table", func(d *Doc) []byte { return d.Set([]string{"t", "new"}, "9", "help") }, "+# help +new = 9"},
+		{"add at the top", func(d *Doc) []byte { return d.Set([]string{"new"}, "9") }, "+new = 9"},
+		{"add a table beside its likes", func(d *Doc) []byte { return d.Set([]string{"t", "v", "e"}, "9") }, "+[t.v] +e = 9 +"},
+		{"add a table at the end", func(d *Doc) []byte { return d.Set([]string{"q", "e"}, "9") }, "+[q] +e = 9 +"},
+		{"add beside a dotted key", func(d *Doc) []byte { return d.Set([]string{"z", "x", "w"}, "9") }, "+x.w = 9"},
+		{"delete", func(d *Doc) []byte { return d.Delete([]string{"t", "a"}) }, "-a = 1 # so"},
+		{"delete with its help", func(d *Doc) []byte { return d.Delete([]string{"t", "a"}, "about a") }, "-# about a -a = 1 # so"},
+		{"another comment stays", func(d *Doc) []byte { return d.Delete([]string{"t", "a"}, "other") }, "-a = 1 # so"},
+		{"delete the last key", func(d *Doc) []byte { return d.Delete([]string{"t", "u", "c"}) }, "-[t.u] -c = 3 -"},
+		{"delete nothing", func(d *Doc) []byte { return d.Delete([]string{"t", "none"}) }, ""},
+	} {
+		for _, nl := range []string{"\n", "\r\n"} {
+			before := strings.ReplaceAll(text, "\n", nl)
+			d, _ := read(t, before)
+			after := string(c.edit(d))
+			if _, at := read(t, after); len(at) > 0 {
+				t.Errorf("%s: cannot be read at %v:\n%s", c.name, at, after)
+			}
+			if nl == "\r\n" && strings.Count(after, "\n") != strings.Count(after, "\r\n") {
+				t.Errorf("%s: line ends are mixed: %q", c.name, after)
+			}
+			if got := lineDiff(strings.ReplaceAll(before, "\r", ""), strings.ReplaceAll(after, "\r", "")); got != c.want {
+				t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+			}
+		}
+	}
+	d, _ := read(t, "[t]\na = 1")
+	if got := string(d.Set([]string{"t", "b"}, "2")); got != "[t]\na = 1\nb = 2\n" {
+		t.Errorf("behind a line without an end: %q", got)
+	}
+}
+
+// lineDiff lists the lines that went, then those that came.
+func lineDiff(before, after string) string {
+	a, b := strings.Split(before, "\n"), strings.Split(after, "\n")
+	for len(a) > 0 && len(b) > 0 && a[0] == b[0] {
+		a, b = a[1:], b[1:]
+	}
+	for len(a) > 0 && len(b) > 0 && a[len(a)-1] == b[len(b)-1] {
+		a, b = a[:len(a)-1], b[:len(b)-1]
+	}
+	var out []string
+	for _, l := range a {
+		out = append(out, "-"+l)
+	}
+	for _, l := range b {
+		out = append(out, "+"+l)
+	}
+	return strings.Join(out, " ")
+}
+
+// Random edits against a map: the text always says what the map does, and all comments stay.
+func TestEditsFollowAMap(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nl := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(rt, "nl")
+		text := strings.ReplaceAll("# one\n[a]\nk = 0 # two\n# three\n[a.b]\nk = 0\n", "\n", nl)
+		model := map[string]string{"a.k": "0", "a.b.k": "0"}
+		name := rapid.SampledFrom([]string{"a", "b", "k", "with space", "q\"uote", "d.ot"})
+		for range rapid.IntRange(1, 12).Draw(rt, "edits") {
+			d, at := read(t, text)
+			if len(at) > 0 {
+				rt.Fatalf("unreadable at %v:\n%s", at, text)
+			}
+			path := []string{"a", name.Draw(rt, "table"), "key" + name.Draw(rt, "key")}
+			if id := Dotted(path); rapid.Bool().Draw(rt, "set") {
+				model[id] = fmt.Sprint(rapid.IntRange(0, 9).Draw(rt, "value"))
+				if path[1] == "k" {
+					delete(model, id) // a value stands there
+					continue
+				}
+				text = string(d.Set(path, model[id]))
+			} else {
+				delete(model, id)
+				text = string(d.Delete(path))
+			}
+		}
+		d, at := read(t, text)
+		if len(at) > 0 {
+			rt.Fatalf("unreadable at %v:\n%s", at, text)
+		}
+		got := map[string]string{}
+		leaves(d.Root, got)
+		if fmt.Sprint(got) != fmt.Sprint(model) {
+			rt.Fatalf("text says %v, map %v:\n%s", got, model, text)
+		}
+		for _, c := range []string{"# one", "# two", "# three"} {
+			if strings.Count(text, c) != 1 {
+				rt.Fatalf("%s is lost:\n%s", c, text)
+			}
+		}
+	})
+}
+
+func leaves(t *Table, into map[string]string) {
+	for _, e := range t.Entries {
+		if e.Value.Kind == TableKind {
+			leaves(e.Value.Table, into)
+		} else {
+			into[Dotted(append(slices.Clone(t.Path), e.Name))] = e.Value.Text
+		}
+	}
+}
+
+// Whatever a file holds, reading ends, places are inside it, and what an edit wrote is read back.
+func FuzzTOML(f *testing.F) {
+	for _, s := range []string{"[t]\na = 1\n", "a = [1, {b = 2}]\n", "[[x]]\ny = 1\n[x.z]\n", "a.b.c = \"\"\"\n\"\"\"\n", "\xef\xbb\xbfa=1", "a = '''", "[a]\r\nb=1\r\n[a.c]\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var found finding.List
+		d := ReadTOML(text, 1<<16, found.In("f"))
+		lines := strings.Count(string(text), "\n") + 1
+		for _, x := range found.All() {
+			if x.Line < 0 || x.Line > lines || x.Message == "" || strings.Contains(x.Message, "\n") {
+				t.Errorf("finding %q in a text of %d lines", x, lines)
+			}
+		}
+		if d == nil || found.Len() > 0 {
+			return
+		}
+		path := []string{"t", "a"}
+		if e := d.Root.Get("t"); e != nil && (e.Value.Kind != TableKind || e.Value.Start > 0) {
+			return // no table with lines of its own
+		}
+		if e := d.Root.Lookup(path...); e != nil && e.Value.Kind == TableKind || e != nil && e.Value.Kind == Array {
+			return
+		}
+		after := d.Set(path, "42")
+		again := ReadTOML(after, 1<<17, found.In("f"))
+		if again == nil || found.Len() > 0 || again.Root.Lookup(path...) == nil || again.Root.Lookup(path...).Value.Text != "42" {
+			t.Errorf("%q became %q: %v", text, after, found.Err())
+		}
+	})
+}
+
+func FuzzJSON(f *testing.F) {
+	for _, s := range []string{`{"a": [1, 2.5, null, true, "x"]}`, `{"a": {"a": 1, "a": 2}}`, `{`, `[]`, `{"a":1} x`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var found finding.List
+		d := ReadJSON(text, 1<<16, found.In("f"))
+		if d == nil && found.Len() == 0 {
+			t.Errorf("%q: neither read nor refused", text)
+		}
+		lines := strings.Count(string(text), "\n") + 1
+		for _, x := range found.All() {
+			if x.Line < 0 || x.Line > lines || x.Message == "" {
+				t.Errorf("finding %q in a text of %d lines", x, lines)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/finding/finding_test.go
@@ -0,0 +1,62 @@
+package finding
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestNearest(t *testing.T) {
+	names := []string{"idle_timeout", "request_timeout", "max_body", "cores", "to"}
+	for name, want := range map[string]string{"idel_timeout": "idle_timeout", "Idle_Timeout": "idle_timeout", "maxbody": "max_body",
+		"cors": "cores", "ot": "to", "sockets": "", "": "", strings.Repeat("x", 10000): ""} {
+		if got := Nearest(name, names); got != want {
+			t.Errorf("%.20q: got %q, want %q", name, got, want)
+		}
+	}
+}
+
+func TestDistance(t *testing.T) {
+	for _, c := range []struct {
+		a, b string
+		want int
+	}{{"", "", 0}, {"a", "", 1}, {"", "ab", 2}, {"ab", "ba", 1}, {"kitten", "sitting", 3}, {"über", "uber", 1}, {"abcd", "acbd", 1}} {
+		if got := distance(c.a, c.b); got != c.want {
+			t.Errorf("%q, %q: %d, want %d", c.a, c.b, got, c.want)
+		}
+	}
+}
+
+// Findings come by place, each once, and their number is bounded; the count goes on.
+func TestList(t *testing.T) {
+	var l List
+	l.Add("b", Pos{2, 1}, "late")
+	l.Add("b", Pos{1, 9}, "early")
+	l.Add("b", Pos{2, 1}, "late")
+	l.Add("a", Pos{}, "whole")
+	var out bytes.Buffer
+	l.Print(&out)
+	if want := "b:1:9: early\nb:2:1: late\na: whole\n"; out.String() != want {
+		t.Errorf("got %q, want %q", out.String(), want)
+	}
+	for i := range 2 * Most {
+		l.Add("c", Pos{i + 1, 1}, "x")
+	}
+	out.Reset()
+	l.PrintJSON(&out)
+	var got struct {
+		Findings []Finding
+		More     int
+	}
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil || len(got.Findings) != Most || got.More != Most+3 || l.Len() != 2*Most+3 {
+		t.Error(err, len(got.Findings), got.More, l.Len())
+	}
+	if !strings.HasSuffix(l.Err().Error(), fmt.Sprintf("and %d more findings", Most+3)) {
+		t.Error("the rest is not told")
+	}
+	if (&List{}).Err() != nil {
+		t.Error("an empty list is an error")
+	}
+}
--- a/internal/product/platform.go
+++ b/internal/product/platform.go
@@ -141,10 +141,13 @@
 	}
 	// What only the programs judge: they name a key, whose line is looked up.
 	if err := sidecar.CheckPlatform(content); err != nil {
-		report(locate(d, err.Error()), "%s", err)
+		report(locate(d, err.Error()), "%s", platformWords.Replace(err.Error()))
 	}
 }
 
+// platformWords puts the module's names of keys into the platform's.
+var platformWords = strings.NewReplacer("classes", "services", "].scope:", "].keyScope:")
+
 var keyPath = regexp.MustCompile(`[A-Za-z_]+(\[\d+\])?(\.[A-Za-z_]+(\[\d+\])?)*`)
 
 // wireNames are the wire's words for the module's.
--- /dev/null
+++ b/internal/product/product_test.go
@@ -0,0 +1,111 @@
+package product
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gingerlead/internal/finding"
+)
+
+// The generated pages are what the declarations say: go generate ./docs writes them anew.
+func TestGeneratedPagesDoNotDrift(t *testing.T) {
+	for path, want := range map[string]string{"docs/reference.md": Reference(), "deploy/sidecar.toml": Sample()} {
+		got, err := os.ReadFile(filepath.Join("..", "..", path))
+		if err != nil || string(got) != want {
+			t.Errorf("%s is out of date (%v); run go generate ./docs", path, err)
+		}
+	}
+}
+
+// Every key has what the reference page needs, and its default is within its own bounds.
+func TestDeclarations(t *testing.T) {
+	for _, table := range Schema.Tables {
+		for _, k := range table.Keys {
+			if k.Help == "" || !strings.HasSuffix(k.Help, ".") || k.Type == "" {
+				t.Errorf("%s.%s: no sentence of help or no type", table.Name, k.Name)
+			}
+			if (k.Required || k.Default == "") && k.Example == "" {
+				t.Errorf("%s.%s: no example", table.Name, k.Name)
+			}
+		}
+	}
+	// All keys at once, each with its default or example.
+	text := strings.NewReplacer("\n# ", "\n").Replace(Sample())
+	var lines []string
+	for line := range strings.Lines(text) {
+		if strings.Contains(line, " = ") || strings.HasPrefix(line, "[") {
+			lines = append(lines, line)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "all.toml")
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var found finding.List
+	f := Load(path, false, &found)
+	for _, x := range found.All() {
+		// The sample's safe class has the keys of a keyed one, its call names another class, and its secret is not here.
+		if !strings.Contains(x.Message, "means nothing") && !strings.Contains(x.Message, "for_class") && !strings.Contains(x.Message, "token_file") {
+			t.Error(x)
+		}
+	}
+	for _, table := range Schema.Tables {
+		for _, k := range table.Keys {
+			at := []string{table.Name, k.Name}
+			if table.Named {
+				at = []string{table.Name, table.Like, k.Name}
+			}
+			if f.Setting(at...) == nil {
+				t.Errorf("%v is not in the sample", at)
+			}
+		}
+	}
+}
+
+func TestRead(t *testing.T) {
+	dir := t.TempDir()
+	pipe := filepath.Join(dir, "pipe")
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{pipe: "no regular file", dir: "no regular file", filepath.Join(dir, "none"): "no such file"} {
+		if _, err := Read(path, 10); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), dir) {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+	large := filepath.Join(dir, "large")
+	os.WriteFile(large, make([]byte, 11), 0o600)
+	if _, err := Read(large, 10); err == nil {
+		t.Error("a file over its bound was read")
+	}
+	if text, err := Read(large, 11); err != nil || len(text) != 11 {
+		t.Error(err)
+	}
+}
+
+// A secret is looked for beside the file that names it, and must be fit to be one.
+func TestSecrets(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "sidecar.toml")
+	text := strings.Replace(Sample(), "[discovery]", "[discovery]\ntoken_file = \"token\"", 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		mode os.FileMode
+		want string
+	}{{0o600, ""}, {0o622, "written by everybody"}, {0o644, "read by everybody"}} {
+		if err := os.WriteFile(filepath.Join(dir, "token"), []byte("t0ken"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		os.Chmod(filepath.Join(dir, "token"), c.mode)
+		var found finding.List
+		Load(path, false, &found)
+		if c.want == "" && found.Len() > 0 || c.want != "" && (found.Len() != 1 || !strings.Contains(found.All()[0].Message, c.want) || found.All()[0].Line == 0) {
+			t.Errorf("%v: %v", c.mode, found.Err())
+		}
+	}
+}
--- a/internal/schema/keys.go
+++ b/internal/schema/keys.go
@@ -87,7 +87,7 @@
 }
 
 func readDuration(v *doc.Value) (time.Duration, string) {
-	const want = `a time with its unit, like "2500ms" or "2.5s",`
+	const want = `a time with its unit (like "2500ms" or "2.5s")`
 	switch v.Kind {
 	case doc.Integer, doc.Float:
 		return 0, fmt.Sprintf("%s has no unit; write \"%sms\" or \"%ss\"", shown(v), v.Text, v.Text)
@@ -189,7 +189,7 @@
 }
 
 func readSize(v *doc.Value) (int64, string) {
-	const want = `a size with its unit, like "64KiB" or "32MiB",`
+	const want = `a size with its unit (like "64KiB" or "32MiB")`
 	switch v.Kind {
 	case doc.Integer, doc.Float:
 		return 0, fmt.Sprintf("%s has no unit; write \"%sB\", \"%sKiB\" or \"%sMiB\"", shown(v), v.Text, v.Text, v.Text)
@@ -314,6 +314,9 @@
 	s.Bad = func(text string) string {
 		host, port, err := net.SplitHostPort(text)
 		if err != nil {
+			if strings.Contains(text, "://") {
+				return "is a URL; write host:port alone"
+			}
 			if !strings.Contains(text, ":") {
 				return "has no port; write host:port, like 127.0.0.1:8080"
 			}
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -220,6 +220,15 @@
 	Doc   *doc.Doc
 	Table *doc.Table
 	File  string
+	At    *finding.Pos // the place of all that it holds, of one that is in no file
+}
+
+// place is that of something in the layer.
+func (l Layer) place(at finding.Pos) Place {
+	if l.At != nil {
+		at = *l.At
+	}
+	return Place{l.File, at}
 }
 
 // Options of Decode.
@@ -239,7 +248,7 @@
 	before := found.Len()
 	for _, l := range layers {
 		if l.Table != nil {
-			f.root = Place{l.File, l.Table.At}
+			f.root = l.place(l.Table.At)
 			s.layer(f, found, o, l)
 		}
 	}
@@ -308,7 +317,7 @@
 		case !t.Named:
 			t.read(f, report, l, []string{t.Name}, e.Value.Table)
 		default:
-			f.tables[t.Name] = Place{l.File, e.At}
+			f.tables[t.Name] = l.place(e.At)
 			for _, n := range e.Value.Table.Entries {
 				if n.Value.Kind != doc.TableKind {
 					report(n.At, "%s is to stand in a table of its own, [%s]", n.Name, t.header())
@@ -336,7 +345,7 @@
 		v = t.fresh()
 		f.values[id] = v
 	}
-	f.tables[doc.Dotted(path)] = Place{l.File, table.At}
+	f.tables[doc.Dotted(path)] = l.place(table.At)
 	for _, e := range table.Entries {
 		k := t.byName[e.Name]
 		if k == nil {
@@ -357,7 +366,7 @@
 			raw = string(l.Doc.Text[e.Value.Start:e.Value.End])
 		}
 		// Kept with a fault too: it is no missing key.
-		f.settings[doc.Dotted(full)] = &Setting{Path: full, Key: k, Place: Place{l.File, e.At}, Raw: raw, Canonical: canonical}
+		f.settings[doc.Dotted(full)] = &Setting{Path: full, Key: k, Place: l.place(e.At), Raw: raw, Canonical: canonical}
 	}
 }
 
--- /dev/null
+++ b/internal/secretfile/secretfile_test.go
@@ -0,0 +1,40 @@
+package secretfile
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestRead(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "token")
+	for _, c := range []struct {
+		text string
+		mode os.FileMode
+		want string // of the error; empty for none
+	}{
+		{"s3cret\n", 0o600, ""}, {" s3cret ", 0o640, ""}, {"s3cret", 0o602, "written by everybody"}, {"s3cret", 0o604, "read by everybody"},
+		{"", 0o600, "is empty"}, {"s3cret word", 0o600, "more than one word"}, {strings.Repeat("s3cret", 5000), 0o600, "more than"},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chmod(path, c.mode); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Read(path)
+		if c.want == "" && (err != nil || got != "s3cret") || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || got != "") {
+			t.Errorf("%.10q, %v: got %q, %v", c.text, c.mode, got, err)
+		}
+		if err != nil && strings.Contains(err.Error(), "s3cret") {
+			t.Errorf("the error tells the secret: %v", err)
+		}
+	}
+	for _, path := range []string{dir, filepath.Join(dir, "none")} {
+		if _, err := Read(path); err == nil {
+			t.Errorf("%s was read", path)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 )
 
 // memoryShare is the part of the memory limit at which the collector works harder; the rest is for stacks
@@ -57,7 +58,10 @@
 func (s *server) reload() {
 	c, err := s.config.reload()
 	if err != nil {
-		log.Printf("reload: %v; the old configuration stays", err)
+		for line := range strings.Lines(err.Error()) {
+			log.Printf("reload: %s", strings.TrimSuffix(line, "\n"))
+		}
+		log.Printf("reload: refused; the old configuration stays")
 		return
 	}
 	log.Printf("reload: discovery is %s", c.Discovery)
--- /dev/null
+++ b/internal/tool/demo_test.go
@@ -0,0 +1,118 @@
+package tool
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"gingerlead/internal/atomicfile"
+)
+
+// shared is a writer that others read while it grows.
+type shared struct {
+	mu    sync.Mutex
+	text  bytes.Buffer
+	wrote chan struct{}
+}
+
+func (s *shared) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case s.wrote <- struct{}{}:
+	default:
+	}
+	return s.text.Write(b)
+}
+
+func (s *shared) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+// The demonstration's line works as it is printed, and nothing is left when it ends: no goroutine, no process,
+// no file.
+func TestDemo(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	program := filepath.Join(t.TempDir(), "quincegap")
+	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, "gingerlead/cmd/quincegap").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	temp := t.TempDir()
+	t.Setenv("TMPDIR", temp)
+	out, errs := &shared{wrote: make(chan struct{}, 1)}, &shared{wrote: make(chan struct{}, 1)}
+	c := &command{out: out, errs: errs, disk: atomicfile.Disk{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- c.runDemo(ctx, program) }()
+	line := regexp.MustCompile(`(?m)^  (curl .*) http://(\S+)$`)
+	var match []string
+	for match == nil {
+		select {
+		case <-out.wrote:
+			match = line.FindStringSubmatch(out.String())
+		case err := <-ended:
+			t.Fatalf("%v\n%s", err, errs)
+		case <-time.After(30 * time.Second):
+			t.Fatalf("no line:\n%s%s", out, errs)
+		}
+	}
+	// What curl would send, for not every machine has it.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for i := range 20 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+match[2], strings.NewReader("trip=dialysis"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range regexp.MustCompile(`-H ["']([\w-]+): ([^"']+)["']`).FindAllStringSubmatch(match[1], -1) {
+			r.Header.Set(h[1], strings.ReplaceAll(h[2], "$RANDOM", fmt.Sprint(i)))
+		}
+		res, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if res.StatusCode != http.StatusOK || !strings.Contains(string(body), "served POST /trips (13 bytes)") {
+			t.Errorf("got %d %q", res.StatusCode, body)
+		}
+	}
+	cancel()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("it does not end")
+	}
+	if left, _ := os.ReadDir(temp); len(left) > 0 {
+		t.Errorf("left over: %v", left)
+	}
+	client.CloseIdleConnections()
+}
+
+func TestDemoWithoutASidecar(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := &command{out: io.Discard, errs: io.Discard, disk: atomicfile.Disk{}}
+	if err := c.runDemo(context.Background(), "/nowhere/quincegap"); err == nil || !strings.Contains(err.Error(), "make builds it") {
+		t.Error(err)
+	}
+	if err := c.runDemo(context.Background(), "/bin/false"); err == nil || !strings.Contains(err.Error(), "ended at once") {
+		t.Error(err)
+	}
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -29,6 +29,8 @@
 // failure is an error that is no wrong usage.
 type failure struct{ error }
 
+func (f failure) Unwrap() error { return f.error }
+
 // Run runs a command line and returns its exit code.
 func Run(args []string, out, errs io.Writer) int {
 	root := &cobra.Command{
@@ -39,7 +41,7 @@
 		SilenceErrors: true,
 	}
 	c := &command{out: out, errs: errs, disk: atomicfile.Disk{}}
-	root.AddCommand(c.init(), c.write(), c.check(), c.diff(), c.adopt(), c.sample(), c.reference())
+	root.AddCommand(c.init(), c.write(), c.check(), c.diff(), c.adopt(), c.sample(), c.reference(), c.demo())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- /dev/null
+++ b/internal/tool/tool_test.go
@@ -0,0 +1,523 @@
+package tool
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gingerlead/internal/apps"
+	"gingerlead/internal/atomicfile"
+	"gingerlead/internal/doc"
+	"gingerlead/internal/finding"
+	"gingerlead/internal/product"
+)
+
+var update = flag.Bool("update", false, "write the wanted findings anew, to be read before they are committed")
+
+// run runs a command line in a folder's terms and gives its exit code and what it printed.
+func run(args ...string) (code int, out, errs string) {
+	var o, e bytes.Buffer
+	code = Run(args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+// must is run for a command line that is to be fine.
+func must(t *testing.T, args ...string) string {
+	t.Helper()
+	code, out, errs := run(args...)
+	if code != Fine {
+		t.Fatalf("%v: exit %d\n%s%s", args, code, out, errs)
+	}
+	return out
+}
+
+// Every file of the collection is refused, with just the findings that want.txt lists for it. A sidecar's own
+// file is refused by the sidecar too, and a platform's by its loader.
+func TestMistakes(t *testing.T) {
+	dir := filepath.Join("testdata", "mistakes")
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wanted := map[string]string{}
+	text, err := os.ReadFile(filepath.Join("testdata", "mistakes.want"))
+	if err != nil && !*update {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		name, _, _ := strings.Cut(line, ":")
+		wanted[name] += line
+	}
+	var all strings.Builder
+	for _, e := range entries {
+		name := e.Name()
+		path := filepath.Join(dir, name)
+		var found finding.List
+		Check([]string{path}, false, &found)
+		var got strings.Builder
+		found.Print(&got)
+		lines := strings.ReplaceAll(got.String(), dir+string(filepath.Separator), "")
+		all.WriteString(lines)
+		if found.Len() == 0 {
+			t.Errorf("%s: passes", name)
+		}
+		if lines != wanted[name] && !*update {
+			t.Errorf("%s: got\n%swant\n%s", name, lines, wanted[name])
+		}
+		if !strings.Contains(name, "apps-") && !strings.HasSuffix(name, ".json") {
+			var own finding.List
+			if product.Load(path, false, &own); own.Len() == 0 {
+				t.Errorf("%s: the sidecar would take it", name)
+			}
+		}
+	}
+	if len(entries) < 80 {
+		t.Errorf("only %d files", len(entries))
+	}
+	if *update {
+		if err := os.WriteFile(filepath.Join("testdata", "mistakes.want"), []byte(all.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// first makes a folder with apps.toml as init writes it, and the files of its applications.
+func first(t *testing.T) (dir, source, front, keeper string) {
+	t.Helper()
+	dir = t.TempDir()
+	must(t, "init", dir)
+	source = filepath.Join(dir, "apps.toml")
+	must(t, "write", source)
+	return dir, source, filepath.Join(dir, "booking-front.example.org.toml"), filepath.Join(dir, "slot-keeper.example.org.toml")
+}
+
+// replace edits a file by hand.
+func replace(t *testing.T, path, from, to string) {
+	t.Helper()
+	text := content(t, path)
+	if !strings.Contains(text, from) {
+		t.Fatalf("%s does not hold %q", path, from)
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(text, from, to, 1)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func content(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// A newcomer's way: init, check, write, check, break a file by hand, be told the line.
+func TestNewcomer(t *testing.T) {
+	_, source, front, keeper := first(t)
+	must(t, "check", source)
+	must(t, "check", front, keeper)
+	must(t, "diff", source)
+	before := content(t, front)
+	if out := must(t, "write", source); !strings.Contains(out, "2 files are up to date") || content(t, front) != before {
+		t.Errorf("write again: %s", out)
+	}
+	replace(t, front, "deadline = \"6s\"", "dedline = \"6s\"")
+	code, out, _ := run("check", front)
+	if code != Findings || !strings.Contains(out, `unknown key "dedline"; did you mean "deadline"? in [class.book-trip]`) {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	line := 0
+	for i, l := range strings.Split(content(t, front), "\n") {
+		if strings.HasPrefix(l, "dedline") {
+			line = i + 1
+		}
+	}
+	if !strings.Contains(out, fmt.Sprintf("%s:%d:1: ", front, line)) {
+		t.Errorf("line %d is not named: %s", line, out)
+	}
+}
+
+func TestEditsByHand(t *testing.T) {
+	_, source, front, keeper := first(t)
+	replace(t, keeper, "sockets = 1024", "sockets = 512 # at night")
+
+	code, out, _ := run("write", source)
+	if code != Findings || !strings.Contains(out, "limits.sockets = 512 was set by hand (it was 1024)") || !strings.Contains(content(t, keeper), "sockets = 512 # at night") {
+		t.Errorf("write: exit %d: %s", code, out)
+	}
+	code, out, _ = run("diff", source)
+	if code != Findings || !strings.Contains(out, "edited by hand: ") {
+		t.Errorf("diff: exit %d: %s", code, out)
+	}
+
+	// apps.toml changes another key: kept edits and the change both stand. No file is written where one is refused.
+	replace(t, source, "connect_timeout = \"250ms\"", "connect_timeout = \"300ms\"")
+	if code, _, _ = run("write", source); code != Findings || strings.Contains(content(t, front), "300ms") {
+		t.Error("a file was written beside one that was refused")
+	}
+	must(t, "write", "--keep-edits", source)
+	if got := content(t, keeper); !strings.Contains(got, "sockets = 512 # at night") || !strings.Contains(got, "connect_timeout = \"300ms\"") {
+		t.Error(got)
+	}
+	// The same key: a conflict, and nothing is written.
+	replace(t, source, "sockets = 1024", "sockets = 2048")
+	code, out, _ = run("write", "--keep-edits", source)
+	if code != Findings || !strings.Contains(out, "limits.sockets = 512 was set by hand, and apps.toml now says 2048") || strings.Contains(content(t, front), "2048") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	if code, out, _ = run("adopt", source, keeper); code != Findings || !strings.Contains(out, "settle it") {
+		t.Errorf("adopt: exit %d: %s", code, out)
+	}
+	replace(t, source, "sockets = 2048", "sockets = 1024")
+	if out = must(t, "adopt", source, keeper); !strings.Contains(out, "1 edits are now in") {
+		t.Error(out)
+	}
+	if got := content(t, source); !strings.Contains(got, "[apps.\"slot-keeper.example.org\".limits]\nsockets = 512\n") ||
+		!strings.Contains(got, "# slot-keeper keeps the ambulances' slots.") {
+		t.Error(got)
+	}
+	must(t, "check", source, keeper)
+	if out = must(t, "adopt", source, keeper); !strings.Contains(out, "nothing to adopt") {
+		t.Error(out)
+	}
+	// Thrown away only when told to, and not in silence.
+	replace(t, keeper, "cores = 1.0", "cores = 2.0")
+	if out = must(t, "write", "--discard-edits", source); !strings.Contains(out, "discarded: ") || !strings.Contains(out, "limits.cores = 2.0") {
+		t.Error(out)
+	}
+	if got := content(t, keeper); strings.Contains(got, "cores = 2.0") || strings.Contains(got, "at night") {
+		t.Error(got)
+	}
+}
+
+// An edit that would make apps.toml unsound is not adopted, and one that would make a merged file so is not kept.
+func TestUnsoundEditsAreNotTakenUp(t *testing.T) {
+	_, source, _, keeper := first(t)
+	replace(t, keeper, "deadline = \"5s\"", "deadline = \"5900ms\"")
+	before := content(t, source)
+	code, out, _ := run("adopt", source, keeper)
+	if code != Findings || !strings.Contains(out, "does not cover the deadline") || content(t, source) != before {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	replace(t, keeper, "deadline = \"5900ms\"", "deadline = \"9s\"")
+	replace(t, source, "deadline = \"5s\"\neffect = \"keyed\"\nkey_scope = \"cell\"\nkey_window = \"10s\"", "deadline = \"5s\"\neffect = \"keyed\"\nkey_scope = \"cell\"\nkey_window = \"6s\"")
+	before = content(t, keeper)
+	code, out, _ = run("write", "--keep-edits", source)
+	if code != Findings || !strings.Contains(out, "with the edits kept: class.take-slot.key_window") || content(t, keeper) != before {
+		t.Errorf("exit %d: %s", code, out)
+	}
+}
+
+func TestFilesThatStandInTheWay(t *testing.T) {
+	dir, source, front, keeper := first(t)
+	for name, spoil := range map[string]func(){
+		"not ours":   func() { os.WriteFile(front, []byte("[sidecar]\n"), 0o644) },
+		"cut":        func() { os.Truncate(front, int64(len(content(t, front))/2)) },
+		"unreadable": func() { replace(t, front, "cores = 1.0", "cores = 1.0.0") },
+		"a folder":   func() { os.Remove(front); os.Mkdir(front, 0o755) },
+		"a link to nothing": func() {
+			os.Remove(front)
+			os.Symlink("nothing", front)
+		},
+	} {
+		os.RemoveAll(front)
+		must(t, "write", source)
+		replace(t, source, "cores = 1.0", "cores = 1.00")
+		kept := content(t, keeper)
+		spoil()
+		if code, out, errs := run("write", source); code != Findings || content(t, keeper) != kept {
+			t.Errorf("%s: exit %d: %s%s", name, code, out, errs)
+		}
+		replace(t, source, "cores = 1.00", "cores = 1.0")
+	}
+	os.RemoveAll(front)
+	// A symlink to a file that is there stays, and its file is written.
+	real := filepath.Join(dir, "elsewhere.toml")
+	must(t, "write", source)
+	os.Rename(front, real)
+	os.Symlink("elsewhere.toml", front)
+	replace(t, source, "cores = 1.0", "cores = 2.0")
+	must(t, "write", source)
+	if info, _ := os.Lstat(front); info.Mode()&fs.ModeSymlink == 0 || !strings.Contains(content(t, real), "cores = 2.0") {
+		t.Error("the link was replaced")
+	}
+	if code, _, errs := run("init", dir); code != Findings || !strings.Contains(errs, "is there already") {
+		t.Errorf("init: exit %d: %s", code, errs)
+	}
+}
+
+// full is a disk without room.
+type full struct{ atomicfile.Disk }
+
+func (full) CreateTemp(string, string) (atomicfile.Temp, error) {
+	return nil, &fs.PathError{Op: "open", Path: "x", Err: syscall.ENOSPC}
+}
+
+func TestFullDisk(t *testing.T) {
+	_, source, front, _ := first(t)
+	replace(t, source, "cores = 1.0", "cores = 2.0")
+	before := content(t, front)
+	var out, errs bytes.Buffer
+	c := &command{out: &out, errs: &errs, disk: full{}}
+	w := c.write()
+	w.SetArgs([]string{source})
+	w.SilenceUsage, w.SilenceErrors = true, true
+	if err := w.Execute(); !errors.Is(err, syscall.ENOSPC) || content(t, front) != before {
+		t.Errorf("%v, %s", err, out.String())
+	}
+}
+
+// Two writes at once end with files that check, and neither sees the other's half.
+func TestTwoWritesAtOnce(t *testing.T) {
+	dir, source, front, keeper := first(t)
+	other := filepath.Join(dir, "other", "apps.toml")
+	if err := os.Mkdir(filepath.Dir(other), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(other, []byte(strings.Replace(content(t, source), "cores = 1.0", "cores = 3.0", 1)), 0o644)
+	var both sync.WaitGroup
+	for _, path := range []string{source, other, source, other} {
+		both.Go(func() {
+			if code, out, errs := run("write", "-o", dir, path); code != Fine {
+				t.Errorf("exit %d: %s%s", code, out, errs)
+			}
+		})
+	}
+	both.Wait()
+	must(t, "check", front, keeper)
+	if a, b := strings.Contains(content(t, front), "cores = 3.0"), strings.Contains(content(t, keeper), "cores = 3.0"); a != b {
+		t.Error("the files come from two writes")
+	}
+	left, _ := filepath.Glob(filepath.Join(dir, ".*"))
+	if len(left) > 0 {
+		t.Errorf("left over: %v", left)
+	}
+}
+
+func TestExitCodesAndOutput(t *testing.T) {
+	dir, source, front, _ := first(t)
+	for _, c := range []struct {
+		args []string
+		code int
+		want string // in what is printed
+	}{
+		{[]string{"--help"}, Fine, "quincegapctl writes a configuration file"}, {[]string{"help", "write"}, Fine, "--keep-edits"},
+		{[]string{"completion", "bash"}, Fine, "__start_quincegapctl"}, {nil, Fine, "Available Commands"},
+		{[]string{"chekc"}, Usage, `unknown command "chekc"`}, {[]string{"check"}, Usage, "requires at least 1 arg"},
+		{[]string{"check", "--jsn", source}, Usage, "unknown flag"}, {[]string{"write", source, front}, Usage, "accepts 1 arg"},
+		{[]string{"write", "--keep-edits", "--discard-edits", source}, Usage, "none of the others"},
+		{[]string{"check", filepath.Join(dir, "none.toml")}, Findings, "none.toml: cannot be read: no such file"},
+		{[]string{"check", dir}, Findings, "is no regular file"}, {[]string{"write", "-o", filepath.Join(dir, "new"), source}, Fine, "wrote"},
+		{[]string{"sample"}, Fine, "[sidecar]"}, {[]string{"reference"}, Fine, "## [callers]"},
+		{[]string{"adopt", source}, Usage, "requires at least 2"},
+		{[]string{"adopt", source, source}, Findings, "its header is missing"},
+	} {
+		code, out, errs := run(c.args...)
+		if code != c.code || !strings.Contains(out+errs, c.want) {
+			t.Errorf("%v: exit %d, want %d with %q:\n%s%s", c.args, code, c.code, c.want, out, errs)
+		}
+	}
+	replace(t, front, "cores = 1.0", "cores = -1.0")
+	code, out, _ := run("check", "--json", front, source)
+	var got struct{ Findings []finding.Finding }
+	if err := json.Unmarshal([]byte(out), &got); err != nil || code != Findings || len(got.Findings) != 1 || got.Findings[0].Line == 0 || got.Findings[0].File != front {
+		t.Errorf("exit %d, %v: %s", code, err, out)
+	}
+	if code, out, _ = run("check", "--json", source); code != Fine || !strings.Contains(out, `"findings": []`) {
+		t.Errorf("exit %d: %s", code, out)
+	}
+}
+
+// Files of single applications are checked against one another, and with a platform's as their own.
+func TestFilesTogether(t *testing.T) {
+	_, source, front, keeper := first(t)
+	replace(t, keeper, `listen = "127.0.0.1:8081"`, `listen = "127.0.0.1:8080"`)
+	must(t, "check", front)
+	must(t, "check", keeper)
+	if code, out, _ := run("check", front, keeper); code != Findings || !strings.Contains(out, "is taken by booking-front.example.org") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	overlay := filepath.Join(filepath.Dir(source), "overlay.toml")
+	os.WriteFile(overlay, []byte("[callers]\nmax_body = \"32KiB\"\n"), 0o644)
+	if code, _, _ := run("check", overlay); code != Findings {
+		t.Error("a file that says not who it is passes by itself")
+	}
+	must(t, "check", "--overlay", overlay)
+}
+
+// Spoil any one line of a good file, and check names it: misspelt or doubled, its own line, or the first of
+// the two; taken away, the line of the table it stood in, or what the loss led to below.
+func TestAnySpoiltLineIsNamed(t *testing.T) {
+	dir, source, front, _ := first(t)
+	// Comments cannot be spoilt, and a key with a default may be left out of apps.toml: those of the written
+	// file are known by its trailer.
+	good := map[string][]string{source: strings.Split(content(t, source), "\n"), front: strings.Split(content(t, front), "\n")}
+	spoilt := filepath.Join(dir, "spoilt.toml")
+	rapid.Check(t, func(rt *rapid.T) {
+		path := rapid.SampledFrom([]string{source, front}).Draw(rt, "file")
+		lines := good[path]
+		var candidates []int
+		for i, l := range lines {
+			if l != "" && !strings.HasPrefix(l, "#") {
+				candidates = append(candidates, i)
+			}
+		}
+		n := rapid.SampledFrom(candidates).Draw(rt, "line")
+		line := lines[n]
+		how := rapid.SampledFrom([]string{"misspell", "double", "drop"}).Draw(rt, "how")
+		changed := append([]string(nil), lines[:n]...)
+		switch how {
+		case "misspell":
+			// In the key, or in the last part of a header.
+			end := strings.IndexAny(line, "=]")
+			name := strings.TrimRight(strings.TrimRight(line[:end], " "), `"`)
+			begin := strings.LastIndexAny(name, `[."`) + 1
+			if strings.Contains(line, "=") {
+				begin = 0
+			}
+			at := begin + rapid.IntRange(0, len(name)-begin-1).Draw(rt, "letter")
+			changed = append(changed, line[:at]+"q"+line[at:])
+		case "double":
+			changed = append(changed, line, line)
+		}
+		changed = append(changed, lines[n+1:]...)
+		if err := os.WriteFile(spoilt, []byte(strings.Join(changed, "\n")), 0o644); err != nil {
+			rt.Fatal(err)
+		}
+		var found finding.List
+		Check([]string{spoilt}, false, &found)
+		var at []int
+		for _, f := range found.All() {
+			at = append(at, f.Line)
+		}
+		named := func(line int) bool {
+			for _, l := range at {
+				if l == line {
+					return true
+				}
+			}
+			return false
+		}
+		header := n // of the table that the line stands in
+		for header > 0 && !strings.HasPrefix(lines[header], "[") {
+			header--
+		}
+		isHeader := strings.HasPrefix(line, "[")
+		switch {
+		case how == "double":
+			if !named(n + 2) {
+				rt.Fatalf("%q doubled in line %d: %v", line, n+2, found.Err())
+			}
+		case how == "misspell" && !isHeader:
+			if !named(n + 1) {
+				rt.Fatalf("%q misspelt in line %d: %v", line, n+1, found.Err())
+			}
+		case how == "misspell":
+			// A name that is free to choose, of a class, a call or an application, is not misspelt by itself: where
+			// it is used tells. The name of a table is.
+			last := doc.ReadTOML([]byte(line+"\n"), 1<<10, func(finding.Pos, string, ...any) {})
+			if free(last) && path == front && strings.Contains(line, "calls.") {
+				return // the call's own name, which nothing refers to
+			}
+			if free(last) && strings.Contains(line, "calls.") {
+				return
+			}
+			if len(at) == 0 && !strings.Contains(line, "find-trip") {
+				rt.Fatalf("header %q misspelt: passes", line)
+			}
+			if !free(last) && !named(n+1) {
+				rt.Fatalf("header %q misspelt in line %d: %v", line, n+1, found.Err())
+			}
+		case !isHeader && path == front:
+			// The table of the written file, or, where it is needed, of the class or call.
+			if !named(header + 1) {
+				rt.Fatalf("%q dropped under line %d: %v", line, header+1, found.Err())
+			}
+		case !isHeader && needed(line):
+			if !named(header+1) && !named(1) {
+				rt.Fatalf("%q dropped under line %d: %v", line, header+1, found.Err())
+			}
+		case isHeader:
+			if len(at) == 0 {
+				rt.Fatalf("header %q dropped: passes", line)
+			}
+		}
+	})
+}
+
+// free tells whether the last part of a header is a name that people choose.
+func free(d *doc.Doc) bool {
+	t, path := d.Root, []string(nil)
+	for len(t.Entries) > 0 {
+		path = append(path, t.Entries[0].Name)
+		t = t.Entries[0].Value.Table
+	}
+	for _, sort := range []string{"class", "calls", "tenant", "hosts"} {
+		if len(path) > 1 && path[len(path)-2] == sort {
+			return true
+		}
+	}
+	return false
+}
+
+// needed tells whether a line sets a key that has no default.
+func needed(line string) bool {
+	name := strings.TrimSpace(strings.SplitN(line, "=", 2)[0])
+	for _, t := range product.Schema.Tables {
+		for _, k := range t.Keys {
+			if k.Name == name {
+				return k.Required
+			}
+		}
+	}
+	return false
+}
+
+// Whatever a file holds, checking it ends, with places inside it.
+func FuzzCheck(f *testing.F) {
+	f.Add(firstApps)
+	f.Add([]byte(product.Sample()))
+	f.Add([]byte("[apps.a.calls.b]\nto = \"a\"\nmutual_depth = 2\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var found finding.List
+		if m := apps.Read(product.Schema, "f", text, &found); m != nil {
+			m.Check(&found)
+			if found.Len() == 0 {
+				for _, a := range m.Apps {
+					// What is sound is written, and what is written is sound.
+					var again finding.List
+					file := apps.Generate(a, "f")
+					d := doc.ReadTOML(file, apps.MostFileBytes, again.In("w"))
+					if d != nil {
+						product.Decode("w", d, false, true, &again)
+					}
+					if again.Len() > 0 {
+						t.Errorf("%s\n%s", again.Err(), file)
+					}
+				}
+			}
+		}
+		lines := bytes.Count(text, []byte("\n")) + 1
+		for _, x := range found.All() {
+			if x.Line > lines || x.Message == "" || strings.Contains(x.Message, "\n") {
+				t.Errorf("finding %q in a text of %d lines", x, lines)
+			}
+		}
+		var single finding.List
+		if d := doc.ReadTOML(text, apps.MostFileBytes, single.In("f")); d != nil {
+			product.Decode("f", d, false, single.Len() == 0, &single)
+		}
+	})
+}
