--- /dev/null
+++ b/cmd/consul-standin/main.go
@@ -0,0 +1,84 @@
+// Command consul-standin is a stand-in for a Consul agent, for trying
+// quincegap with Consul as its source without one. It serves one service's
+// instances on loopback and takes orders on standard input.
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"gingerlead/internal/standin/consul"
+)
+
+const help = `orders, one a line:
+  add ID HOST:PORT       register an instance, passing
+  remove ID              deregister it
+  status ID STATUS       passing, warning or critical
+  fault NAME             none, hang, refuse, empty, half, noleader, noindex, 429, 500, 403, reset, cut
+  quit
+`
+
+func main() {
+	listen := flag.String("listen", "127.0.0.1:8500", "loopback address to serve on")
+	flag.Parse()
+	if !strings.HasPrefix(*listen, "127.") && !strings.HasPrefix(*listen, "[::1]") {
+		fmt.Fprintln(os.Stderr, "consul-standin: it serves on loopback only")
+		os.Exit(2)
+	}
+	s, err := consul.Start(*listen)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "consul-standin:", err)
+		os.Exit(1)
+	}
+	defer s.Close()
+	fmt.Printf("a stand-in for Consul serves on %s\n%s", s.Address(), help)
+	for lines := bufio.NewScanner(os.Stdin); lines.Scan(); {
+		words := strings.Fields(lines.Text())
+		if len(words) == 1 && words[0] == "quit" {
+			return
+		}
+		if err := order(s, words); err != nil {
+			fmt.Println(err)
+		}
+	}
+}
+
+var faults = map[string]consul.Fault{
+	"none": {}, "hang": {Hang: true}, "refuse": {Refuse: true}, "empty": {Empty: true}, "half": {Half: true}, "noleader": {NoLeader: true},
+	"noindex": {NoIndex: true}, "429": {Status: 429}, "500": {Status: 500}, "403": {Status: 403}, "reset": {Reset: true}, "cut": {Cut: true},
+}
+
+func order(s *consul.Server, words []string) error {
+	switch {
+	case len(words) == 0:
+	case words[0] == "add" && len(words) == 3 && strings.Contains(words[2], ":"):
+		s.Update(func(all []consul.Instance) []consul.Instance {
+			return append(all, consul.Instance{Node: "node", ID: words[1], Passing: 1, Warning: 1}.At(words[2]))
+		})
+	case words[0] == "remove" && len(words) == 2:
+		s.Update(func(all []consul.Instance) []consul.Instance {
+			kept := all[:0]
+			for _, i := range all {
+				if i.ID != words[1] {
+					kept = append(kept, i)
+				}
+			}
+			return kept
+		})
+	case words[0] == "status" && len(words) == 3:
+		s.SetStatus(words[1], words[2])
+	case words[0] == "fault" && len(words) == 2:
+		f, ok := faults[words[1]]
+		if !ok {
+			return fmt.Errorf("no such fault")
+		}
+		s.Set(f)
+	default:
+		return fmt.Errorf("not understood at %s\n%s", time.Now().Format(time.TimeOnly), help)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,163 @@
+// Package admin lets people look into a running sidecar: a read-only listener
+// on loopback or on a Unix socket, off by default.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"gingerlead/internal/membership"
+	"gingerlead/internal/schema"
+)
+
+// Settings says where it listens.
+type Settings struct{ Listen string }
+
+// Table is [admin].
+var Table = schema.NewTable("admin", "A read-only view for people; it is off unless it is set.",
+	schema.String("admin_listen", func(s *Settings) *string { return &s.Listen },
+		schema.Text{Example: "unix:/run/quincegap/front.sock", Type: "address", Bounds: "unix:PATH, or host:port on loopback", Bad: bad}, schema.AtStart,
+		"Where quincegapctl members asks. A Unix socket is open to this user and group only; on loopback everybody on the machine can read it."),
+)
+
+// bad refuses addresses that others than this machine could reach.
+func bad(text string) string {
+	if path, ok := strings.CutPrefix(text, "unix:"); ok {
+		if path == "" || len(path) > 100 {
+			return "names no path of a socket, or one of over 100 characters"
+		}
+		return ""
+	}
+	host, port, err := net.SplitHostPort(text)
+	ip := net.ParseIP(host)
+	switch {
+	case err != nil || port == "" || strings.Trim(port, "0123456789") != "":
+		return "is neither unix:PATH nor host:port"
+	case ip == nil || !ip.IsLoopback():
+		return "is not on loopback; others could read it"
+	}
+	return ""
+}
+
+// Members is what the view shows.
+type Members struct {
+	Name      string           `json:"name"`
+	Source    string           `json:"source"`
+	Endpoints []membership.Row `json:"endpoints"`
+}
+
+// Serve serves the view until stop is called. It holds few connections, each for a short time: nobody can use
+// it up.
+func Serve(address string, view func() (Members, bool)) (stop func(), err error) {
+	network, at := "tcp", address
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		network, at = "unix", path
+		// A socket that a killed process left is in the way; anything else at that path is not ours to remove.
+		if info, err := os.Lstat(path); err == nil && info.Mode()&fs.ModeSocket != 0 {
+			if c, err := net.Dial("unix", path); err == nil {
+				c.Close()
+				return nil, fmt.Errorf("admin: %s: another process listens there", path)
+			}
+			os.Remove(path)
+		}
+	}
+	listener, err := net.Listen(network, at)
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	if network == "unix" {
+		if err := os.Chmod(at, 0o660); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
+		m, ok := view()
+		if !ok {
+			http.Error(w, "the sidecar does not answer", http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(m)
+	})
+	s := &http.Server{Handler: mux, ReadTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second, MaxHeaderBytes: 4 << 10}
+	s.SetKeepAlivesEnabled(false)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.Serve(&few{Listener: listener, slots: make(chan struct{}, mostConns)})
+	}()
+	return func() {
+		s.Close()
+		<-ended
+	}, nil
+}
+
+// mostConns bounds the connections to the view, which come out of the reserved sockets.
+const mostConns = 4
+
+// few is a listener that holds few connections at once; further ones wait in the backlog.
+type few struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (f *few) Accept() (net.Conn, error) {
+	f.slots <- struct{}{}
+	c, err := f.Listener.Accept()
+	if err != nil {
+		<-f.slots
+		return nil, err
+	}
+	return &one{Conn: c, done: func() { <-f.slots }}, nil
+}
+
+type one struct {
+	net.Conn
+	once sync.Once
+	done func()
+}
+
+func (o *one) Close() error {
+	defer o.once.Do(o.done) // net/http may close twice
+	return o.Conn.Close()
+}
+
+const mostAnswer = 64 << 20
+
+// Ask asks a sidecar's view.
+func Ask(address string) (m Members, err error) {
+	dial := (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	network, at := "tcp", address
+	if path, ok := strings.CutPrefix(address, "unix:"); ok {
+		network, at = "unix", path
+	}
+	c := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialTo(dial, network, at)}}
+	res, err := c.Get("http://sidecar/members")
+	if err != nil {
+		return m, errors.Unwrap(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return m, fmt.Errorf("%s answered %s", address, res.Status)
+	}
+	return m, json.NewDecoder(io.LimitReader(res.Body, mostAnswer)).Decode(&m)
+}
+
+type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTo dials one address, whatever is asked for.
+func dialTo(dial dialer, network, address string) dialer {
+	return func(ctx context.Context, _, _ string) (net.Conn, error) { return dial(ctx, network, address) }
+}
--- a/internal/appfile/appfile.go
+++ b/internal/appfile/appfile.go
@@ -113,7 +113,10 @@
 		"With mode ask: how long the list may be left unasked for."),
 	schema.SecretFile("token_file", func(d *Discovery) *string { return &d.TokenFile }, "/etc/quincegap/discovery.token", schema.OnReload,
 		"A file with a token that goes to discovery as Authorization: Bearer (RFC 6750); it is read again on SIGHUP."),
-)
+).Unless("address", func(f *schema.File) bool {
+	s := f.Setting("membership", "source") // Consul may be all there is
+	return s != nil && s.Unquoted() == "consul"
+})
 
 // Limits are those of the machine a sidecar runs on.
 type Limits struct {
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -20,16 +20,16 @@
 	{"programs", false, []string{"cmd/..."}},
 	{"tools", false, []string{"internal/tool"}},
 	{"wiring", false, []string{"internal/product"}},
-	{"input and output", false, []string{"internal/sidecar", "internal/wire", "internal/standin/..."}},
+	{"input and output", false, []string{"internal/sidecar", "internal/consul", "internal/admin", "internal/wire", "internal/standin/..."}},
 	{"files", false, []string{"internal/atomicfile", "internal/secretfile"}},
-	{"modules without I/O", false, []string{"internal/apps"}},
+	{"modules without I/O", false, []string{"internal/apps", "internal/membership"}},
 	{"data", true, []string{"internal/appfile", "internal/schema", "internal/doc", "internal/finding", "internal/settings"}},
 	{"decisions", false, []string{""}},
 }
 
 // pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
 var (
-	pure      = []string{"", "internal/apps", "internal/appfile", "internal/schema", "internal/doc", "internal/settings"}
+	pure      = []string{"", "internal/apps", "internal/membership", "internal/appfile", "internal/schema", "internal/doc", "internal/settings"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
--- /dev/null
+++ b/internal/consul/read.go
@@ -0,0 +1,182 @@
+package consul
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	"gingerlead"
+	"gingerlead/internal/membership"
+)
+
+// Bounds on what an answer may make grow.
+const (
+	mostBody      = 64 << 20 // bytes of one answer
+	mostInstances = 20000
+	mostText      = 255 // bytes of an id, a name or an address
+	mostWeight    = 65535
+)
+
+// instance is what is read of one element of /v1/health/service/:service (Consul's API, Health, "List
+// Service Instances for Service"). What is not named here is passed over.
+type instance struct {
+	Node struct {
+		Node       string
+		Address    string
+		Datacenter string
+	}
+	Service struct {
+		ID          string
+		Address     string
+		Port        int
+		Meta        map[string]string
+		Weights     struct{ Passing, Warning int }
+		CreateIndex uint64
+	}
+	Checks []struct {
+		CheckID string
+		Status  string
+	}
+}
+
+// listed is what is read of one element of /v1/catalog/service/:service.
+type listed struct {
+	Node        string
+	ServiceID   string
+	ServiceMeta map[string]string
+}
+
+// uid names an instance. Service IDs are unique on a node only; where the platform's list is overlaid, its
+// names are used.
+func (s *Settings) uid(node, id string, meta map[string]string, qualified bool) string {
+	if u := meta[s.UIDMeta]; s.UIDMeta != "" && u != "" {
+		return u
+	}
+	if qualified {
+		return id + "@" + node
+	}
+	return id
+}
+
+// endpoint maps an instance, or says why it cannot be used.
+func (s *Settings) endpoint(i *instance, qualified bool) (e membership.Endpoint, fault string) {
+	e.UID = s.uid(i.Node.Node, i.Service.ID, i.Service.Meta, qualified)
+	host := cmp.Or(i.Service.Address, i.Node.Address)
+	switch {
+	case i.Service.ID == "" || len(e.UID) > mostText:
+		return e, "its id is missing or too long"
+	case host == "" || len(host) > mostText || strings.ContainsAny(host, " /\r\n\t"):
+		return e, fmt.Sprintf("its address %.40q is none", host)
+	case i.Service.Port <= 0 || i.Service.Port > 65535:
+		return e, fmt.Sprintf("its port %d is none", i.Service.Port)
+	}
+	e.Address = net.JoinHostPort(host, strconv.Itoa(i.Service.Port))
+	e.Zone = cmp.Or(i.Service.Meta[s.ZoneMeta], i.Node.Datacenter)
+	e.Model = i.Service.Meta[s.ModelMeta]
+	if len(e.Zone) > mostText || len(e.Model) > mostText {
+		return e, "its zone or model is too long"
+	}
+	if text := i.Service.Meta[s.CellMeta]; text != "" {
+		n, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return e, fmt.Sprintf("its cell %.40q is no number", text) // in a wrong cell a repeat would run twice
+		}
+		e.Cell = int(n)
+	}
+	e.NoBoot = true
+	if ms, err := strconv.ParseInt(i.Service.Meta[s.StartMeta], 10, 64); err == nil && ms >= 0 {
+		e.BootMS, e.NoBoot = ms, false
+	}
+	e.Registered = i.Service.CreateIndex
+	s.health(i, &e)
+	return e, ""
+}
+
+// health sets the state and the weight: the worst of all checks, the node's and the service's. Maintenance
+// modes are checks with names of their own (Consul's API, Agent, "Enable Maintenance Mode").
+func (s *Settings) health(i *instance, e *membership.Endpoint) {
+	passing := min(max(cmp.Or(i.Service.Weights.Passing, 1), 1), mostWeight)
+	warning := min(max(i.Service.Weights.Warning, 0), mostWeight)
+	e.Weight, e.Share = float64(passing), 1
+	warned := ""
+	for _, c := range i.Checks {
+		id := c.CheckID
+		if len(id) > 64 {
+			id = strings.ToValidUTF8(id[:64], "")
+		}
+		switch {
+		case c.CheckID == "_node_maintenance" || strings.HasPrefix(c.CheckID, "_service_maintenance") || c.Status == "maintenance":
+			e.State, e.Maintenance, e.Why = gingerlead.Draining, true, "in maintenance"
+		case c.Status == "passing":
+		case c.Status == "warning":
+			warned = id
+		default: // critical, and what a later Consul may say
+			if e.State = gingerlead.Draining; !e.Maintenance {
+				e.Why = fmt.Sprintf("check %q is %.20s", id, c.Status)
+			}
+		}
+	}
+	if e.State != gingerlead.Ready || warned == "" {
+		return
+	}
+	if warning == 0 {
+		// Consul's own DNS leaves such an instance out.
+		e.State, e.Why = gingerlead.Draining, fmt.Sprintf("check %q warns, and its weight is 0 then", warned)
+		return
+	}
+	e.Weight, e.Share = float64(warning), float64(warning)/float64(passing)
+	e.Why = fmt.Sprintf("check %q warns", warned)
+}
+
+// list maps a whole answer. Faults tell what was passed over.
+func (s *Settings) list(all []instance, qualified bool) (by map[string]membership.Endpoint, faults []string) {
+	by = make(map[string]membership.Endpoint, len(all))
+	for n := range all {
+		if n >= mostInstances {
+			faults = append(faults, fmt.Sprintf("%d instances are too many; %d are taken", len(all), mostInstances))
+			break
+		}
+		e, fault := s.endpoint(&all[n], qualified)
+		if fault != "" {
+			if len(faults) < 10 {
+				faults = append(faults, fmt.Sprintf("instance %.60q passed over: %s", all[n].Service.ID, fault))
+			}
+			continue
+		}
+		if other, twice := by[e.UID]; twice && other.Registered >= e.Registered {
+			continue
+		}
+		by[e.UID] = e
+	}
+	return by, faults
+}
+
+// diff is what one answer changes of the one before.
+func diff(before, after map[string]membership.Endpoint) (a membership.Answer) {
+	a.Known = len(before)
+	for uid, e := range after {
+		if was, ok := before[uid]; !ok || was != e {
+			a.Changed = append(a.Changed, e)
+		}
+	}
+	for uid := range before {
+		if _, ok := after[uid]; !ok {
+			a.Missing = append(a.Missing, uid)
+		}
+	}
+	return a
+}
+
+// nextIndex is the index of the next blocking query (Consul's API, Blocking Queries, "Implementation
+// Details"): one that goes backwards begins anew, and 0 is never asked again after an answer.
+func nextIndex(last, got uint64) uint64 {
+	switch {
+	case got == 0:
+		return 0 // no index came: there is nothing to block on
+	case got < last:
+		return 0
+	}
+	return max(got, 1)
+}
--- /dev/null
+++ b/internal/consul/settings.go
@@ -0,0 +1,145 @@
+// Package consul reads the endpoints of a service from Consul's health and
+// catalogue over its HTTP API, by blocking queries through the official client.
+// What it reads is judged elsewhere, in membership.
+package consul
+
+import (
+	"net"
+	"strings"
+	"time"
+
+	"gingerlead/internal/membership"
+	"gingerlead/internal/schema"
+)
+
+// Consistency is how a read is answered (Consul's API, Consistency Modes).
+type Consistency string
+
+// The modes.
+const (
+	Stale      Consistency = "stale"      // by any server, also one without a leader
+	Default    Consistency = "default"    // by the leader
+	Consistent Consistency = "consistent" // by the leader, after it has asked its peers
+)
+
+// Settings says where Consul is and what is asked of it.
+type Settings struct {
+	Agents       string // host:port, divided by commas
+	Service      string
+	Tag          string
+	Datacenter   string
+	Namespace    string
+	Partition    string
+	TokenFile    string
+	Consistency  Consistency
+	LongestStale time.Duration
+	Wait         time.Duration
+	Pace         time.Duration
+	TLS          bool
+	CAFile       string
+	CertFile     string
+	KeyFile      string
+	ServerName   string
+	ZoneMeta     string
+	ModelMeta    string
+	CellMeta     string
+	StartMeta    string
+	UIDMeta      string
+}
+
+// agents are the addresses to ask, in order.
+func (s *Settings) agents() (all []string) {
+	for part := range strings.SplitSeq(s.Agents, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			all = append(all, part)
+		}
+	}
+	return all
+}
+
+const mostAgents = 16
+
+func badAgents(text string) string {
+	s := Settings{Agents: text}
+	all := s.agents()
+	if len(all) == 0 || len(all) > mostAgents {
+		return "names no agent, or more than 16"
+	}
+	for _, a := range all {
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || strings.Trim(port, "0123456789") != "" || port == "" {
+			return "is no list of host:port divided by commas"
+		}
+	}
+	return ""
+}
+
+func badService(text string) string {
+	if strings.ContainsAny(text, "/?#% \"`\\") || len(text) > 128 {
+		return "is no name of a service"
+	}
+	return ""
+}
+
+func text(example string) schema.Text { return schema.Text{Example: example, Bad: badService} }
+
+// Table is [consul].
+var Table = schema.NewTable("consul", "Where Consul is, and what is asked of it; used unless membership.source is platform.",
+	schema.String("agents", func(s *Settings) *string { return &s.Agents },
+		schema.Text{Example: "127.0.0.1:8500", Type: "addresses", Bounds: "host:port, divided by commas, 16 at most", Bad: badAgents}, schema.OnReload,
+		"Agents to ask, in order: the next one is asked where one does not answer, and the first again a minute later."),
+	schema.String("service", func(s *Settings) *string { return &s.Service }, text("slot-keeper"), schema.OnReload,
+		"The service whose instances are the endpoints."),
+	schema.String("service_tag", func(s *Settings) *string { return &s.Tag }, text("v2"), schema.OnReload,
+		"Only instances with this tag."),
+	schema.String("datacenter", func(s *Settings) *string { return &s.Datacenter }, text("dc1"), schema.OnReload,
+		"The datacentre; the agent's own where it is left out."),
+	schema.String("namespace", func(s *Settings) *string { return &s.Namespace }, text("transport"), schema.OnReload,
+		"The namespace (Consul Enterprise)."),
+	schema.String("partition", func(s *Settings) *string { return &s.Partition }, text("default"), schema.OnReload,
+		"The admin partition (Consul Enterprise)."),
+	schema.SecretFile("consul_token_file", func(s *Settings) *string { return &s.TokenFile }, "/etc/quincegap/consul.token", schema.OnReload,
+		"A file with the ACL token (service:read and node:read); it is read again before each query."),
+	schema.Choice("consistency", func(s *Settings) *Consistency { return &s.Consistency }, []Consistency{Stale, Default, Consistent}, Stale, false, schema.OnReload,
+		"stale: any server answers, also while there is no leader; default: the leader; consistent: the leader after it asked its peers."),
+	schema.Duration("longest_stale", func(s *Settings) *time.Duration { return &s.LongestStale },
+		schema.Bounds[time.Duration]{Default: 10 * time.Second, Least: 0, Most: time.Hour}, schema.OnReload,
+		"An answer of a server that has not heard of the leader for longer is doubted, and the next question goes to the leader."),
+	schema.Duration("wait", func(s *Settings) *time.Duration { return &s.Wait },
+		schema.Bounds[time.Duration]{Default: 30 * time.Second, Least: time.Second, Most: 10 * time.Minute}, schema.OnReload,
+		"How long Consul may hold a question while nothing changes; an agent that hangs is noticed a little later."),
+	schema.Duration("pace", func(s *Settings) *time.Duration { return &s.Pace },
+		schema.Bounds[time.Duration]{Default: 100 * time.Millisecond, Least: 10 * time.Millisecond, Most: time.Minute}, schema.OnReload,
+		"The least time between two answers, however many changes come."),
+	schema.Bool("consul_tls", func(s *Settings) *bool { return &s.TLS }, false, schema.OnReload,
+		"Whether agents are asked over TLS."),
+	schema.String("tls_ca_file", func(s *Settings) *string { return &s.CAFile }, schema.Text{Example: "/etc/quincegap/consul-ca.pem"}, schema.OnReload,
+		"Certificates that sign the agents'; the system's where it is left out."),
+	schema.String("tls_cert_file", func(s *Settings) *string { return &s.CertFile }, schema.Text{Example: "/etc/quincegap/consul-client.pem"}, schema.OnReload,
+		"This sidecar's certificate, where agents ask for one."),
+	schema.SecretFile("tls_key_file", func(s *Settings) *string { return &s.KeyFile }, "/etc/quincegap/consul-client.key", schema.OnReload,
+		"The key of that certificate."),
+	schema.String("tls_server_name", func(s *Settings) *string { return &s.ServerName }, schema.Text{Example: "server.dc1.consul"}, schema.OnReload,
+		"The name in the agents' certificates, where it is not their address."),
+	schema.String("zone_meta", func(s *Settings) *string { return &s.ZoneMeta }, schema.Text{Default: "zone", Example: "zone"}, schema.OnReload,
+		"The field of the service's metadata that names its zone; its datacentre where there is no such field."),
+	schema.String("model_meta", func(s *Settings) *string { return &s.ModelMeta }, schema.Text{Default: "model", Example: "model"}, schema.OnReload,
+		"The field that names the model of its machine."),
+	schema.String("cell_meta", func(s *Settings) *string { return &s.CellMeta }, schema.Text{Default: "cell", Example: "cell"}, schema.OnReload,
+		"The field with the number of its cell, which drops repeats of one key."),
+	schema.String("start_meta", func(s *Settings) *string { return &s.StartMeta }, schema.Text{Default: "started_ms", Example: "started_ms"}, schema.OnReload,
+		"The field with its latest start, Unix time in milliseconds; without it a new instance counts as cold."),
+	schema.String("uid_meta", func(s *Settings) *string { return &s.UIDMeta }, schema.Text{Example: "uid"}, schema.OnReload,
+		"The field with the name that discovery has for it; its service ID where it is left out."),
+).Check(func(f *schema.File, _ string, s *Settings, report schema.Reporter) {
+	source := membership.Table.In(f).Mode
+	switch {
+	case source != membership.Platform && s.Agents == "":
+		report("agents", "missing: membership.source is %s (%s)", source, f.Place("membership", "source"))
+	case source != membership.Platform && s.Service == "":
+		report("service", "missing: membership.source is %s (%s)", source, f.Place("membership", "source"))
+	case (s.CertFile == "") != (s.KeyFile == ""):
+		report("tls_cert_file", "a certificate and its key go together: tls_cert_file and tls_key_file")
+	case !s.TLS && (s.CAFile != "" || s.CertFile != "" || s.ServerName != ""):
+		report("consul_tls", "false, but there are settings for TLS")
+	}
+})
--- /dev/null
+++ b/internal/consul/watch.go
@@ -0,0 +1,351 @@
+package consul
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"gingerlead/internal/membership"
+	"gingerlead/internal/secretfile"
+)
+
+const (
+	firstWait    = 10 * time.Second // for an answer to a question that Consul does not hold
+	slack        = 2 * time.Second  // for a held one's answer to come, beyond wait and Consul's own jitter
+	dialTimeout  = 2 * time.Second
+	backoffLeast = 100 * time.Millisecond
+	backoffMost  = 10 * time.Second
+	returnAfter  = time.Minute // to the first agent, after another one had to be asked
+	pollEvery    = time.Second // where an agent gives no index to block on
+	// workShare bounds the share of the time that goes into reading answers, as 1/(1+workShare): on one core
+	// that time is taken from bookings.
+	workShare = 4
+)
+
+// Watcher follows one service.
+type Watcher struct {
+	set       Settings
+	resolve   func(string) string
+	qualified bool
+	agents    []string
+	clients   []*api.Client
+
+	transports []*http.Transport
+	// Tell takes what an answer changes, Heard that one came that changes nothing. They are called from one
+	// goroutine, one at a time.
+	Tell  func(membership.Answer)
+	Heard func()
+
+	before   map[string]membership.Endpoint
+	logged   map[string]time.Time
+	leader   bool // the next question goes to the leader
+	returnAt time.Time
+}
+
+// New makes a watcher; resolve turns a path of the settings into one to open. Files are read when they are
+// needed, but for those of TLS.
+func New(s Settings, mode membership.Mode, resolve func(string) string) (*Watcher, error) {
+	w := &Watcher{set: s, resolve: resolve, qualified: mode == membership.Consul, agents: s.agents(),
+		before: map[string]membership.Endpoint{}, logged: map[string]time.Time{}}
+	var conf *tls.Config
+	scheme := "http"
+	if s.TLS {
+		scheme = "https"
+		var err error
+		if conf, err = w.tls(); err != nil {
+			return nil, err
+		}
+	}
+	for _, address := range w.agents {
+		transport := &http.Transport{
+			DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			TLSClientConfig: conf, TLSHandshakeTimeout: dialTimeout, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
+			IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 64 << 10, DisableCompression: true,
+		}
+		c, err := api.NewClient(&api.Config{Address: address, Scheme: scheme, HttpClient: &http.Client{Transport: &bounded{transport}},
+			Namespace: s.Namespace, Partition: s.Partition})
+		if err != nil {
+			return nil, fmt.Errorf("consul agent %s: %w", address, err)
+		}
+		w.clients, w.transports = append(w.clients, c), append(w.transports, transport)
+	}
+	return w, nil
+}
+
+func (w *Watcher) tls() (*tls.Config, error) {
+	c := &tls.Config{ServerName: w.set.ServerName, MinVersion: tls.VersionTLS12}
+	if w.set.CAFile != "" {
+		text, err := os.ReadFile(w.resolve(w.set.CAFile))
+		if err != nil {
+			return nil, fmt.Errorf("consul.tls_ca_file: %w", err)
+		}
+		if c.RootCAs = x509.NewCertPool(); !c.RootCAs.AppendCertsFromPEM(text) {
+			return nil, fmt.Errorf("consul.tls_ca_file: %s holds no certificate", w.set.CAFile)
+		}
+	}
+	if w.set.CertFile != "" {
+		// Read at each handshake: it may be replaced while running.
+		get := func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, err := tls.LoadX509KeyPair(w.resolve(w.set.CertFile), w.resolve(w.set.KeyFile))
+			return &cert, err
+		}
+		if _, err := get(nil); err != nil {
+			return nil, fmt.Errorf("consul.tls_cert_file: %w", err)
+		}
+		c.GetClientCertificate = get
+	}
+	return c, nil
+}
+
+// asked goes with a question, in its context: the client library keeps neither the headers of an answer nor
+// the token that it is given apart from the environment's.
+type asked struct {
+	token  string
+	header http.Header
+}
+
+type askedKey struct{}
+
+// bounded is a RoundTripper that bounds answers.
+type bounded struct{ under *http.Transport }
+
+func (b *bounded) RoundTrip(r *http.Request) (*http.Response, error) {
+	a, _ := r.Context().Value(askedKey{}).(*asked)
+	r = r.Clone(r.Context())
+	r.Header.Del("X-Consul-Token")
+	r.Header.Del("Authorization")
+	if a != nil && a.token != "" {
+		r.Header.Set("X-Consul-Token", a.token)
+	}
+	res, err := b.under.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if a != nil {
+		a.header = res.Header
+	}
+	res.Body = &limited{ReadCloser: res.Body, left: mostBody}
+	return res, nil
+}
+
+var errTooLarge = fmt.Errorf("the answer has more than %d MiB", mostBody>>20)
+
+// limited fails where a body goes on beyond its bound.
+type limited struct {
+	io.ReadCloser
+	left int64
+}
+
+func (l *limited) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := l.ReadCloser.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// meta is what an answer's headers say.
+type meta struct {
+	index       uint64
+	hash        string
+	leader      bool
+	lastContact time.Duration
+}
+
+// ask asks one agent; tags is what a filter calls the instances' tags there. wait of 0 asks for an answer at once.
+func (w *Watcher) ask(ctx context.Context, agent int, path, tags string, index uint64, hash string, wait time.Duration, mode Consistency, out any) (m meta, err error) {
+	a := &asked{}
+	if w.set.TokenFile != "" {
+		if a.token, err = secretfile.Read(w.resolve(w.set.TokenFile)); err != nil {
+			return m, err
+		}
+	}
+	limit := firstWait
+	if index > 0 || hash != "" {
+		limit = wait + wait/16 + slack // Consul adds up to a sixteenth itself
+	}
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, askedKey{}, a), limit)
+	defer cancel()
+	q := &api.QueryOptions{Datacenter: w.set.Datacenter, Namespace: w.set.Namespace, Partition: w.set.Partition,
+		AllowStale: mode == Stale, RequireConsistent: mode == Consistent, WaitIndex: index, WaitHash: hash}
+	if index > 0 || hash != "" {
+		q.WaitTime = wait
+	}
+	if w.set.Tag != "" {
+		q.Filter = strconv.Quote(w.set.Tag) + " in " + tags
+	}
+	if _, err = w.clients[agent].Raw().Query(path, out, q.WithContext(ctx)); err != nil {
+		return m, err
+	}
+	m.index, _ = strconv.ParseUint(a.header.Get("X-Consul-Index"), 10, 64)
+	m.hash = a.header.Get("X-Consul-ContentHash")
+	m.leader = a.header.Get("X-Consul-KnownLeader") != "false"
+	if ms, err := strconv.ParseInt(a.header.Get("X-Consul-LastContact"), 10, 64); err == nil && ms > 0 {
+		m.lastContact = time.Duration(min(ms, int64(time.Hour/time.Millisecond))) * time.Millisecond
+	}
+	return m, nil
+}
+
+// Run follows the service until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	agent, failures := 0, 0
+	var index uint64
+	var hash string
+	defer func() {
+		for _, t := range w.transports {
+			t.CloseIdleConnections()
+		}
+	}()
+	first := true
+	for ctx.Err() == nil {
+		if agent != 0 && time.Now().After(w.returnAt) {
+			agent, index, hash = 0, 0, ""
+		}
+		mode := w.set.Consistency
+		if w.leader && mode == Stale {
+			mode = Default
+		}
+		var all []instance
+		wait := w.set.Wait - rand.N(w.set.Wait/8+1)
+		path := "/v1/health/service/" + url.PathEscape(w.set.Service)
+		m, err := w.ask(ctx, agent, path, "Service.Tags", index, hash, wait, mode, &all)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			failures++
+			w.say("agent "+w.agents[agent], "consul: agent %s: %s", w.agents[agent], plain(err))
+			agent, index, hash = (agent+1)%len(w.agents), 0, ""
+			w.returnAt = time.Now().Add(returnAfter)
+			// The next agent is asked at once; when all have failed there is a pause.
+			if failures%len(w.agents) == 0 {
+				pause(ctx, backoff(failures/len(w.agents)))
+			}
+			continue
+		}
+		if failures > 0 || first {
+			log.Printf("consul: agent %s answers: %d instances of %s", w.agents[agent], len(all), w.set.Service)
+			clear(w.logged)
+		}
+		failures, first = 0, false
+		began := time.Now()
+		w.take(ctx, agent, all, m)
+		work := time.Since(began)
+		switch next := nextIndex(index, m.index); {
+		case m.index == 0 && m.hash != "":
+			index, hash = 0, m.hash
+		case m.index == 0:
+			index, hash = 0, ""
+			pause(ctx, pollEvery/2+rand.N(pollEvery))
+		default:
+			index, hash = next, ""
+		}
+		pause(ctx, max(w.set.Pace, workShare*work))
+	}
+}
+
+// take reads an answer and tells what it changes.
+func (w *Watcher) take(ctx context.Context, agent int, all []instance, m meta) {
+	after, faults := w.set.list(all, w.qualified)
+	for _, f := range faults {
+		w.say(f, "consul: %s", f)
+	}
+	a := diff(w.before, after)
+	a.UnixMS = time.Now().UnixMilli()
+	a.Doubtful = !m.leader || m.lastContact > w.set.LongestStale
+	w.leader = a.Doubtful && m.leader
+	if len(a.Missing) > 0 && (len(a.Missing) > 2 || len(after) == 0) && 2*len(a.Missing) > len(w.before) && !a.Doubtful {
+		// Too many at once: the catalogue is asked, by way of the leader and its peers.
+		a.Confirmed = w.confirm(ctx, agent, a.Missing)
+	}
+	w.before = after
+	if len(a.Changed) == 0 && len(a.Missing) == 0 && !a.Confirmed {
+		w.Heard()
+		return
+	}
+	w.Tell(a)
+}
+
+// confirm tells whether the catalogue lacks all of them too.
+func (w *Watcher) confirm(ctx context.Context, agent int, missing []string) bool {
+	var all []listed
+	if _, err := w.ask(ctx, agent, "/v1/catalog/service/"+url.PathEscape(w.set.Service), "ServiceTags", 0, "", 0, Consistent, &all); err != nil {
+		w.say("confirm", "consul: the catalogue does not answer: %s", plain(err))
+		return false
+	}
+	there := map[string]bool{}
+	for _, l := range all {
+		there[w.set.uid(l.Node, l.ServiceID, l.ServiceMeta, w.qualified)] = true
+	}
+	return !slices.ContainsFunc(missing, func(uid string) bool { return there[uid] })
+}
+
+// say logs a line unless the same was logged within the last minute.
+func (w *Watcher) say(key, format string, args ...any) {
+	const mostKeys = 1000
+	text := fmt.Sprintf(format, args...)
+	if at, ok := w.logged[key+text]; ok && time.Since(at) < time.Minute {
+		return
+	}
+	if len(w.logged) >= mostKeys {
+		clear(w.logged)
+	}
+	w.logged[key+text] = time.Now()
+	log.Print(text)
+}
+
+// plain words an error without what an agent may have put into it at length, and without the question's URL.
+func plain(err error) string {
+	var status api.StatusError
+	switch {
+	case errors.As(err, &status):
+		text := strings.ToValidUTF8(strings.Join(strings.Fields(status.Body), " "), "")
+		if len(text) > 100 {
+			text = strings.ToValidUTF8(text[:100], "") + "..."
+		}
+		return fmt.Sprintf("answered %d (%s)", status.Code, text)
+	case errors.Is(err, context.DeadlineExceeded):
+		return "no answer in time"
+	}
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err.Error()
+	}
+	return err.Error()
+}
+
+// backoff is the pause after all agents have failed n times, with jitter.
+func backoff(n int) time.Duration {
+	d := backoffLeast << min(n-1, 10)
+	d = min(d, backoffMost)
+	return d/2 + rand.N(d/2+1)
+}
+
+// pause waits, or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,468 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gingerlead"
+)
+
+const s = time.Second
+
+// driver plays events into Members and keeps what the module would know.
+type driver struct {
+	t     testing.TB
+	m     *Members
+	now   time.Duration
+	knows map[string]Endpoint // the module's list, by the lists that it was told
+	lists int
+}
+
+func drive(t testing.TB, mode Mode) *driver {
+	set := *Table.Default()
+	set.Mode = mode
+	return &driver{t: t, m: New(set), knows: map[string]Endpoint{}}
+}
+
+func (d *driver) told(l List, news bool) {
+	if !news {
+		return
+	}
+	d.lists++
+	if l.Kind != gingerlead.Delta {
+		clear(d.knows)
+	}
+	for _, e := range l.Endpoints {
+		if e.State == gingerlead.Gone {
+			if _, ok := d.knows[e.UID]; !ok {
+				d.t.Errorf("%s is told as gone, and was never told", e.UID)
+			}
+			delete(d.knows, e.UID)
+		} else {
+			d.knows[e.UID] = e
+		}
+	}
+}
+
+// at moves to a time, with all ticks that are due on the way.
+func (d *driver) at(now time.Duration) {
+	for n := 0; ; n++ {
+		due, ok := d.m.Due()
+		if !ok || due > now {
+			break
+		}
+		if n > 10000 {
+			d.t.Fatal("ticks without end")
+		}
+		d.now = max(d.now, due)
+		d.told(d.m.Tick(d.now))
+	}
+	d.now = now
+}
+
+func (d *driver) platform(kind gingerlead.ListKind, es ...Endpoint) {
+	d.told(d.m.FromPlatform(d.now, List{Kind: kind, Endpoints: es}))
+}
+
+func (d *driver) consul(a Answer) {
+	a.UnixMS = 1000 + d.now.Milliseconds()
+	d.told(d.m.FromConsul(d.now, a))
+}
+
+// state is what the module knows, as "a b- c": a minus for draining, a question mark for cold.
+func (d *driver) state() string {
+	var all []string
+	for uid, e := range d.knows {
+		if e.State != gingerlead.Ready {
+			uid += "-"
+		}
+		if e.BootMS > 0 {
+			uid += "?"
+		}
+		all = append(all, uid)
+	}
+	slices.Sort(all)
+	return strings.Join(all, " ")
+}
+
+func (d *driver) want(state string) {
+	d.t.Helper()
+	if got := d.state(); got != state {
+		d.t.Fatalf("at %v the module knows %q, want %q", d.now, got, state)
+	}
+}
+
+func ep(uid string) Endpoint {
+	return Endpoint{UID: uid, Address: uid + ":1", Weight: 1, Share: 1, NoBoot: true, Registered: 5}
+}
+
+func critical(uid string) Endpoint {
+	e := ep(uid)
+	e.State, e.Why = gingerlead.Draining, "check is critical"
+	return e
+}
+
+func eps(uids ...string) (all []Endpoint) {
+	for _, u := range uids {
+		all = append(all, ep(u))
+	}
+	return all
+}
+
+func letters(n int) (uids []string) {
+	for i := range n {
+		uids = append(uids, string(rune('a'+i)))
+	}
+	return uids
+}
+
+func TestPlatformPassesThrough(t *testing.T) {
+	for _, mode := range []Mode{Platform, Rehearsal} {
+		d := drive(t, mode)
+		bad := ep("x")
+		bad.State = Unknown
+		for _, l := range []List{
+			{Kind: gingerlead.Cached, Version: 3, Endpoints: eps("a", "b")},
+			{Kind: gingerlead.Whole, Version: 9, Endpoints: append(eps("a", "c"), bad)},
+			{Kind: gingerlead.Delta, Version: 10},
+			{Kind: gingerlead.Delta, Version: 11, Endpoints: eps("a")},
+		} {
+			if got, news := d.m.FromPlatform(d.now, l); !news || fmt.Sprint(got) != fmt.Sprint(l) {
+				t.Errorf("%s: %v became %v", mode, l, got)
+			}
+		}
+		if _, due := d.m.Due(); due {
+			t.Error("something is due")
+		}
+		var seen []string
+		for _, r := range d.m.View(d.now) {
+			seen = append(seen, r.UID+" "+r.State)
+		}
+		if got := strings.Join(seen, ","); got != "a ready,c ready" {
+			t.Errorf("view: %s", got)
+		}
+	}
+}
+
+func TestConsulAlone(t *testing.T) {
+	d := drive(t, Consul)
+	d.platform(gingerlead.Cached, eps("k1", "k2")...)
+	d.want("k1 k2")
+	d.platform(gingerlead.Whole, eps("p")...) // does not count
+	d.want("k1 k2")
+	// The first answer: by other names at the same addresses, and all of it warm.
+	a, b, c := ep("a"), ep("b"), ep("c")
+	a.Address, b.Address = "k1:1", "k2:1"
+	d.consul(Answer{Changed: []Endpoint{a, b, c}})
+	d.want("a b c")
+	d.at(1 * s)
+	d.consul(Answer{Changed: []Endpoint{{UID: "b", Address: "k2:1", State: gingerlead.Draining, Why: "check", NoBoot: true, Registered: 5}}, Known: 3})
+	d.want("a b- c")
+	d.consul(Answer{Changed: []Endpoint{ep("new")}, Missing: []string{"c"}, Known: 3})
+	d.want("a b- new?")
+	if rows := d.m.View(d.now); len(rows) != 4 || rows[1].Why != "check" || rows[1].Consul != "draining" || rows[1].Platform != "" {
+		t.Errorf("%+v", rows)
+	}
+}
+
+func TestEmptyAndHalfLists(t *testing.T) {
+	start := func() *driver {
+		d := drive(t, Consul)
+		d.consul(Answer{Changed: eps(letters(8)...)})
+		d.at(5 * s)
+		return d
+	}
+	full := strings.Join(letters(8), " ")
+
+	d := start()
+	d.consul(Answer{Missing: letters(8), Known: 8}) // empty
+	d.want(full)
+	if logs := d.m.Logs(); len(logs) != 1 || !strings.Contains(logs[0], "lacks 8 of 8") {
+		t.Errorf("%q", logs)
+	}
+	d.consul(Answer{Changed: eps(letters(8)...), Known: 0}) // back
+	d.at(60 * s)
+	d.want(full)
+
+	d = start()
+	d.consul(Answer{Missing: letters(5), Known: 8})
+	d.want(full)
+	d.at(8 * s)
+	d.told(d.m.Heard(d.now)) // it goes on saying so
+	d.at(14 * s)
+	d.want(full)
+	d.at(15 * s)
+	d.want("f g h")
+
+	d = start()
+	d.consul(Answer{Missing: letters(8), Known: 8})
+	d.at(500 * s) // and nothing more comes: the last good list serves
+	d.want(full)
+
+	d = start()
+	d.consul(Answer{Missing: letters(5), Known: 8, Confirmed: true})
+	d.want("f g h")
+
+	// Nothing would be left: neither the catalogue nor time settles that, only the attempts do.
+	d = start()
+	d.consul(Answer{Missing: letters(8), Known: 8, Confirmed: true})
+	for range 30 {
+		d.at(d.now + 5*s)
+		d.told(d.m.Heard(d.now))
+	}
+	d.want(full)
+	for _, uid := range letters(8) {
+		d.told(d.m.Failed(d.now, uid))
+	}
+	d.want("")
+
+	d = start()
+	d.consul(Answer{Missing: letters(8), Known: 8})
+	d.told(d.m.Failed(d.now, "c")) // attempts agree, one by one
+	d.told(d.m.Failed(d.now, "none"))
+	d.want("a b d e f g h")
+
+	d = start()
+	d.consul(Answer{Missing: []string{"a"}, Known: 8, Doubtful: true}) // no leader
+	d.want(full)
+	d.consul(Answer{Missing: []string{"b"}, Known: 7})
+	d.want("c d e f g h")
+
+	// A list that melts away in steps is doubted once the steps are too much together.
+	d = start()
+	d.consul(Answer{Missing: []string{"a", "b", "c", "d"}, Known: 8}) // half is not more than half
+	d.want("e f g h")
+	d.consul(Answer{Missing: []string{"e", "f", "g"}, Known: 4})
+	d.want("e f g h")
+}
+
+func TestAllCriticalGoesOn(t *testing.T) {
+	d := drive(t, Consul)
+	d.consul(Answer{Changed: eps("a", "b", "c")})
+	d.at(s)
+	d.consul(Answer{Changed: []Endpoint{critical("a"), critical("b")}, Known: 3})
+	d.want("a- b- c")
+	m := critical("b")
+	m.Maintenance = true
+	d.consul(Answer{Changed: []Endpoint{critical("c"), m}, Known: 3})
+	d.want("a b- c") // but not what an operator has taken out
+	d.at(2 * s)
+	d.consul(Answer{Changed: eps("a"), Known: 3})
+	d.want("a b- c-")
+}
+
+func TestFlappingCheck(t *testing.T) {
+	d := drive(t, Consul)
+	d.consul(Answer{Changed: eps("a", "b")})
+	readyFor, was := time.Duration(0), time.Duration(0)
+	returns := 0
+	for i := range 300 { // a minute, a change every 200 ms
+		d.at(time.Duration(i+1) * 200 * time.Millisecond)
+		if d.knows["a"].State == gingerlead.Ready {
+			readyFor += d.now - was
+		}
+		was = d.now
+		bad := d.knows["a"].State != gingerlead.Ready
+		if i%2 == 0 {
+			d.consul(Answer{Changed: []Endpoint{critical("a")}, Known: 2})
+			if d.knows["a"].State == gingerlead.Ready {
+				t.Fatal("bad news waited")
+			}
+		} else {
+			d.consul(Answer{Changed: eps("a"), Known: 2})
+		}
+		if bad && d.knows["a"].State == gingerlead.Ready {
+			returns++
+		}
+	}
+	if returns != 2 {
+		t.Errorf("%d returns at once, want the 2 free ones", returns)
+	}
+	d.consul(Answer{Changed: eps("a"), Known: 2})
+	d.at(d.now + 31*s) // calm: it is back after the longest hold
+	if d.knows["a"].State != gingerlead.Ready {
+		t.Error("it never comes back")
+	}
+	if len(d.m.members["a"].returns) > 3 {
+		t.Errorf("%d returns are kept", len(d.m.members["a"].returns))
+	}
+}
+
+func TestColdStarts(t *testing.T) {
+	d := drive(t, Consul)
+	d.consul(Answer{Changed: eps("a", "b", "c", "d")})
+	d.want("a b c d")
+	d.at(s)
+	moved, anew, told := ep("a"), ep("b"), ep("e")
+	moved.Address = "elsewhere:1"
+	anew.Registered = 9
+	told.NoBoot, told.BootMS = false, 7
+	d.consul(Answer{Changed: []Endpoint{moved, anew, critical("c"), critical("d"), told}, Known: 4})
+	d.want("a? b? c- d- e?")
+	if d.knows["e"].BootMS != 7 || d.knows["a"].BootMS != 2000 {
+		t.Errorf("starts %v %v", d.knows["e"].BootMS, d.knows["a"].BootMS)
+	}
+	d.at(2 * s)
+	d.consul(Answer{Changed: eps("c"), Known: 5}) // 1 s of critical is no restart
+	d.at(4 * s)
+	d.consul(Answer{Changed: eps("d"), Known: 5}) // 3 s may be
+	d.want("a? b? c d? e?")
+}
+
+func TestOneAddressTwice(t *testing.T) {
+	d := drive(t, Consul)
+	old, fresh := ep("old"), ep("fresh")
+	old.Address, fresh.Address, fresh.Registered = "x:1", "x:1", 9
+	d.consul(Answer{Changed: []Endpoint{old, ep("other")}})
+	d.at(s)
+	d.consul(Answer{Changed: []Endpoint{fresh}, Known: 2})
+	d.want("fresh? old- other")
+	d.consul(Answer{Missing: []string{"fresh"}, Known: 3})
+	d.want("old other")
+}
+
+// Ids and addresses are swapped between two instances in one answer.
+func TestSwappedAddresses(t *testing.T) {
+	d := drive(t, Consul)
+	d.consul(Answer{Changed: eps("a", "b", "c")})
+	d.at(s)
+	a, b := ep("a"), ep("b")
+	a.Address, b.Address = b.Address, a.Address
+	d.consul(Answer{Changed: []Endpoint{a, b}, Known: 3})
+	d.want("a? b? c")
+	if d.knows["a"].Address != "b:1" || d.knows["b"].Address != "a:1" {
+		t.Errorf("%+v", d.knows)
+	}
+}
+
+func TestOverlay(t *testing.T) {
+	d := drive(t, Overlay)
+	draining := ep("d")
+	draining.State = gingerlead.Draining
+	d.platform(gingerlead.Whole, append(eps("a", "b", "c"), draining)...)
+	d.want("a b c d-")
+	warn := ep("c")
+	warn.Share, warn.Why = 0.25, "warns"
+	d.consul(Answer{Changed: []Endpoint{critical("a"), ep("b"), warn, ep("d"), ep("only consul")}})
+	d.want("a- b c d-")
+	if d.knows["c"].Weight != 0.25 {
+		t.Errorf("weight %v", d.knows["c"].Weight)
+	}
+	gone := ep("b")
+	gone.State = gingerlead.Gone
+	d.platform(gingerlead.Delta, gone) // Consul has it passing still
+	d.want("a- c d-")
+	d.at(30 * s)
+	d.want("a- c d-")
+	d.at(60 * s) // Consul is silent: its bad news hold no more
+	d.want("a c d-")
+	d.told(d.m.Heard(d.now))
+	d.want("a- c d-")
+	// The platform's list is the set, whatever Consul lacks.
+	d.consul(Answer{Missing: []string{"c"}, Known: 5})
+	d.want("a- c d-")
+}
+
+func TestRehearsal(t *testing.T) {
+	d := drive(t, Rehearsal)
+	d.platform(gingerlead.Whole, eps("a", "b")...)
+	d.consul(Answer{Changed: []Endpoint{ep("a"), critical("b"), ep("z")}})
+	d.want("a b")
+	logs := strings.Join(d.m.Logs(), "\n")
+	if !strings.Contains(logs, "b: the platform has it ready, consul draining check is critical") || !strings.Contains(logs, "z: only consul lists it") || strings.Contains(logs, "a:") {
+		t.Error(logs)
+	}
+	d.consul(Answer{Changed: eps("b"), Missing: []string{"z"}, Known: 3})
+	if logs = strings.Join(d.m.Logs(), "\n"); !strings.Contains(logs, "b: both agree again") {
+		t.Error(logs)
+	}
+	if d.consul(Answer{Changed: eps("b"), Known: 2}); len(d.m.Logs()) > 0 {
+		t.Error("the same again")
+	}
+}
+
+func TestModeChanges(t *testing.T) {
+	d := drive(t, Platform)
+	d.platform(gingerlead.Whole, eps("a", "b")...)
+	set := *Table.Default()
+	change := func(mode Mode) {
+		set.Mode = mode
+		d.told(d.m.Set(d.now, set))
+	}
+	change(Consul)
+	d.want("a b") // until Consul answers
+	x, y := ep("x"), ep("y")
+	x.Address, y.Address = "a:1", "b:1"
+	d.consul(Answer{Changed: []Endpoint{x, y}})
+	d.want("x y")
+	change(Overlay)
+	d.want("a b")
+	d.consul(Answer{Changed: []Endpoint{critical("a"), ep("b")}})
+	d.want("a- b")
+	change(Platform)
+	d.want("a b")
+	if len(d.m.Logs()) != 3 {
+		t.Error("changes are not logged")
+	}
+	// Another service under the same mode: what it lacks is measured by the one before.
+	change(Consul)
+	d.consul(Answer{Changed: eps("a", "b")})
+	d.m.Refollow()
+	d.consul(Answer{Changed: eps("a", "c")})
+	d.want("a c") // one of two is not doubted, and a first answer is warm
+}
+
+// What went is forgotten: ids without end leave nothing.
+func TestForgets(t *testing.T) {
+	for _, mode := range []Mode{Platform, Consul, Overlay, Rehearsal} {
+		d := drive(t, mode)
+		var before string
+		for i := range 10000 {
+			uid := fmt.Sprint(i)
+			d.at(time.Duration(i) * 100 * time.Millisecond)
+			gone := ep(before)
+			gone.State = gingerlead.Gone
+			if i == 0 {
+				d.platform(gingerlead.Delta, ep(uid))
+				d.consul(Answer{Changed: eps(uid, "stays", "stays2")})
+			} else {
+				d.platform(gingerlead.Delta, ep(uid), gone)
+				d.consul(Answer{Changed: eps(uid, "stays", "stays2"), Missing: []string{before}, Known: 3})
+			}
+			before = uid
+		}
+		if n := len(d.m.members) + len(d.m.byAddr) + len(d.m.held) + len(d.m.lacking) + len(d.m.diverged); n > 20 {
+			t.Errorf("%s: %d are kept", mode, n)
+		}
+	}
+}
+
+func TestFeed(t *testing.T) {
+	f := Feed{}
+	for i, c := range []struct {
+		from           Origin
+		rev            uint64
+		whole          bool
+		takes, rewatch bool
+	}{
+		{FromCache, 5, true, true, false}, {FromWatch, 6, false, true, false}, {FromWatch, 6, false, false, false},
+		{FromFetch, 5, true, false, false}, {FromFetch, 6, true, true, false}, {FromWatch, 1, true, true, false}, // a whole list of the watch counts anyhow
+	} {
+		if takes, rewatch := f.Take(c.from, c.rev, c.whole); takes != c.takes || rewatch != c.rewatch {
+			t.Errorf("%d: %v %v", i, takes, rewatch)
+		}
+	}
+	f.Move()
+	if f.Place() != nil {
+		t.Error("it goes on from another discovery's version")
+	}
+	if takes, _ := f.Take(FromWatch, 9, false); takes || !f.Moved() {
+		t.Error("changes to a list that nobody has")
+	}
+	if takes, rewatch := f.Take(FromFetch, 0, true); !takes || !rewatch || f.Moved() || *f.Place() != 0 {
+		t.Error("the whole list does not count")
+	}
+}
--- a/internal/product/product.go
+++ b/internal/product/product.go
@@ -3,25 +3,31 @@
 package product
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"io/fs"
+	"log"
 	"os"
 	"path/filepath"
 	"slices"
 
+	"gingerlead/internal/admin"
 	"gingerlead/internal/appfile"
 	"gingerlead/internal/apps"
+	"gingerlead/internal/consul"
 	"gingerlead/internal/doc"
 	"gingerlead/internal/finding"
+	"gingerlead/internal/membership"
 	"gingerlead/internal/schema"
 	"gingerlead/internal/secretfile"
 	"gingerlead/internal/sidecar"
 )
 
 // Schema is the product's file: the tables that say what a sidecar is, and those of its parts.
-var Schema = schema.New(slices.Concat(appfile.Tables(), sidecar.Tables())...)
+var Schema = schema.New(slices.Concat(appfile.Tables(), sidecar.Tables(),
+	[]*schema.Table{membership.Table.Table, consul.Table.Table, admin.Table.Table})...)
 
 // Read reads a file of at most a number of bytes. Anything but a regular file is refused: a pipe would hold
 // its reader up for good.
@@ -113,14 +119,55 @@
 		return sidecar.LoadConfig(getenv)
 	}
 	overlay := getenv("BALANCER_CONFIG") != ""
-	return sidecar.LoadWith(getenv, func() (*schema.File, error) {
-		var found finding.List
-		f := Load(path, overlay, &found)
-		if err := found.Err(); err != nil {
-			return nil, err
+	resolve := func(named string) string { return Resolve(path, named) }
+	return sidecar.LoadWith(getenv, sidecar.Product{
+		Load: func() (*schema.File, error) {
+			var found finding.List
+			f := Load(path, overlay, &found)
+			if err := found.Err(); err != nil {
+				return nil, err
+			}
+			return f, nil
+		},
+		Resolve: resolve,
+		Follow:  func(f *schema.File) (sidecar.Follower, error) { return follow(f, resolve) },
+		Admin:   view,
+	})
+}
+
+// follow is the source that a file asks for beside discovery, nil for none.
+func follow(f *schema.File, resolve func(string) string) (sidecar.Follower, error) {
+	mode := membership.Table.In(f).Mode
+	if mode == membership.Platform {
+		return nil, nil
+	}
+	set := *consul.Table.In(f)
+	if _, err := consul.New(set, mode, resolve); err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context, tell func(membership.Answer), heard func()) {
+		w, err := consul.New(set, mode, resolve)
+		if err != nil { // it went a moment ago: a file has been taken away
+			log.Printf("consul: %v", err)
+			return
 		}
-		return f, nil
-	}, func(named string) string { return Resolve(path, named) })
+		w.Tell, w.Heard = tell, heard
+		w.Run(ctx)
+	}, nil
+}
+
+// view serves the view that a file asks for, nil for none.
+func view(f *schema.File, name string) func(func() (string, []membership.Row, bool)) (func(), error) {
+	address := admin.Table.In(f).Listen
+	if address == "" {
+		return nil
+	}
+	return func(look func() (string, []membership.Row, bool)) (func(), error) {
+		return admin.Serve(address, func() (admin.Members, bool) {
+			source, rows, ok := look()
+			return admin.Members{Name: name, Source: source, Endpoints: rows}, ok
+		})
+	}
 }
 
 // Reference is the reference page of all files, in Markdown.
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -47,6 +47,7 @@
 	Secret   bool // the value is the path of a file with a secret
 	Change   Change
 
+	unless func(f *File) bool // where it is not required after all
 	decode func(target any, v *doc.Value) (canonical, fault string)
 	preset func(target any)
 }
@@ -120,6 +121,12 @@
 	return o
 }
 
+// Unless says of a required key where it may be left out all the same.
+func (o Of[T]) Unless(key string, spared func(f *File) bool) Of[T] {
+	o.byName[key].unless = spared
+	return o
+}
+
 // Names checks the names of a named table: what is wrong with one, or "".
 func (o Of[T]) Names(bad func(name string) string) Of[T] {
 	o.bad = bad
@@ -385,7 +392,7 @@
 			path := t.path(name)
 			for _, k := range t.Keys {
 				full := append(path[:len(path):len(path)], k.Name)
-				if !k.Required || f.settings[doc.Dotted(full)] != nil {
+				if !k.Required || k.unless != nil && k.unless(f) || f.settings[doc.Dotted(full)] != nil {
 					continue
 				}
 				at, ok := f.tables[doc.Dotted(path)]
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -18,6 +18,7 @@
 	"gingerlead"
 	"gingerlead/internal/appfile"
 	"gingerlead/internal/finding"
+	"gingerlead/internal/membership"
 	"gingerlead/internal/schema"
 	"gingerlead/internal/secretfile"
 	"gingerlead/internal/settings"
@@ -37,11 +38,23 @@
 	token  string       // for discovery; never logged
 	file   *schema.File // the product's file; nil without one
 
-	platform bool // a platform says what appfile.ByPlatform has
+	noDiscovery bool // it is all in Consul
+	platform    bool // a platform says what appfile.ByPlatform has
 
-	getenv  func(string) string          // where it was loaded from:
-	product func() (*schema.File, error) // nil without a product's file
-	resolve func(path string) string     // a path that the product's file names
+	follower Follower // a source of endpoints beside discovery; nil for none
+	admin    func(view func() (source string, rows []membership.Row, ok bool)) (stop func(), err error)
+
+	getenv  func(string) string // where it was loaded from:
+	product Product
+}
+
+// Product is what the wiring knows of the product's file. Without one, all are nil.
+type Product struct {
+	Load    func() (*schema.File, error)         // reads and checks the file
+	Resolve func(path string) string             // a path that the file names
+	Follow  func(*schema.File) (Follower, error) // the source that the file asks for; nil for none
+	// Admin serves the view that the file asks for; nil for none.
+	Admin func(f *schema.File, name string) func(view func() (source string, rows []membership.Row, ok bool)) (stop func(), err error)
 }
 
 // Limits are those of the machine the sidecar runs on.
@@ -54,14 +67,13 @@
 // LoadConfig reads the configuration file that BALANCER_CONFIG names.
 // BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY win over the file.
 func LoadConfig(getenv func(string) string) (*Config, error) {
-	return LoadWith(getenv, nil, nil)
+	return LoadWith(getenv, Product{})
 }
 
-// LoadWith reads the product's file as well, by a function that checks it; another one resolves the paths
-// that it names. Where BALANCER_CONFIG names a file, that wins: it is the platform's word. Without it the
+// LoadWith reads the product's file as well. Where BALANCER_CONFIG names a file, that wins: it is the platform's word. Without it the
 // product's file says all.
-func LoadWith(getenv func(string) string, product func() (*schema.File, error), resolve func(string) string) (*Config, error) {
-	c := &Config{getenv: getenv, product: product, resolve: resolve}
+func LoadWith(getenv func(string) string, product Product) (*Config, error) {
+	c := &Config{getenv: getenv, product: product}
 	return c.load(true)
 }
 
@@ -96,9 +108,9 @@
 // load reads all files anew, whole, before anything is taken up.
 func (c *Config) load(envDiscovery bool) (*Config, error) {
 	var file *schema.File
-	if c.product != nil {
+	if c.product.Load != nil {
 		var err error
-		if file, err = c.product(); err != nil {
+		if file, err = c.product.Load(); err != nil {
 			return nil, err
 		}
 	}
@@ -114,15 +126,25 @@
 		return nil, err
 	}
 	fresh.platform = platformSays
-	fresh.getenv, fresh.product, fresh.resolve = c.getenv, c.product, c.resolve
+	fresh.getenv, fresh.product = c.getenv, c.product
 	fresh.file, fresh.tuning = file, tuningOf(file)
 	if !platformSays {
 		if secret := appfile.DiscoveryTable.In(file).TokenFile; secret != "" {
-			if fresh.token, err = secretfile.Read(c.resolve(secret)); err != nil {
+			if fresh.token, err = secretfile.Read(c.product.Resolve(secret)); err != nil {
 				return nil, err
 			}
 		}
 	}
+	if file == nil {
+		return fresh, nil
+	}
+	if fresh.tuning.membership.Mode == membership.Consul {
+		fresh.Settings.MustAsk = false // discovery is not asked for what counts
+	}
+	if fresh.follower, err = c.product.Follow(file); err != nil {
+		return nil, err
+	}
+	fresh.admin = c.product.Admin(file, fresh.Name)
 	return fresh, nil
 }
 
@@ -197,6 +219,9 @@
 // check names the first value that a sidecar cannot run with.
 func (c *Config) check() error {
 	for name, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if name == "discovery" && c.noDiscovery {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return fmt.Errorf("%s: %q is not host:port", name, address)
 		}
@@ -254,5 +279,6 @@
 	for _, v := range appfile.TenantTable.All(f) {
 		s.Tenants = append(s.Tenants, gingerlead.Tenant{Name: v.Name, QuotaPerS: v.Value.Quota})
 	}
+	c.noDiscovery = found.Address == "" && membership.Table.In(f).Mode == membership.Consul
 	return c, c.check()
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,7 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/membership"
 )
 
 const (
@@ -53,14 +55,25 @@
 	"Ready": gingerlead.Ready, "Terminating": gingerlead.Draining, "Gone": gingerlead.Gone,
 }
 
-// source is where a list came from.
-type source int
-
-const (
-	fromCache source = iota
-	fromWatch
-	fromFetch
-)
+// judged puts a list into the terms of those who judge it.
+func (l endpointList) judged(from membership.Origin) membership.List {
+	list := membership.List{Kind: gingerlead.Delta, Version: l.Rev}
+	switch {
+	case from == membership.FromCache:
+		list.Kind = gingerlead.Cached
+	case l.All:
+		list.Kind = gingerlead.Whole
+	}
+	for _, x := range l.Targets {
+		e := membership.Endpoint{UID: x.UID, Address: x.Address, Zone: x.Zone, Model: x.Model, Cell: x.Cell, Weight: x.Weight, BootMS: x.BootMS}
+		var ok bool
+		if e.State, ok = states[x.State]; !ok {
+			e.State, e.Why = membership.Unknown, x.State
+		}
+		list.Endpoints = append(list.Endpoints, e)
+	}
+	return list
+}
 
 // endpoint is one start of an endpoint at one address. When either changes, another takes its place.
 type endpoint struct {
@@ -146,16 +159,16 @@
 
 // update takes a list in and returns it in the Balancer's terms, with the endpoints whose idle connections
 // are of no more use.
-func (t *endpoints) update(l endpointList) (entries []gingerlead.Entry, retired []*endpoint) {
+func (t *endpoints) update(l membership.List) (entries []gingerlead.Entry, retired []*endpoint) {
 	listed := map[gingerlead.EndpointID]bool{}
-	for _, x := range l.Targets {
-		state, ok := states[x.State]
+	for _, x := range l.Endpoints {
+		state := x.State
 		zone, zoneOK := t.zones.index(x.Zone)
 		model, modelOK := t.models.index(x.Model)
 		_, _, err := net.SplitHostPort(x.Address)
-		if !ok || !zoneOK || !modelOK || x.UID == "" || err != nil && state == gingerlead.Ready {
-			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID, x.State,
-				x.Address, x.Zone, x.Model)
+		if state == membership.Unknown || !zoneOK || !modelOK || x.UID == "" || err != nil && state == gingerlead.Ready {
+			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID,
+				cmp.Or(x.Why, membership.StateName(state)), x.Address, x.Zone, x.Model)
 			continue
 		}
 		id := t.id(x.UID)
@@ -179,7 +192,7 @@
 		entries = append(entries, gingerlead.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
 			Weight: x.Weight, Started: t.started(x.BootMS)})
 	}
-	if l.All {
+	if l.Kind != gingerlead.Delta {
 		for id, e := range t.byID {
 			if !listed[id] {
 				t.forget(e)
@@ -301,7 +314,7 @@
 			return nil, got, fmt.Errorf("watch: %w", err)
 		}
 		got, since = true, &l.Rev
-		w.post(ctx, func() { w.loop.targets(l, fromWatch) })
+		w.post(ctx, func() { w.loop.targets(l, membership.FromWatch) })
 	}
 	if err := lines.Err(); err != nil {
 		return since, got, fmt.Errorf("watch: %w", err)
@@ -325,7 +338,7 @@
 			case err != nil:
 				w.loop.listFailed(err)
 			default:
-				w.loop.targets(got, fromFetch)
+				w.loop.targets(got, membership.FromFetch)
 			}
 		})
 	}()
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/membership"
 )
 
 func ready(uid string, bootMS int64) target {
@@ -54,7 +55,7 @@
 func TestChangedAddressOrBootTakesEffect(t *testing.T) {
 	e := newEndpoints([]string{"y", "z"}, []string{"m"}, time.Now().Add(-clockStart))
 	x := ready("s-1", 0)
-	entries, _ := e.update(endpointList{All: true, Targets: []target{x, ready("s-2", 0)}})
+	entries, _ := e.update(endpointList{All: true, Targets: []target{x, ready("s-2", 0)}}.judged(membership.FromWatch))
 	if len(entries) != 2 || entries[0].Zone != 1 || entries[0].Kind != 0 {
 		t.Fatalf("entries %+v", entries)
 	}
@@ -65,7 +66,7 @@
 	} {
 		change()
 		old := e.byID[1]
-		entries, retired := e.update(endpointList{Targets: []target{x}})
+		entries, retired := e.update(endpointList{Targets: []target{x}}.judged(membership.FromWatch))
 		if len(retired) != 1 || retired[0] != old || old.open.Load() || !e.byID[1].open.Load() || e.byID[1].address != x.Address {
 			t.Errorf("after a change: %+v", e.byID[1])
 		}
@@ -76,19 +77,19 @@
 	if first.open.Load() || !e.byID[2].open.Load() {
 		t.Error("a delta closed what it does not name, or left the old address open")
 	}
-	e.update(endpointList{All: true, Targets: []target{x}})
+	e.update(endpointList{All: true, Targets: []target{x}}.judged(membership.FromWatch))
 	if e.byID[2] != nil || len(e.ids) != 1 {
 		t.Error("an endpoint that left the whole list is open")
 	}
 	for i := range 2 * mostNames {
 		y := ready("s-3", 0)
 		y.Zone, y.Model = fmt.Sprint(i), fmt.Sprint(i)
-		e.update(endpointList{Targets: []target{y}})
+		e.update(endpointList{Targets: []target{y}}.judged(membership.FromWatch))
 	}
 	if len(e.zones) > mostNames || len(e.models) > mostNames {
 		t.Error("names that lists bring are kept without end")
 	}
-	if entries, _ := e.update(endpointList{Targets: []target{{UID: "s-3", Address: "nowhere", State: "Ready"}}}); len(entries) != 0 {
+	if entries, _ := e.update(endpointList{Targets: []target{{UID: "s-3", Address: "nowhere", State: "Ready"}}}.judged(membership.FromWatch)); len(entries) != 0 {
 		t.Error("an endpoint without an address is told to the Balancer")
 	}
 }
@@ -100,13 +101,13 @@
 	draining := ready("s-1", 0)
 	draining.State = "Terminating"
 	rg.inLoop(func() {
-		l.targets(endpointList{Rev: 5, Targets: []target{draining}}, fromWatch)
-		l.targets(endpointList{Rev: 4, All: true, Targets: []target{ready("s-1", 0)}}, fromFetch)
-		l.targets(endpointList{Rev: 5, Targets: []target{ready("s-1", 0)}}, fromWatch)
-		if l.endpoints.byID[1].open.Load() || !l.endpoints.byID[2].open.Load() || l.rev != 5 {
+		l.targets(endpointList{Rev: 5, Targets: []target{draining}}, membership.FromWatch)
+		l.targets(endpointList{Rev: 4, All: true, Targets: []target{ready("s-1", 0)}}, membership.FromFetch)
+		l.targets(endpointList{Rev: 5, Targets: []target{ready("s-1", 0)}}, membership.FromWatch)
+		if l.endpoints.byID[1].open.Load() || !l.endpoints.byID[2].open.Load() || l.feed.Rev != 5 {
 			t.Error("an older list undid a drain")
 		}
-		l.targets(endpointList{Rev: 6, All: true, Targets: []target{ready("s-1", 0)}}, fromFetch)
+		l.targets(endpointList{Rev: 6, All: true, Targets: []target{ready("s-1", 0)}}, membership.FromFetch)
 		if !l.endpoints.byID[1].open.Load() || l.endpoints.byID[2] != nil {
 			t.Error("a newer list is not followed")
 		}
@@ -224,11 +225,11 @@
 		t.Fatal(err)
 	}
 	var old *watcher
-	rg.inLoop(func() { l.rev, old = 7, l.watcher })
+	rg.inLoop(func() { l.feed.Rev, old = 7, l.watcher })
 	os.WriteFile(rg.file, good[:len(good)/2], 0o600)
 	rg.reloads <- syscall.SIGHUP
 	rg.inLoop(func() {
-		if l.watcher != old || l.moved {
+		if l.watcher != old || l.feed.Moved() {
 			t.Error("a broken file had an effect")
 		}
 	})
@@ -236,7 +237,7 @@
 	os.WriteFile(rg.file, []byte(strings.Replace(string(good), was, other.Listener.Addr().String(), 1)), 0o600)
 	rg.reloads <- syscall.SIGHUP
 	rg.until("the new list is taken in", func() (done bool) {
-		rg.inLoop(func() { done = l.rev == 0 && !l.moved && l.watcher != old })
+		rg.inLoop(func() { done = l.feed.Rev == 0 && !l.feed.Moved() && l.watcher != old })
 		return done
 	})
 	for range 2 {
@@ -260,7 +261,7 @@
 		t.Errorf("the request that was taken before got %q", got)
 	}
 	rg.inLoop(func() {
-		if l.rev != 0 {
+		if l.feed.Rev != 0 {
 			t.Error("the old discovery was heard")
 		}
 	})
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"context"
 	"log"
 	"sync/atomic"
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/membership"
 )
 
 const (
@@ -26,8 +28,10 @@
 
 	config    *Config
 	endsAt    time.Time // when all must be answered; zero unless this sidecar was told to stop
-	rev       uint64    // version of the list that the Balancer has
-	moved     bool      // that list is another discovery's than the one that is followed now
+	feed      membership.Feed
+	members   *membership.Members
+	due       time.Duration // when members are next looked at; 0 for never
+	unfollow  context.CancelFunc
 	balancer  *gingerlead.Balancer
 	requests  map[gingerlead.RequestID]*request
 	past      past
@@ -59,6 +63,8 @@
 	l := &loop{
 		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c,
 		requests: map[gingerlead.RequestID]*request{},
+		feed:     membership.Feed{MustAsk: c.Settings.MustAsk}, members: membership.New(c.tuning.membership),
+		unfollow: func() {},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
 	l.pool = newPool(c)
@@ -76,10 +82,11 @@
 
 // run handles events for the life of the process.
 func (l *loop) run() {
-	l.targets(l.config.Known, fromCache)
-	if !l.config.Settings.MustAsk {
-		l.watcher.start(l.place())
+	l.targets(l.config.Known, membership.FromCache)
+	if !l.config.Settings.MustAsk && l.config.Discovery != "" {
+		l.watcher.start(l.feed.Place())
 	}
+	l.followBeside(l.config.follower)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	for {
@@ -182,6 +189,9 @@
 		Elapsed: res.took, Status: res.status, Load: res.load,
 	})
 	l.forget(r)
+	if res.status == gingerlead.ConnectFailed && l.members.Doubts() {
+		l.told(l.members.Failed(l.now(), a.endpoint.uid))
+	}
 }
 
 // discard lets go of a response.
@@ -299,11 +309,15 @@
 func (l *loop) Watch(on bool) {
 	l.watcher.stop()
 	if on {
-		l.watcher.start(l.place())
+		l.watcher.start(l.feed.Place())
 	}
 }
 
-func (l *loop) Fetch() { l.watcher.fetch() }
+func (l *loop) Fetch() {
+	if l.config.Discovery != "" { // Consul may be all there is
+		l.watcher.fetch()
+	}
+}
 
 func (l *loop) CloseIdle(to gingerlead.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
 
@@ -314,7 +328,10 @@
 func (l *loop) follow(address, token string) {
 	l.watcher.stop()
 	l.watcher = newWatcher(address, token, l)
-	l.moved = true
+	l.feed.Move()
+	if address == "" {
+		return
+	}
 	l.watcher.fetch()
 	if l.config.Settings.MustAsk {
 		l.balancer.Targets(l.now(), gingerlead.List{Kind: gingerlead.Failed}) // it watches in its own time
@@ -323,47 +340,93 @@
 	l.watcher.start(nil)
 }
 
-// place is where a watch goes on from: the version of the list, nil for the whole list.
-func (l *loop) place() *uint64 {
-	if l.moved {
-		return nil
+// targets takes a list of the platform's in.
+func (l *loop) targets(got endpointList, from membership.Origin) {
+	takes, rewatch := l.feed.Take(from, got.Rev, got.All)
+	if rewatch {
+		l.watcher.stop()
+		l.watcher.start(&got.Rev)
+	}
+	if !takes {
+		return
 	}
-	rev := l.rev
-	return &rev
+	l.told(l.members.FromPlatform(l.now(), got.judged(from)))
 }
 
-// targets takes a list in, first into the table of endpoints, so that what the Balancer then sends finds
-// its address.
-func (l *loop) targets(got endpointList, from source) {
-	switch {
-	case l.moved && !got.All:
-		return // changes to a list that the Balancer has not got
-	case l.moved:
-		l.moved = false
-		if from == fromFetch && !l.config.Settings.MustAsk {
-			// The watch may have brought changes before this list, that were passed over.
-			l.watcher.stop()
-			l.watcher.start(&got.Rev)
+// told passes on what the members were judged to be, first into the table of endpoints, so that what the
+// Balancer then sends finds its address.
+func (l *loop) told(list membership.List, news bool) {
+	for _, line := range l.members.Logs() {
+		log.Print(line)
+	}
+	if news {
+		entries, retired := l.endpoints.update(list)
+		for _, e := range retired {
+			l.pool.closeIdle(e)
+		}
+		l.balancer.Targets(l.now(), gingerlead.List{Kind: list.Kind, Version: list.Version, Entries: entries})
+		if list.Kind != gingerlead.Cached || len(entries) > 0 {
+			l.ready.Store(true)
 		}
-	case from == fromFetch && got.Rev < l.rev || from == fromWatch && !got.All && got.Rev <= l.rev:
-		return // older than what the Balancer has: an endpoint that left would come back
 	}
-	l.rev = got.Rev
-	entries, retired := l.endpoints.update(got)
-	for _, e := range retired {
-		l.pool.closeIdle(e)
+	if at, ok := l.members.Due(); ok && (l.due == 0 || at < l.due) {
+		l.due = at
+		time.AfterFunc(at-l.now(), func() {
+			l.post(func() {
+				if l.due == at { // else an earlier one has taken its place, and asks for the next
+					l.due = 0
+				}
+				l.told(l.members.Tick(l.now()))
+			})
+		})
 	}
-	kind := gingerlead.Delta
-	switch {
-	case from == fromCache:
-		kind = gingerlead.Cached
-	case got.All:
-		kind = gingerlead.Whole
+}
+
+// Follower follows a source of endpoints beside discovery until its context ends.
+type Follower func(ctx context.Context, tell func(membership.Answer), heard func())
+
+// followBeside follows another source in place of the one before; nil for none. Nothing that the old one
+// still says is heard.
+func (l *loop) followBeside(follow Follower) {
+	l.unfollow()
+	if follow == nil {
+		l.unfollow = func() {}
+		return
+	}
+	l.members.Refollow()
+	ctx, cancel := context.WithCancel(context.Background())
+	l.unfollow = cancel
+	wanted := func(event func()) {
+		l.post(func() {
+			if ctx.Err() == nil {
+				event()
+			}
+		})
+	}
+	go follow(ctx, func(a membership.Answer) {
+		wanted(func() { l.told(l.members.FromConsul(l.now(), a)) })
+	}, func() {
+		wanted(func() { l.told(l.members.Heard(l.now())) })
+	})
+}
+
+// view is what the endpoints are, for people; false where the loop does not answer in time.
+func (l *loop) view() (source string, rows []membership.Row, ok bool) {
+	const patience = 2 * time.Second
+	late := time.NewTimer(patience)
+	defer late.Stop()
+	done := make(chan struct{})
+	event := func() {
+		source, rows = string(l.members.Mode()), l.members.View(l.now())
+		close(done)
 	}
-	l.balancer.Targets(l.now(), gingerlead.List{Kind: kind, Version: got.Rev, Entries: entries})
-	if from != fromCache || len(entries) > 0 {
-		l.ready.Store(true)
+	select {
+	case l.events <- event:
+	case <-late.C:
+		return "", nil, false
 	}
+	<-done // the loop never waits, so this comes
+	return source, rows, true
 }
 
 func (l *loop) listFailed(err error) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -9,7 +9,11 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
+
+	"gingerlead/internal/membership"
+	"gingerlead/internal/schema"
 )
 
 // memoryShare is the part of the memory limit at which the collector works harder; the rest is for stacks
@@ -45,6 +49,13 @@
 		stopped <- s.stop()
 	}()
 	s.config.unused()
+	if s.config.admin != nil {
+		stop, err := s.config.admin(s.loop.view)
+		if err != nil {
+			return err
+		}
+		defer stop()
+	}
 	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
 	s.callers.Listener = listener
 	if err := s.http.Serve(&s.callers); !errors.Is(err, http.ErrServerClosed) {
@@ -68,8 +79,15 @@
 	log.Printf("reload: discovery is %s", c.Discovery)
 	// One event for the loop and one pointer for the handlers: no half of it is ever in force.
 	s.tuning.Store(c.tuning)
+	refollow := s.config.file != nil && slices.ContainsFunc(schema.Changed(s.config.file, c.file), func(x *schema.Setting) bool {
+		return x.Path[0] == "consul" || x.Path[0] == membership.Table.Name && x.Key.Name == "source"
+	})
 	s.loop.post(func() {
 		s.loop.pool.maxIdle = s.config.maxIdle(c.tuning)
+		s.loop.told(s.loop.members.Set(s.loop.now(), c.tuning.membership))
+		if refollow {
+			s.loop.followBeside(c.follower)
+		}
 		s.loop.follow(c.Discovery, c.token)
 	})
 	s.config.file = c.file
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -501,7 +501,7 @@
 	line, _ := json.Marshal(endpointList{Rev: 2, Targets: []target{a}})
 	rg.lists <- string(line)
 	rg.until("the change is taken in", func() (done bool) {
-		rg.inLoop(func() { done = rg.server.loop.rev == 2 })
+		rg.inLoop(func() { done = rg.server.loop.feed.Rev == 2 })
 		return done
 	})
 	before := old.Load()
@@ -796,7 +796,7 @@
 		line, _ := json.Marshal(endpointList{Rev: rev, All: all, Targets: targets})
 		rg.lists <- string(line)
 		rg.until("the list is taken in", func() (done bool) {
-			rg.inLoop(func() { done = l.rev == rev })
+			rg.inLoop(func() { done = l.feed.Rev == rev })
 			return done
 		})
 	}
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gingerlead/internal/membership"
 	"gingerlead/internal/schema"
 )
 
@@ -96,15 +97,16 @@
 
 // tuning is what these tables say.
 type tuning struct {
-	callers   Callers
-	endpoints Endpoints
-	stop      Stop
+	membership membership.Settings
+	callers    Callers
+	endpoints  Endpoints
+	stop       Stop
 }
 
 // tuningOf reads a file; nil stands for one that sets nothing.
 func tuningOf(f *schema.File) *tuning {
 	if f == nil {
-		return &tuning{*CallersTable.Default(), *EndpointsTable.Default(), *StopTable.Default()}
+		return &tuning{*membership.Table.Default(), *CallersTable.Default(), *EndpointsTable.Default(), *StopTable.Default()}
 	}
-	return &tuning{*CallersTable.In(f), *EndpointsTable.In(f), *StopTable.In(f)}
+	return &tuning{*membership.Table.In(f), *CallersTable.In(f), *EndpointsTable.In(f), *StopTable.In(f)}
 }
--- /dev/null
+++ b/internal/tool/members.go
@@ -0,0 +1,80 @@
+package tool
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gingerlead/internal/admin"
+	"gingerlead/internal/product"
+)
+
+const mostDump = 64 << 20
+
+func (c *command) members() *cobra.Command {
+	var asJSON, unused bool
+	cmd := &cobra.Command{
+		Use: "members ADDRESS|FILE", Short: "Show a running sidecar's endpoints, who said so, and why one is not used", Args: cobra.ExactArgs(1),
+		Long: "members asks the admin listener of a running sidecar (unix:PATH or host:port, admin.admin_listen in its\n" +
+			"file), or reads a dump that members --json wrote.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			m, err := look(args[0])
+			if err != nil {
+				return failure{fmt.Errorf("%s: %w", args[0], err)}
+			}
+			if asJSON {
+				e := json.NewEncoder(c.out)
+				e.SetIndent("", "  ")
+				return e.Encode(m)
+			}
+			ready := 0
+			w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+			fmt.Fprintln(w, "ENDPOINT\tADDRESS\tSTATE\tWEIGHT\tFOR\tPLATFORM\tCONSUL\tWHY")
+			for _, r := range m.Endpoints {
+				if r.State == "ready" {
+					ready++
+					if unused {
+						continue
+					}
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%s\t%s\t%s\t%s\n", r.UID, r.Address, r.State, r.Weight,
+					(time.Duration(r.AgoMS) * time.Millisecond).Round(100*time.Millisecond), dash(r.Platform), dash(r.Consul), r.Why)
+			}
+			if err := w.Flush(); err != nil {
+				return failure{err}
+			}
+			fmt.Fprintf(c.out, "%s: %d of %d endpoints ready; the source is %s\n", m.Name, ready, len(m.Endpoints), m.Source)
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object for programs, or for a dump")
+	cmd.Flags().BoolVar(&unused, "unused", false, "only those that get no work")
+	return cmd
+}
+
+// look asks a sidecar, or reads a dump.
+func look(at string) (m admin.Members, err error) {
+	if info, err := os.Stat(at); err == nil && info.Mode().IsRegular() {
+		text, err := product.Read(at, mostDump)
+		if err != nil {
+			return m, err
+		}
+		return m, json.Unmarshal(text, &m)
+	}
+	if !strings.HasPrefix(at, "unix:") && !strings.Contains(at, ":") {
+		return m, fmt.Errorf("is neither unix:PATH, nor host:port, nor a file")
+	}
+	return admin.Ask(at)
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
