--- /dev/null
+++ b/cmd/quincegap/consul_test.go
@@ -0,0 +1,504 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gingerlead/internal/admin"
+	"gingerlead/internal/standin/booking"
+	"gingerlead/internal/standin/consul"
+)
+
+// box is an endpoint that notes when bookings come.
+type box struct {
+	*booking.Endpoint
+	mu   sync.Mutex
+	last time.Time // when the last booking came
+	n    int
+}
+
+func startBox(t testing.TB, name string) *box {
+	t.Helper()
+	b := &box{}
+	var err error
+	b.Endpoint, err = booking.StartEndpoint(name, func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.last = time.Now()
+		b.n++
+		b.mu.Unlock()
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, name)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *box) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.n
+}
+
+// came is when the last booking came.
+func (b *box) came() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.last
+}
+
+// town is a stand-in Consul with boxes, a sidecar that follows it, and callers who book without pause.
+type town struct {
+	t      testing.TB
+	consul *consul.Server
+	boxes  []*box
+	p      *process
+	admin  string
+	served atomic.Int64
+	calm   func() // ends the callers, and checks that every booking was served
+	stalls *stalls
+}
+
+// stalls measures how long this machine keeps a goroutine waiting that has nothing to do: what a noisy machine
+// does to the figures is not the sidecar's.
+type stalls struct {
+	mu    sync.Mutex
+	worst time.Duration
+}
+
+func (s *stalls) run(done <-chan struct{}) {
+	const every = 5 * time.Millisecond
+	for {
+		before := time.Now()
+		select {
+		case <-done:
+			return
+		case <-time.After(every):
+		}
+		s.mu.Lock()
+		s.worst = max(s.worst, time.Since(before)-every)
+		s.mu.Unlock()
+	}
+}
+
+func (s *stalls) longest() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.worst
+}
+
+const consulFile = goodFile + `
+[membership]
+source = %q
+
+[consul]
+agents = %q
+service = "slot-keeper"
+pace = "20ms"
+wait = "1s"
+
+[admin]
+admin_listen = %q
+`
+
+func inst(b *box, id string) consul.Instance {
+	return consul.Instance{Node: "n", ID: id, Passing: 1, Warning: 1}.At(b.Target().Address)
+}
+
+func build(t testing.TB, n int) *town {
+	t.Helper()
+	tn := &town{t: t, admin: "unix:" + filepath.Join(t.TempDir(), "s"), stalls: &stalls{}}
+	var all []consul.Instance
+	for i := range n {
+		b := startBox(t, fmt.Sprintf("box-%d", i))
+		tn.boxes = append(tn.boxes, b)
+		all = append(all, inst(b, b.Name))
+	}
+	var err error
+	if tn.consul, err = consul.Start("", all...); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(tn.consul.Close)
+	return tn
+}
+
+func (tn *town) text(discovery, source string) string {
+	return fmt.Sprintf(consulFile, discovery, source, tn.consul.Address(), tn.admin)
+}
+
+// open starts the sidecar, and callers.
+func (tn *town) open(text string, env ...string) {
+	tn.t.Helper()
+	tn.p = launch(tn.t, text, env...)
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() { tn.stalls.run(done) })
+	for range 3 {
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if status, err := tn.p.book(client, "trip"); err != nil || status != http.StatusOK {
+					tn.t.Errorf("a booking: status %d, %v", status, err)
+					return
+				}
+				tn.served.Add(1)
+			}
+		})
+	}
+	once := sync.OnceFunc(func() {
+		close(done)
+		all.Wait()
+	})
+	tn.calm = once
+	tn.t.Cleanup(once)
+}
+
+// go_on waits until so many more bookings have been served.
+func (tn *town) goOn(n int64) {
+	tn.t.Helper()
+	want := tn.served.Load() + n
+	tn.until("bookings go on", func() bool { return tn.served.Load() >= want })
+}
+
+func (tn *town) until(what string, done func() bool) {
+	tn.t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(2 * time.Millisecond) {
+		if tn.t.Failed() || time.Now().After(end) {
+			tn.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// shows waits until the sidecar's view has just these ready.
+func (tn *town) shows(ids ...string) {
+	tn.t.Helper()
+	tn.until(fmt.Sprint("ready ", ids), func() bool { return slices.Equal(tn.ready(), ids) })
+}
+
+func (tn *town) ready() (ready []string) {
+	m, err := admin.Ask(tn.admin)
+	if err != nil {
+		return nil
+	}
+	for _, r := range m.Endpoints {
+		if r.State == "ready" {
+			ready = append(ready, strings.TrimSuffix(r.UID, "@n"))
+		}
+	}
+	return ready
+}
+
+// drained checks that nothing new came to a box later than 250 ms after the answer that told of an index.
+func (tn *town) drained(b *box, index uint64) {
+	tn.t.Helper()
+	var told time.Time
+	tn.until("the answer is out", func() (ok bool) { told, ok = tn.consul.Told(index); return ok })
+	// Bookings that come after this would have been seen by then.
+	time.Sleep(time.Until(told.Add(400 * time.Millisecond)))
+	tn.goOn(50)
+	if late := b.came().Sub(told); late > 250*time.Millisecond+tn.stalls.longest() {
+		tn.t.Errorf("%s got a booking %v after the answer that told of it (the machine stalled for %v)", b.Name, late, tn.stalls.longest())
+	}
+}
+
+func TestConsulCheckFails(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 4)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.shows("box-0", "box-1", "box-2", "box-3")
+	tn.goOn(100)
+	index := tn.consul.SetStatus("box-1", "critical")
+	tn.drained(tn.boxes[1], index)
+	tn.shows("box-0", "box-2", "box-3")
+	index = tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+		all[2].Checks = []consul.Check{{CheckID: "_service_maintenance:box-2", Status: "critical"}}
+		return all
+	})
+	tn.drained(tn.boxes[2], index)
+	index = tn.consul.Update(func(all []consul.Instance) []consul.Instance { return all[:3] }) // deregistered
+	tn.drained(tn.boxes[3], index)
+	tn.shows("box-0")
+	tn.consul.SetStatus("box-1", "passing")
+	tn.shows("box-0", "box-1")
+	before := tn.boxes[1].count()
+	tn.until("box-1 is used again", func() bool { return tn.boxes[1].count() > before })
+	tn.calm()
+}
+
+// Consul goes away in each way for a while: the last good list serves, and it is followed again afterwards.
+func TestConsulVanishes(t *testing.T) {
+	for name, f := range map[string]consul.Fault{
+		"refuses": {Refuse: true}, "hangs": {Hang: true}, "resets": {Reset: true}, "cuts answers short": {Cut: true}, "answers 429": {Status: 429},
+		"answers 500": {Status: 500}, "revokes the token": {Status: 403}, "loses its leader": {NoLeader: true, Empty: true},
+		"answers an empty list": {Empty: true, CatalogKnows: true}, "has lost all data": {Empty: true}, "answers half a list": {Half: true, CatalogKnows: true},
+		"answers junk": {Body: "<html>no</html>"}, "jumps its index back": {IndexBack: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tn := build(t, 6)
+			tn.open(tn.text("127.0.0.1:1", "consul"))
+			all := []string{"box-0", "box-1", "box-2", "box-3", "box-4", "box-5"}
+			tn.shows(all...)
+			tn.goOn(50)
+			tn.consul.Set(f)
+			began := time.Now()
+			for time.Since(began) < 1500*time.Millisecond {
+				tn.goOn(20)
+			}
+			if got := tn.ready(); !slices.Equal(got, all) {
+				t.Errorf("ready are %v", got)
+			}
+			tn.consul.Set(consul.Fault{})
+			tn.shows(all...)
+			tn.drained(tn.boxes[0], tn.consul.SetStatus("box-0", "critical"))
+			tn.shows(all[1:]...)
+			tn.calm()
+		})
+	}
+}
+
+// Consul cannot be reached from the start: the last known list serves, and Consul's takes over when it comes.
+func TestConsulUnreachableFromTheStart(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	tn.consul.Set(consul.Fault{Refuse: true})
+	target := tn.boxes[0].Target()
+	platform := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"a1","limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"known":{"rev":3,"all":true,"targets":[{"uid":"known","endpoint":%q,"az":"z","model":"m","pod_group":1,"state":"Ready","capacity_hint":1}]},
+		"settings":{"allowed":{"connectTimeout":2000000,"cancel":true,"sendCap":3},"discovery":"push","instances":1,"services":[{"name":"book-trip",
+		"aim":1000000,"deadline":6000000,"effect":"idempotency_key","keyScope":"all","window":10000000,"gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, target.Address)
+	if err := os.WriteFile(platform, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	overlay := tn.text("127.0.0.1:1", "consul")
+	tn.open(overlay[strings.Index(overlay, "[membership]"):], "BALANCER_CONFIG="+platform)
+	tn.goOn(100)
+	tn.shows("known")
+	tn.consul.Set(consul.Fault{})
+	tn.shows("box-0", "box-1", "box-2")
+	tn.goOn(100)
+	tn.calm()
+}
+
+func TestConsulAllCritical(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.shows("box-0", "box-1", "box-2")
+	tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+		for i := range all {
+			all[i].Checks = []consul.Check{{CheckID: "c", Status: "critical"}}
+		}
+		return all
+	})
+	tn.until("it says why", func() bool {
+		m, err := admin.Ask(tn.admin)
+		return err == nil && len(m.Endpoints) == 3 && strings.Contains(m.Endpoints[0].Why, "not believed")
+	})
+	tn.goOn(200)
+	tn.drained(tn.boxes[0], tn.consul.SetStatus("box-1", "passing"))
+	tn.shows("box-1")
+	tn.calm()
+}
+
+func TestConsulFlaps(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.shows("box-0", "box-1", "box-2")
+	var index uint64
+	for i := range 15 {
+		index = tn.consul.SetStatus("box-1", []string{"critical", "passing"}[i%2])
+		time.Sleep(200 * time.Millisecond)
+	}
+	tn.drained(tn.boxes[1], index)
+	tn.consul.SetStatus("box-1", "passing")
+	tn.goOn(50)
+	if got := tn.ready(); len(got) != 2 {
+		t.Errorf("a flapping check is believed at once: %v", got)
+	}
+	tn.calm()
+}
+
+// The whole fleet restarts: each box leaves and comes back at another's address, under its own id. The boxes
+// themselves never stop, so that each booking has to be served.
+func TestConsulWholeFleetRestarts(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 6)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.shows("box-0", "box-1", "box-2", "box-3", "box-4", "box-5")
+	for i := range 6 {
+		tn.consul.SetStatus(fmt.Sprintf("box-%d", i), "critical")
+		time.Sleep(30 * time.Millisecond)
+	}
+	for i := range 6 {
+		tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+			n := slices.IndexFunc(all, func(x consul.Instance) bool { return x.ID == fmt.Sprintf("box-%d", i) })
+			all[n] = inst(tn.boxes[(i+1)%6], all[n].ID)
+			return all
+		})
+		time.Sleep(30 * time.Millisecond)
+	}
+	tn.shows("box-0", "box-1", "box-2", "box-3", "box-4", "box-5")
+	m, err := admin.Ask(tn.admin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, r := range m.Endpoints {
+		if r.Address != tn.boxes[(i+1)%6].Target().Address {
+			t.Errorf("%s is at %s", r.UID, r.Address)
+		}
+	}
+	tn.goOn(100)
+	tn.calm()
+}
+
+func TestConsulOneAddressTwice(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 2)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.shows("box-0", "box-1")
+	tn.consul.Update(func(all []consul.Instance) []consul.Instance { return append(all, inst(tn.boxes[0], "again")) })
+	tn.shows("again", "box-1")
+	third := startBox(t, "third")
+	before := tn.boxes[1].count()
+	index := tn.consul.Update(func(all []consul.Instance) []consul.Instance { // box-1 moves
+		all[1] = inst(third, "box-1")
+		return all
+	})
+	tn.drained(tn.boxes[1], index)
+	tn.until("the new address is used", func() bool { return third.count() > 0 })
+	if before == 0 {
+		t.Error("box-1 was never used")
+	}
+	tn.calm()
+}
+
+// Over the platform's list Consul's bad news count, the platform's too, and each alone.
+func TestConsulOverlay(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 4)
+	var targets []booking.Target
+	for _, b := range tn.boxes {
+		targets = append(targets, b.Target())
+	}
+	d, err := booking.StartDiscovery("", targets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	tn.open(tn.text(d.Address(), "overlay"))
+	tn.shows("box-0", "box-1", "box-2", "box-3")
+	tn.drained(tn.boxes[0], tn.consul.SetStatus("box-0", "critical"))
+	targets[1].State = "Terminating" // and Consul has it passing
+	d.Set(targets[1])
+	tn.shows("box-2", "box-3")
+	targets[2].State = "Gone"
+	d.Set(targets[2])
+	tn.shows("box-3")
+	tn.consul.Update(func([]consul.Instance) []consul.Instance { return nil }) // it knows of nobody: that says nothing
+	tn.consul.Set(consul.Fault{Refuse: true})
+	tn.goOn(100)
+	tn.calm()
+}
+
+// A rehearsal serves by the platform and logs where Consul differs.
+func TestConsulRehearsal(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	d, err := booking.StartDiscovery("", tn.boxes[0].Target(), tn.boxes[1].Target())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	tn.open(tn.text(d.Address(), "rehearsal"))
+	tn.shows("box-0", "box-1")
+	tn.p.said("rehearsal: box-2: only consul lists it")
+	tn.consul.SetStatus("box-0", "critical")
+	tn.p.said("rehearsal: box-0: the platform has it ready, consul draining")
+	before := tn.boxes[0].count()
+	tn.until("box-0 goes on", func() bool { return tn.boxes[0].count() > before+20 })
+	tn.calm()
+}
+
+// SIGHUP changes the mode, the service and the agents under load.
+func TestConsulReload(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	d, err := booking.StartDiscovery("", tn.boxes[0].Target(), tn.boxes[1].Target())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	other, err := consul.Start("", inst(tn.boxes[1], "other-1"), inst(tn.boxes[2], "other-2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Close)
+	text := tn.text(d.Address(), "platform")
+	tn.open(text)
+	reload := func(old, new string) {
+		t.Helper()
+		text = strings.Replace(text, old, new, 1)
+		tn.p.put(text)
+		tn.p.signal(syscall.SIGHUP)
+		tn.p.said("reload: discovery is")
+	}
+	tn.shows("box-0", "box-1")
+	reload(`"platform"`, `"consul"`)
+	tn.shows("box-0", "box-1", "box-2")
+	tn.goOn(50)
+	reload(tn.consul.Address(), other.Address())
+	tn.shows("other-1", "other-2")
+	tn.goOn(50)
+	reload(`"consul"`, `"overlay"`)
+	tn.shows("box-0", "box-1")
+	reload(`"overlay"`, `"rehearsal"`)
+	tn.goOn(50)
+	reload(`"rehearsal"`, `"platform"`)
+	tn.shows("box-0", "box-1")
+	health, _ := other.Asked()
+	tn.goOn(50)
+	time.Sleep(1500 * time.Millisecond) // longer than a question is held
+	if again, _ := other.Asked(); again > health+1 {
+		t.Error("consul is asked though nothing is to come of it")
+	}
+	tn.calm()
+}
+
+// The sidecar is killed and starts again while Consul does wrong, and serves as soon as Consul does.
+func TestConsulRestartDuringFault(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.goOn(50)
+	tn.calm()
+	tn.p.cmd.Process.Kill()
+	tn.consul.Set(consul.Fault{Status: 500})
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		tn.consul.Set(consul.Fault{})
+	}()
+	tn.open(tn.text("127.0.0.1:1", "consul")) // waits until it is ready
+	tn.goOn(50)
+	tn.calm()
+}
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -115,6 +115,7 @@
 	stop    func()
 }
 
+// watch starts a watcher that goes back to its first agent soon.
 func watch(t *testing.T, change func(*Settings), agents ...*standin.Server) *rig {
 	t.Helper()
 	s := *Table.Default()
@@ -131,6 +132,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.back = 50 * time.Millisecond
 	r := &rig{t: t, agents: agents, events: make(chan func(), 1000), known: map[string]membership.Endpoint{}}
 	w.Tell = func(a membership.Answer) {
 		r.events <- func() {
@@ -328,8 +330,16 @@
 	r.knows("a")
 	a.Set(standin.Fault{Hang: true})
 	r.knows("a", "b")
-	b.Close()
 	a.Set(standin.Fault{})
+	r.knows("a") // it goes back to the first agent though the other one answers
+	before, _ := b.Asked()
+	a.SetStatus("a", "critical")
+	r.knows()
+	if after, _ := b.Asked(); after > before+1 {
+		t.Error("the other agent is still asked")
+	}
+	b.Close()
+	a.SetStatus("a", "passing")
 	r.knows("a")
 }
 
--- a/internal/consul/watch.go
+++ b/internal/consul/watch.go
@@ -55,13 +55,14 @@
 	logged   map[string]time.Time
 	leader   bool // the next question goes to the leader
 	returnAt time.Time
+	back     time.Duration // see returnAfter
 }
 
 // New makes a watcher; resolve turns a path of the settings into one to open. Files are read when they are
 // needed, but for those of TLS.
 func New(s Settings, mode membership.Mode, resolve func(string) string) (*Watcher, error) {
 	w := &Watcher{set: s, resolve: resolve, qualified: mode == membership.Consul, agents: s.agents(),
-		before: map[string]membership.Endpoint{}, logged: map[string]time.Time{}}
+		before: map[string]membership.Endpoint{}, logged: map[string]time.Time{}, back: returnAfter}
 	var conf *tls.Config
 	scheme := "http"
 	if s.TLS {
@@ -232,7 +233,7 @@
 			failures++
 			w.say("agent "+w.agents[agent], "consul: agent %s: %s", w.agents[agent], plain(err))
 			agent, index, hash = (agent+1)%len(w.agents), 0, ""
-			w.returnAt = time.Now().Add(returnAfter)
+			w.returnAt = time.Now().Add(w.back)
 			// The next agent is asked at once; when all have failed there is a pause.
 			if failures%len(w.agents) == 0 {
 				pause(ctx, backoff(failures/len(w.agents)))
@@ -270,7 +271,7 @@
 	a.UnixMS = time.Now().UnixMilli()
 	a.Doubtful = !m.leader || m.lastContact > w.set.LongestStale
 	w.leader = a.Doubtful && m.leader
-	if len(a.Missing) > 0 && (len(a.Missing) > 2 || len(after) == 0) && 2*len(a.Missing) > len(w.before) && !a.Doubtful {
+	if len(a.Missing) > 0 && (len(a.Missing) > 2 || len(after) == 0) && 2*len(a.Missing) >= len(w.before) && !a.Doubtful {
 		// Too many at once: the catalogue is asked, by way of the leader and its peers.
 		a.Confirmed = w.confirm(ctx, agent, a.Missing)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -100,7 +100,7 @@
 		"The longest such wait."),
 	schema.Float("shrink_share", func(s *Settings) *float64 { return &s.ShrinkShare },
 		schema.Bounds[float64]{Default: 0.5, Least: 0.01, Most: 1}, schema.OnReload,
-		"An answer that lacks more than this share of the endpoints before it is doubted."),
+		"An answer that lacks this share of the endpoints before it, and more than two, is doubted."),
 	schema.Duration("confirm_after", func(s *Settings) *time.Duration { return &s.ConfirmAfter },
 		schema.Bounds[time.Duration]{Default: 10 * time.Second, Least: time.Second, Most: time.Hour}, schema.OnReload,
 		"After this time of saying the same it is believed."),
@@ -306,7 +306,7 @@
 		missing = slices.Compact(missing)
 	}
 	lost := len(missing)
-	doubt := a.Doubtful || lost > 2 && float64(lost) > m.set.ShrinkShare*float64(max(1, a.Known)) || lost > 0 && lost >= a.Known && a.Known > 0
+	doubt := a.Doubtful || lost > 2 && float64(lost) >= m.set.ShrinkShare*float64(max(1, a.Known)) || lost > 0 && lost >= a.Known && a.Known > 0
 	// Where nothing would be left, neither the catalogue nor time is believed: a Consul that has lost its data
 	// would end all service. What the attempts find out settles it, one endpoint after another.
 	solid := m.solid(missing)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -233,10 +233,10 @@
 
 	// A list that melts away in steps is doubted once the steps are too much together.
 	d = start()
-	d.consul(Answer{Missing: []string{"a", "b", "c", "d"}, Known: 8}) // half is not more than half
-	d.want("e f g h")
-	d.consul(Answer{Missing: []string{"e", "f", "g"}, Known: 4})
-	d.want("e f g h")
+	d.consul(Answer{Missing: []string{"a", "b", "c"}, Known: 8})
+	d.want("d e f g h")
+	d.consul(Answer{Missing: []string{"d", "e", "f"}, Known: 5})
+	d.want("d e f g h")
 }
 
 func TestAllCriticalGoesOn(t *testing.T) {
