--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -487,18 +487,22 @@
 
 // The sidecar is killed and starts again while Consul does wrong, and serves as soon as Consul does.
 func TestConsulRestartDuringFault(t *testing.T) {
-	t.Parallel()
-	tn := build(t, 3)
-	tn.open(tn.text("127.0.0.1:1", "consul"))
-	tn.goOn(50)
-	tn.calm()
-	tn.p.cmd.Process.Kill()
-	tn.consul.Set(consul.Fault{Status: 500})
-	go func() {
-		time.Sleep(300 * time.Millisecond)
-		tn.consul.Set(consul.Fault{})
-	}()
-	tn.open(tn.text("127.0.0.1:1", "consul")) // waits until it is ready
-	tn.goOn(50)
-	tn.calm()
+	for name, f := range map[string]consul.Fault{"500": {Status: 500}, "empty": {Empty: true}, "hangs": {Hang: true}, "refuses": {Refuse: true},
+		"half": {Half: true}, "no leader": {NoLeader: true, Empty: true}, "403": {Status: 403}, "cut": {Cut: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tn := build(t, 4)
+			tn.open(tn.text("127.0.0.1:1", "consul"))
+			tn.goOn(50)
+			tn.calm()
+			tn.p.cmd.Process.Kill()
+			tn.consul.Set(f)
+			mend := time.AfterFunc(300*time.Millisecond, func() { tn.consul.Set(consul.Fault{}) })
+			defer mend.Stop()
+			tn.open(tn.text("127.0.0.1:1", "consul")) // waits until it is ready
+			tn.goOn(50)
+			tn.shows("box-0", "box-1", "box-2", "box-3")
+			tn.calm()
+		})
+	}
 }
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,137 @@
+package admin
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"gingerlead/internal/membership"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func look() (Members, bool) {
+	return Members{Name: "front", Source: "consul", Endpoints: []membership.Row{{UID: "a", State: "ready", Weight: 1}}}, true
+}
+
+func TestServeAndAsk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	for _, address := range []string{"unix:" + path, "127.0.0.1:0"} {
+		if address == "127.0.0.1:0" {
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			address = l.Addr().String()
+			l.Close()
+		}
+		stop, err := Serve(address, look)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := Ask(address)
+		if err != nil || m.Name != "front" || len(m.Endpoints) != 1 || m.Endpoints[0].UID != "a" {
+			t.Errorf("%s: %+v, %v", address, m, err)
+		}
+		stop()
+		if _, err := Ask(address); err == nil {
+			t.Errorf("%s answers after its end", address)
+		}
+	}
+}
+
+// The view cannot be written to, and says when the sidecar does not answer.
+func TestReadOnly(t *testing.T) {
+	address := "unix:" + filepath.Join(t.TempDir(), "s")
+	stop, err := Serve(address, func() (Members, bool) { return Members{}, false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	if _, err := Ask(address); err == nil || !strings.Contains(err.Error(), "503") {
+		t.Error(err)
+	}
+	c, err := net.Dial("unix", strings.TrimPrefix(address, "unix:"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "POST /members HTTP/1.0\r\n\r\n")
+	answer, _ := io.ReadAll(c)
+	if !strings.Contains(string(answer), "405") {
+		t.Errorf("%.80s", answer)
+	}
+}
+
+// A socket that a killed process left is replaced; a living one's, and a file, are not.
+func TestSocketInTheWay(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Serve("unix:"+path, look); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Error(err)
+	}
+	l.SetUnlinkOnClose(false)
+	l.Close()
+	stop, err := Serve("unix:"+path, look)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o660 {
+		t.Errorf("%v, %v", info.Mode(), err)
+	}
+	stop()
+	file := filepath.Join(t.TempDir(), "f")
+	os.WriteFile(file, []byte("x"), 0o600)
+	if _, err := Serve("unix:"+file, look); err == nil {
+		t.Error("a file was taken for a socket")
+	}
+	if text, _ := os.ReadFile(file); string(text) != "x" {
+		t.Error("the file is gone")
+	}
+}
+
+// Who holds connections and says nothing keeps others out for a while only.
+func TestMuteClients(t *testing.T) {
+	address := "unix:" + filepath.Join(t.TempDir(), "s")
+	stop, err := Serve(address, look)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	for range 3 * mostConns {
+		c, err := net.Dial("unix", strings.TrimPrefix(address, "unix:"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	began := time.Now()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialTo((&net.Dialer{}).DialContext, "unix", strings.TrimPrefix(address, "unix:"))}}
+	res, err := c.Get("http://sidecar/members")
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if took := time.Since(began); res.StatusCode != 200 || took > 20*time.Second {
+		t.Errorf("%s after %v", res.Status, took)
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	for address, ok := range map[string]bool{"unix:/run/x": true, "127.0.0.1:80": true, "[::1]:80": true, "0.0.0.0:80": false, ":80": false, "10.0.0.1:80": false,
+		"unix:": false, "localhost": false, "host.example:80": false, "unix:" + strings.Repeat("x", 200): false, "127.0.0.1:": false} {
+		if got := bad(address) == ""; got != ok {
+			t.Errorf("%s: %q", address, bad(address))
+		}
+	}
+}
--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -1,6 +1,7 @@
 package consul
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"encoding/pem"
@@ -448,14 +449,19 @@
 	f.Add([]byte(`[{"Node":{"Node":"n","Address":"10.0.0.1","Datacenter":"d"},"Service":{"ID":"x","Port":80,"Meta":{"cell":"1"},"Weights":{"Passing":3,"Warning":1},"CreateIndex":7},"Checks":[{"CheckID":"c","Status":"warning"}]}]`))
 	f.Add([]byte(`[{"Service":{"ID":"x","Address":"h","Port":65536}},{"Service":null},null]`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		var all []instance
-		if json.Unmarshal(text, &all) != nil {
-			return
-		}
 		s := Table.Default()
-		by, faults := s.list(all, true)
-		if len(by) > len(all) || len(faults) > 11 {
-			t.Errorf("%d endpoints and %d faults of %d instances", len(by), len(faults), len(all))
+		by, faults, n := map[string]membership.Endpoint{}, []string(nil), 0
+		err := each(bytes.NewReader(text), 20, func(i *instance) {
+			n++
+			faults = s.add(by, i, true, faults)
+		})
+		if len(by) > n || len(faults) > 10 || n > 20 {
+			t.Errorf("%d endpoints and %d faults of %d instances", len(by), len(faults), n)
+		}
+		// What the library would take whole is taken one by one just the same.
+		var all []instance
+		if want := json.NewDecoder(bytes.NewReader(text)).Decode(&all); want == nil && len(all) <= 20 && (err != nil || n != len(all)) {
+			t.Errorf("%d of %d instances, %v", n, len(all), err)
 		}
 		for uid, e := range by {
 			host, port, err := net.SplitHostPort(e.Address)
--- a/internal/consul/read.go
+++ b/internal/consul/read.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"net"
+	"runtime"
 	"strconv"
 	"strings"
 
@@ -130,33 +131,30 @@
 	e.Why = fmt.Sprintf("check %q warns", warned)
 }
 
-// list maps a whole answer. Faults tell what was passed over.
-func (s *Settings) list(all []instance, qualified bool) (by map[string]membership.Endpoint, faults []string) {
-	by = make(map[string]membership.Endpoint, len(all))
-	for n := range all {
-		if n >= mostInstances {
-			faults = append(faults, fmt.Sprintf("%d instances are too many; %d are taken", len(all), mostInstances))
-			break
-		}
-		e, fault := s.endpoint(&all[n], qualified)
-		if fault != "" {
-			if len(faults) < 10 {
-				faults = append(faults, fmt.Sprintf("instance %.60q passed over: %s", all[n].Service.ID, fault))
-			}
-			continue
-		}
-		if other, twice := by[e.UID]; twice && other.Registered >= e.Registered {
-			continue
+// add maps an instance into an answer. Faults tell what was passed over.
+func (s *Settings) add(by map[string]membership.Endpoint, i *instance, qualified bool, faults []string) []string {
+	const mostFaults = 10
+	e, fault := s.endpoint(i, qualified)
+	if fault != "" {
+		if len(faults) < mostFaults {
+			faults = append(faults, fmt.Sprintf("instance %.60q passed over: %s", i.Service.ID, fault))
 		}
+		return faults
+	}
+	if other, twice := by[e.UID]; !twice || other.Registered < e.Registered {
 		by[e.UID] = e
 	}
-	return by, faults
+	return faults
 }
 
 // diff is what one answer changes of the one before.
 func diff(before, after map[string]membership.Endpoint) (a membership.Answer) {
 	a.Known = len(before)
+	n := 0
 	for uid, e := range after {
+		if n++; n%256 == 0 {
+			runtime.Gosched() // as when it was read
+		}
 		if was, ok := before[uid]; !ok || was != e {
 			a.Changed = append(a.Changed, e)
 		}
--- a/internal/consul/watch.go
+++ b/internal/consul/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -118,6 +120,10 @@
 type asked struct {
 	token  string
 	header http.Header
+	came   time.Time
+	// decode reads the body of a good answer. The client library would read it in one go; on one core
+	// bookings wait for as long as that takes, ten milliseconds at each of their steps.
+	decode func(io.Reader) error
 }
 
 type askedKey struct{}
@@ -138,14 +144,49 @@
 		return nil, err
 	}
 	if a != nil {
-		a.header = res.Header
+		a.header, a.came = res.Header, time.Now()
 	}
 	res.Body = &limited{ReadCloser: res.Body, left: mostBody}
+	if a == nil || res.StatusCode != http.StatusOK {
+		return res, nil
+	}
+	err = a.decode(res.Body)
+	res.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	res.Body = io.NopCloser(strings.NewReader("null")) // there is nothing left to decode
 	return res, nil
 }
 
 var errTooLarge = fmt.Errorf("the answer has more than %d MiB", mostBody>>20)
 
+// each reads the elements of a JSON list one by one, and lets others run in between. A null is an empty list.
+func each[T any](r io.Reader, most int, take func(*T)) error {
+	d := json.NewDecoder(r)
+	switch open, err := d.Token(); {
+	case err != nil:
+		return err
+	case open == nil:
+		return nil
+	case open != json.Delim('['):
+		return errors.New("the answer is no list")
+	}
+	for n := 0; d.More(); n++ {
+		var x T
+		if err := d.Decode(&x); err != nil {
+			return err
+		}
+		if n >= most {
+			return fmt.Errorf("the answer has more than %d instances", most)
+		}
+		take(&x)
+		runtime.Gosched()
+	}
+	_, err := d.Token()
+	return err
+}
+
 // limited fails where a body goes on beyond its bound.
 type limited struct {
 	io.ReadCloser
@@ -167,11 +208,12 @@
 	hash        string
 	leader      bool
 	lastContact time.Duration
+	came        time.Time // when its headers came: what follows is work
 }
 
 // ask asks one agent; tags is what a filter calls the instances' tags there. wait of 0 asks for an answer at once.
-func (w *Watcher) ask(ctx context.Context, agent int, path, tags string, index uint64, hash string, wait time.Duration, mode Consistency, out any) (m meta, err error) {
-	a := &asked{}
+func (w *Watcher) ask(ctx context.Context, agent int, path, tags string, index uint64, hash string, wait time.Duration, mode Consistency, decode func(io.Reader) error) (m meta, err error) {
+	a := &asked{decode: decode}
 	if w.set.TokenFile != "" {
 		if a.token, err = secretfile.Read(w.resolve(w.set.TokenFile)); err != nil {
 			return m, err
@@ -191,9 +233,11 @@
 	if w.set.Tag != "" {
 		q.Filter = strconv.Quote(w.set.Tag) + " in " + tags
 	}
-	if _, err = w.clients[agent].Raw().Query(path, out, q.WithContext(ctx)); err != nil {
+	var none any
+	if _, err = w.clients[agent].Raw().Query(path, &none, q.WithContext(ctx)); err != nil {
 		return m, err
 	}
+	m.came = a.came
 	m.index, _ = strconv.ParseUint(a.header.Get("X-Consul-Index"), 10, 64)
 	m.hash = a.header.Get("X-Consul-ContentHash")
 	m.leader = a.header.Get("X-Consul-KnownLeader") != "false"
@@ -222,10 +266,12 @@
 		if w.leader && mode == Stale {
 			mode = Default
 		}
-		var all []instance
+		after, faults := map[string]membership.Endpoint{}, []string(nil)
 		wait := w.set.Wait - rand.N(w.set.Wait/8+1)
 		path := "/v1/health/service/" + url.PathEscape(w.set.Service)
-		m, err := w.ask(ctx, agent, path, "Service.Tags", index, hash, wait, mode, &all)
+		m, err := w.ask(ctx, agent, path, "Service.Tags", index, hash, wait, mode, func(body io.Reader) error {
+			return each(body, mostInstances, func(i *instance) { faults = w.set.add(after, i, w.qualified, faults) })
+		})
 		if ctx.Err() != nil {
 			return
 		}
@@ -241,13 +287,12 @@
 			continue
 		}
 		if failures > 0 || first {
-			log.Printf("consul: agent %s answers: %d instances of %s", w.agents[agent], len(all), w.set.Service)
+			log.Printf("consul: agent %s answers: %d instances of %s", w.agents[agent], len(after), w.set.Service)
 			clear(w.logged)
 		}
 		failures, first = 0, false
-		began := time.Now()
-		w.take(ctx, agent, all, m)
-		work := time.Since(began)
+		w.take(ctx, agent, after, faults, m)
+		work := time.Since(m.came)
 		switch next := nextIndex(index, m.index); {
 		case m.index == 0 && m.hash != "":
 			index, hash = 0, m.hash
@@ -262,8 +307,7 @@
 }
 
 // take reads an answer and tells what it changes.
-func (w *Watcher) take(ctx context.Context, agent int, all []instance, m meta) {
-	after, faults := w.set.list(all, w.qualified)
+func (w *Watcher) take(ctx context.Context, agent int, after map[string]membership.Endpoint, faults []string, m meta) {
 	for _, f := range faults {
 		w.say(f, "consul: %s", f)
 	}
@@ -285,15 +329,13 @@
 
 // confirm tells whether the catalogue lacks all of them too.
 func (w *Watcher) confirm(ctx context.Context, agent int, missing []string) bool {
-	var all []listed
-	if _, err := w.ask(ctx, agent, "/v1/catalog/service/"+url.PathEscape(w.set.Service), "ServiceTags", 0, "", 0, Consistent, &all); err != nil {
+	there := map[string]bool{}
+	if _, err := w.ask(ctx, agent, "/v1/catalog/service/"+url.PathEscape(w.set.Service), "ServiceTags", 0, "", 0, Consistent, func(body io.Reader) error {
+		return each(body, mostInstances, func(l *listed) { there[w.set.uid(l.Node, l.ServiceID, l.ServiceMeta, w.qualified)] = true })
+	}); err != nil {
 		w.say("confirm", "consul: the catalogue does not answer: %s", plain(err))
 		return false
 	}
-	there := map[string]bool{}
-	for _, l := range all {
-		there[w.set.uid(l.Node, l.ServiceID, l.ServiceMeta, w.qualified)] = true
-	}
 	return !slices.ContainsFunc(missing, func(uid string) bool { return there[uid] })
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -268,6 +268,9 @@
 // FromConsul takes an answer of Consul's. It returns what the module is to be told, false for nothing.
 func (m *Members) FromConsul(now time.Duration, a Answer) (List, bool) {
 	first := !m.heard
+	if first && len(a.Changed) == 0 && m.set.Mode == Consul {
+		return List{}, false // a first answer without anybody says nothing: what is known goes on
+	}
 	m.stale = m.stale || first || m.expired
 	m.heard, m.heardAt, m.expired = true, now, false
 	for _, e := range a.Changed {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -254,6 +254,22 @@
 	d.want("a b- c-")
 }
 
+// A first answer without anybody neither ends the last known list nor makes an empty one.
+func TestFirstAnswerIsEmpty(t *testing.T) {
+	d := drive(t, Consul)
+	d.platform(gingerlead.Cached, eps("k")...)
+	lists := d.lists
+	d.consul(Answer{})
+	d.told(d.m.Heard(d.now))
+	d.at(100 * s)
+	d.want("k")
+	if d.lists != lists {
+		t.Error("an empty list was told")
+	}
+	d.consul(Answer{Changed: eps("a", "b")})
+	d.want("a b")
+}
+
 func TestFlappingCheck(t *testing.T) {
 	d := drive(t, Consul)
 	d.consul(Answer{Changed: eps("a", "b")})
