--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -9,7 +9,9 @@
 	"log"
 	"maps"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -324,6 +326,72 @@
 	r.knows("a", "b")
 }
 
+// Where an agent gives a hash and no index, it is blocked on all the same.
+func TestHashBlocking(t *testing.T) {
+	a := serve(t, "a", "b")
+	a.Set(standin.Fault{Hash: true})
+	r := watch(t, nil, a)
+	r.knows("a", "b")
+	for _, status := range []string{"critical", "passing", "critical"} {
+		a.SetStatus("b", status)
+		if status == "critical" {
+			r.knows("a")
+		} else {
+			r.knows("a", "b")
+		}
+	}
+	if health, _ := a.Asked(); health > 12 {
+		t.Errorf("%d questions: it polls", health)
+	}
+}
+
+// What is set is asked for, in Consul's words.
+func TestWhatIsAsked(t *testing.T) {
+	asked := make(chan *http.Request, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Consul-Index", "7")
+		w.Header().Set("X-Consul-KnownLeader", "true")
+		select {
+		case asked <- r.Clone(context.Background()):
+		default:
+		}
+		if r.URL.Query().Get("index") != "" {
+			<-r.Context().Done()
+		}
+		w.Write([]byte("[]"))
+	}))
+	t.Cleanup(server.Close)
+	token := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(token, []byte("s3cret"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		consistency Consistency
+		want        string
+	}{
+		{Stale, `dc=east&filter="v2" in Service.Tags&ns=transport&partition=south&stale=`},
+		{Default, `dc=east&filter="v2" in Service.Tags&ns=transport&partition=south`},
+		{Consistent, `consistent=&dc=east&filter="v2" in Service.Tags&ns=transport&partition=south`},
+	} {
+		for len(asked) > 0 {
+			<-asked
+		}
+		r := watch(t, func(s *Settings) {
+			s.Agents, s.Tag, s.Datacenter, s.Namespace, s.Partition, s.Consistency, s.TokenFile = server.Listener.Addr().String(), "v2", "east", "transport", "south", c.consistency, token
+		})
+		first, second := <-asked, <-asked
+		query, _ := url.QueryUnescape(first.URL.RawQuery)
+		if first.URL.Path != "/v1/health/service/x" || query != c.want || first.Header.Get("X-Consul-Token") != "s3cret" {
+			t.Errorf("asked %s?%s, want %s; token %q", first.URL.Path, query, c.want, first.Header.Get("X-Consul-Token"))
+		}
+		q := second.URL.Query()
+		if wait, err := time.ParseDuration(q.Get("wait")); q.Get("index") != "7" || err != nil || wait <= 800*time.Millisecond || wait > time.Second {
+			t.Errorf("then asked %s", second.URL.RawQuery)
+		}
+		r.stop()
+	}
+}
+
 // The next agent is asked when one goes, and a hanging one is noticed by its time-out.
 func TestFailover(t *testing.T) {
 	a, b := serve(t, "a"), serve(t, "a", "b")
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -61,6 +61,7 @@
 	Half      bool          // the first half of the list, likewise
 	NoLeader  bool          // X-Consul-KnownLeader: false
 	NoIndex   bool          // no X-Consul-Index
+	Hash      bool          // X-Consul-ContentHash in place of it, to block on
 	Contact   time.Duration // X-Consul-LastContact of stale reads
 	Lag       time.Duration // changes are seen so late
 	IndexBack uint64        // the index is so much lower than it was
@@ -261,7 +262,8 @@
 			http.Error(w, "Permission denied: token lacks permission 'service:read'", http.StatusForbidden)
 			return
 		}
-		if last > 0 && index <= last && fault.IndexBack == 0 || fault.Hang {
+		same := last > 0 && index <= last && fault.IndexBack == 0 || q.Get("hash") != "" && q.Get("hash") == contentHash(index)
+		if same || fault.Hang {
 			limit := deadline.C
 			if fault.Hang {
 				limit = nil
@@ -299,7 +301,10 @@
 	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	if !f.NoIndex {
+	switch {
+	case f.Hash:
+		h.Set("X-Consul-ContentHash", contentHash(index))
+	case !f.NoIndex:
 		h.Set("X-Consul-Index", strconv.FormatUint(index, 10))
 	}
 	h.Set("X-Consul-KnownLeader", strconv.FormatBool(!f.NoLeader))
@@ -333,6 +338,9 @@
 	}
 }
 
+// contentHash stands for the hash of what an index has: all that matters is that it changes with it.
+func contentHash(index uint64) string { return fmt.Sprintf("%016x", index*0x9e3779b97f4a7c15) }
+
 func encode(sort string, all []Instance) []byte {
 	type m = map[string]any
 	list := []m{}
