--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -506,3 +506,27 @@
 		})
 	}
 }
+
+// A new instance without a start time counts as cold and is spared; one that says it started long ago is not.
+// Over many bookings the two are told apart by far more than chance.
+func TestConsulNewInstanceIsSpared(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 3)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	tn.shows("box-0", "box-1", "box-2")
+	tn.goOn(500) // so that the module knows what warm boxes take
+	cold, warm := startBox(t, "cold"), startBox(t, "warm")
+	tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+		old := inst(warm, "warm")
+		old.Meta = map[string]string{"started_ms": "1"}
+		return append(all, inst(cold, "cold"), old)
+	})
+	tn.shows("box-0", "box-1", "box-2", "cold", "warm")
+	a, b := cold.count(), warm.count()
+	tn.goOn(1500)
+	a, b = cold.count()-a, warm.count()-b
+	if a == 0 || 10*a > 8*b {
+		t.Errorf("of 1,500 bookings the cold box got %d, the warm one %d", a, b)
+	}
+	tn.calm()
+}
--- a/internal/doc/doc_test.go
+++ b/internal/doc/doc_test.go
@@ -27,6 +27,7 @@
 func TestAllMistakesAreFound(t *testing.T) {
 	for text, want := range map[string]string{
 		"a = 1\nb = \"x\"\n[t]\nc = true # so\n": "",
+		"\ta\t=\t1\t# so\n\t[ t ]\n\tb = 2\n":    "",
 		"a = 1\r\n[t]\r\nb = 2\r\n":              "",
 		"a =\nb = 2\nc = 3ms\n":                  "1:4 3:6",
 		"a = 1\na = 2\n":                         "2:1",
