Consul: restarts during changes and a SIGHUP to another service, over sockets

Change: the stand-in knows instances of one service alone; the sidecar is killed three times while a check flaps and addresses are swapped every 50 ms; a reload goes to another service, whose list lacks all of the old one's.

--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -470,6 +470,18 @@
 	reload(tn.consul.Address(), other.Address())
 	tn.shows("other-1", "other-2")
 	tn.goOn(50)
+	third := startBox(t, "third")
+	other.Update(func(all []consul.Instance) []consul.Instance {
+		for i := range all {
+			all[i].Service = "slot-keeper"
+		}
+		next := inst(third, "third")
+		next.Service = "slot-keeper-v2"
+		return append(all, next)
+	})
+	reload(`service = "slot-keeper"`, `service = "slot-keeper-v2"`)
+	tn.shows("third") // the old ones are not doubted away: the catalogue lacks them too, or time tells
+	tn.goOn(50)
 	reload(`"consul"`, `"overlay"`)
 	tn.shows("box-0", "box-1")
 	reload(`"overlay"`, `"rehearsal"`)
@@ -507,6 +519,41 @@
 	}
 }
 
+// The sidecar is killed and starts again while a check flaps and the fleet's ids change their addresses.
+func TestConsulRestartDuringChanges(t *testing.T) {
+	t.Parallel()
+	tn := build(t, 4)
+	tn.open(tn.text("127.0.0.1:1", "consul"))
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			tn.consul.SetStatus("box-0", []string{"critical", "passing"}[i%2])
+			tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+				all[2].Port, all[3].Port = all[3].Port, all[2].Port
+				return all
+			})
+		}
+	}()
+	for range 3 {
+		tn.goOn(50)
+		tn.calm()
+		tn.p.cmd.Process.Kill()
+		tn.open(tn.text("127.0.0.1:1", "consul"))
+	}
+	tn.goOn(50)
+	close(stop)
+	<-ended
+	tn.consul.SetStatus("box-0", "critical")
+	tn.shows("box-1", "box-2", "box-3")
+	tn.calm()
+}
+
 // A new instance without a start time counts as cold and is spared; one that says it started long ago is not.
 // Over many bookings the two are told apart by far more than chance.
 func TestConsulNewInstanceIsSpared(t *testing.T) {
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -26,6 +26,7 @@
 
 // Instance is one instance of a service, on a node.
 type Instance struct {
+	Service string // of one service alone; of all if empty
 	Node    string
 	ID      string
 	Address string
@@ -236,8 +237,7 @@
 	return s.shownAt - min(s.fault.IndexBack, s.shownAt-1), s.shown, s.fault, s.changed, s.Token
 }
 
-// ServeHTTP answers GET /v1/health/service/:service and /v1/catalog/service/:service. All services have the
-// same instances.
+// ServeHTTP answers GET /v1/health/service/:service and /v1/catalog/service/:service.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	if len(parts) != 4 || parts[0] != "v1" || parts[2] != "service" || parts[1] != "health" && parts[1] != "catalog" {
@@ -278,6 +278,7 @@
 				return
 			}
 		}
+		all = slices.DeleteFunc(slices.Clone(all), func(i Instance) bool { return i.Service != "" && i.Service != parts[3] })
 		s.answer(w, r, parts[1], index, all, fault)
 		return
 	}
