--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -142,36 +142,21 @@
 func (tn *town) open(text string, env ...string) {
 	tn.t.Helper()
 	tn.p = launch(tn.t, text, env...)
-	done := make(chan struct{})
-	var all sync.WaitGroup
-	all.Go(func() { tn.stalls.run(done) })
-	for range 3 {
-		all.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				if status, err := tn.p.book(client, "trip"); err != nil || status != http.StatusOK {
-					tn.t.Errorf("a booking: status %d, %v", status, err)
-					return
-				}
-				tn.served.Add(1)
-			}
-		})
-	}
-	once := sync.OnceFunc(func() {
+	calm := tn.p.callers(3, &tn.served)
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		tn.stalls.run(done)
+	}()
+	tn.calm = sync.OnceFunc(func() {
+		calm()
 		close(done)
-		all.Wait()
+		<-ended
 	})
-	tn.calm = once
-	tn.t.Cleanup(once)
+	tn.t.Cleanup(tn.calm)
 }
 
-// go_on waits until so many more bookings have been served.
+// goOn waits until so many more bookings have been served.
 func (tn *town) goOn(n int64) {
 	tn.t.Helper()
 	want := tn.served.Load() + n
--- a/cmd/quincegap/file_test.go
+++ b/cmd/quincegap/file_test.go
@@ -154,6 +154,36 @@
 	return res.StatusCode, err
 }
 
+// callers book without pause until the function that is returned is called. Each booking has to be served.
+func (p *process) callers(n int, served *atomic.Int64) (calm func()) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for range n {
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if status, err := p.book(client, "trip"); err != nil || status != http.StatusOK {
+					p.t.Errorf("a booking: status %d, %v", status, err)
+					return
+				}
+				served.Add(1)
+			}
+		})
+	}
+	calm = sync.OnceFunc(func() {
+		close(done)
+		all.Wait()
+	})
+	p.t.Cleanup(calm)
+	return calm
+}
+
 // site is a discovery with endpoints.
 func site(t testing.TB, n int) *booking.Discovery {
 	t.Helper()
@@ -261,26 +291,7 @@
 	p := launch(t, good)
 
 	var served atomic.Int64
-	done := make(chan struct{})
-	var callers sync.WaitGroup
-	for range 4 {
-		callers.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				if status, err := p.book(client, "trip"); err != nil || status != http.StatusOK {
-					t.Errorf("status %d, %v", status, err)
-					return
-				}
-				served.Add(1)
-			}
-		})
-	}
+	calm := p.callers(4, &served)
 	refused := func(what string, wants ...string) {
 		t.Helper()
 		p.signal(syscall.SIGHUP)
@@ -326,8 +337,7 @@
 			t.Fatal("nothing is served any more")
 		}
 	}
-	close(done)
-	callers.Wait()
+	calm()
 	if served.Load() == 0 {
 		t.Error("nothing was served")
 	}
--- a/internal/tool/commands.go
+++ b/internal/tool/commands.go
@@ -72,10 +72,14 @@
 			if found.Len() > 0 {
 				return c.report(&found)
 			}
-			var cuts finding.List // findings that writing anew would mend
-			all := states(m, dir, &cuts)
-			if !discard {
-				found = cuts
+			var spoilt finding.List // what writing anew would mend
+			all := states(m, dir, &found, &spoilt)
+			for _, f := range spoilt.All() {
+				if discard {
+					fmt.Fprintf(c.out, "discarded: %s\n", f)
+				} else {
+					found.Add(f.File, finding.Pos{Line: f.Line, Col: f.Column}, "%s", f.Message)
+				}
 			}
 			files, err := c.decide(all, keep, discard, &found)
 			if err != nil {
@@ -107,6 +111,11 @@
 	for _, st := range all {
 		text := st.New
 		switch {
+		case st.Written != nil && st.Written.App != st.App.Name:
+			if discard {
+				found.Add(st.Path, finding.Pos{Line: 1, Col: 1}, "was written for %s, so it is not thrown away; move it first", st.Written.App)
+			}
+			continue
 		case st.Text != nil && st.Written == nil && string(st.Text) != string(st.New):
 			if discard {
 				found.Add(st.Path, finding.Pos{Line: 1, Col: 1}, "was not written by quincegapctl, so it is not thrown away; move it first")
@@ -169,7 +178,7 @@
 			if found.Len() > 0 {
 				return c.report(&found)
 			}
-			all := states(m, dir, &found)
+			all := states(m, dir, &found, &found)
 			differs := false
 			for _, st := range all {
 				for _, e := range st.Edits {
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -99,8 +99,9 @@
 	}
 }
 
-// states compares the file of each application with what would be written.
-func states(m *apps.Model, dir string, found *finding.List) []*apps.State {
+// states compares the file of each application with what would be written. Files that cannot be opened go
+// into unread, and what is wrong with those that can into found.
+func states(m *apps.Model, dir string, unread, found *finding.List) []*apps.State {
 	var all []*apps.State
 	for _, a := range m.Apps {
 		path := filepath.Join(dir, a.Name+".toml")
@@ -108,7 +109,7 @@
 		if errors.Is(err, os.ErrNotExist) {
 			text = nil
 		} else if err != nil {
-			found.Add(path, finding.Pos{}, "%v", err)
+			unread.Add(path, finding.Pos{}, "%v", err)
 			continue
 		}
 		all = append(all, apps.Compare(product.Schema, a, filepath.Base(m.Name), path, text, found))
--- a/internal/tool/tool_test.go
+++ b/internal/tool/tool_test.go
@@ -242,6 +242,25 @@
 		}
 		replace(t, source, "cores = 1.00", "cores = 1.0")
 	}
+	// What cannot be read is thrown away only when told to, and printed; what is not this application's never.
+	os.RemoveAll(front)
+	must(t, "write", source)
+	replace(t, front, "cores = 1.0", "cores = 1.0.0")
+	if out := must(t, "write", "--discard-edits", source); !strings.Contains(out, "discarded: "+front+":") || !strings.Contains(out, "1.0.0") {
+		t.Errorf("discarded without a word: %s", out)
+	}
+	for name, spoil := range map[string]func(){
+		"a folder":      func() { os.Remove(front); os.Mkdir(front, 0o755) },
+		"another app's": func() { os.WriteFile(front, []byte(content(t, keeper)), 0o644) },
+		"not ours":      func() { os.WriteFile(front, []byte("[sidecar]\n"), 0o644) },
+	} {
+		os.RemoveAll(front)
+		must(t, "write", source)
+		spoil()
+		if code, out, _ := run("write", "--discard-edits", source); code != Findings || !strings.Contains(out, front) {
+			t.Errorf("%s: exit %d: %s", name, code, out)
+		}
+	}
 	os.RemoveAll(front)
 	// A symlink to a file that is there stays, and its file is written.
 	real := filepath.Join(dir, "elsewhere.toml")
