Consul: the catalogue is followed while a list is doubted; entries are sifted in membership

Need: the catalogue was read once, before the answer of health's was told: an agent that hung held back bad news in the same answer for up to 10 s, and what the catalogue learnt a second later did not count. Checks of an entry's address and the bound on names judged in the sidecar's table.

Change: internal/consul/doubt.go follows the catalogue by consistent blocking queries from the answer that lacks too many until it agrees or health has them again; membership takes its word by uid. What an entry must have is judged by membership (sift.go).

--- a/internal/consul/consul_test.go
+++ b/internal/consul/consul_test.go
@@ -227,7 +227,7 @@
 	r.knows("a", "b", "c")
 	a.Update(func(all []standin.Instance) []standin.Instance { return all[1:] })
 	r.knows("b", "c")
-	if last := r.answers[len(r.answers)-1]; len(last.Changed) != 0 || len(last.Missing) != 1 || last.Known != 3 || last.Confirmed {
+	if last := r.answers[len(r.answers)-1]; len(last.Changed) != 0 || len(last.Missing) != 1 || last.Known != 3 || len(last.Confirmed) > 0 {
 		t.Errorf("%+v", last)
 	}
 	r.until("an answer with nothing new", func() bool { return r.heard > 0 })
@@ -265,27 +265,105 @@
 	}
 }
 
-// A list that is empty or half is told with what is missing; the catalogue says whether it is so.
+// A list that is empty or half is told at once with what is missing, and the catalogue is followed until it says
+// whether that is so.
 func TestSuspiciousLists(t *testing.T) {
+	all := []string{"a", "b", "c", "d", "e", "f", "g"}
 	for _, c := range []struct {
-		fault     standin.Fault
-		confirmed bool
-		doubtful  bool
+		name     string
+		fault    standin.Fault
+		doubtful bool
+		gone     int // of the catalogue too
 	}{
-		{standin.Fault{Empty: true, CatalogKnows: true}, false, false}, {standin.Fault{Half: true, CatalogKnows: true}, false, false},
-		{standin.Fault{Empty: true}, true, false}, {standin.Fault{Empty: true, NoLeader: true}, false, true},
-		{standin.Fault{Empty: true, Contact: time.Minute}, false, true}, {standin.Fault{Body: "null", CatalogKnows: true}, false, false},
+		{"empty", standin.Fault{Empty: true, CatalogKnows: true}, false, 0}, {"half", standin.Fault{Half: true, CatalogKnows: true}, false, 0},
+		{"gone", standin.Fault{Empty: true}, false, 7}, {"half gone", standin.Fault{Half: true}, false, 4},
+		{"no leader", standin.Fault{Empty: true, NoLeader: true}, true, 0},
+		{"stale", standin.Fault{Empty: true, Contact: time.Minute}, true, 7}, {"null", standin.Fault{Body: "null", CatalogKnows: true}, false, 0},
+		{"hangs", standin.Fault{Empty: true, CatalogHangs: true}, false, 0},
 	} {
-		a := serve(t, "a", "b", "c", "d", "e", "f", "g")
-		r := watch(t, nil, a)
-		r.knows("a", "b", "c", "d", "e", "f", "g")
-		a.Set(c.fault)
-		r.until("fewer", func() bool { return len(r.known) < 7 })
-		if got := r.answers[len(r.answers)-1]; got.Confirmed != c.confirmed || got.Doubtful != c.doubtful || got.Known != 7 {
-			t.Errorf("%+v: got %+v", c.fault, got)
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			a := serve(t, all...)
+			r := watch(t, nil, a)
+			r.knows(all...)
+			a.Set(c.fault)
+			r.until("fewer", func() bool { return len(r.known) < 7 })
+			confirmed := func() (n int) {
+				for _, x := range r.answers {
+					n += len(x.Confirmed)
+				}
+				return n
+			}
+			for _, x := range r.answers {
+				if len(x.Missing) > 0 && (x.Doubtful != c.doubtful || x.Known != 7) {
+					t.Errorf("%+v", x)
+				}
+			}
+			r.until("the catalogue's word", func() bool {
+				_, asked := a.Asked()
+				return asked > 0 && confirmed() == c.gone
+			})
+			// Another answer of health's comes after whatever the catalogue had to say.
+			a.SetStatus("a", "passing")
+			time.Sleep(50 * time.Millisecond)
+			a.Set(standin.Fault{})
+			r.knows(all...)
+			if got := confirmed(); got != c.gone {
+				t.Errorf("the catalogue confirmed %d, want %d", got, c.gone)
+			}
+			// Nothing is missing any more: the catalogue is left alone.
+			_, before := a.Asked()
+			for range 5 {
+				heard := r.heard + len(r.answers)
+				a.SetStatus("a", "passing")
+				r.until("an answer", func() bool { return r.heard+len(r.answers) > heard })
+			}
+			if _, after := a.Asked(); after > before+1 {
+				t.Errorf("the catalogue was asked %d times more", after-before)
+			}
+		})
+	}
+}
+
+// The catalogue is followed by blocking queries: what it comes to lack later is told then.
+func TestCatalogueIsFollowed(t *testing.T) {
+	a := serve(t, "a", "b", "c", "d", "e", "f")
+	r := watch(t, nil, a)
+	r.knows("a", "b", "c", "d", "e", "f")
+	a.Set(standin.Fault{Half: true, CatalogKnows: true})
+	r.knows("a", "b", "c")
+	r.until("a held question", func() bool { _, n := a.Asked(); return n >= 2 })
+	if last := r.answers[len(r.answers)-1]; len(last.Confirmed) > 0 {
+		t.Errorf("%+v", last)
+	}
+	_, before := a.Asked()
+	a.Update(func(all []standin.Instance) []standin.Instance { // health's half shrinks no further by that
+		return append(all[:3:3], all[5])
+	})
+	r.until("two are gone", func() bool {
+		var gone []string
+		for _, x := range r.answers {
+			gone = append(gone, x.Confirmed...)
 		}
-		a.Set(standin.Fault{})
-		r.knows("a", "b", "c", "d", "e", "f", "g")
+		slices.Sort(gone)
+		return slices.Equal(gone, []string{"d@n", "e@n"})
+	})
+	if _, after := a.Asked(); after > before+4 {
+		t.Errorf("%d questions: it polls", after-before)
+	}
+}
+
+// Bad news in a doubtful answer do not wait for a catalogue that hangs.
+func TestBadNewsBesideDoubt(t *testing.T) {
+	a := serve(t, "a", "b", "c", "d", "e", "f", "g", "h")
+	r := watch(t, nil, a)
+	r.knows("a", "b", "c", "d", "e", "f", "g", "h")
+	a.Set(standin.Fault{Half: true, CatalogHangs: true})
+	began := time.Now()
+	a.SetStatus("b", "critical")
+	r.knows("a", "c", "d")
+	if took := time.Since(began); took > firstWait/2 {
+		t.Errorf("it took %v", took)
 	}
 }
 
--- a/internal/consul/watch.go
+++ b/internal/consul/watch.go
@@ -15,9 +15,9 @@
 	"net/url"
 	"os"
 	"runtime"
-	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/consul/api"
@@ -48,14 +48,16 @@
 	clients   []*api.Client
 
 	transports []*http.Transport
-	// Tell takes what an answer changes, Heard that one came that changes nothing. They are called from one
-	// goroutine, one at a time.
+	// Tell takes what an answer changes, Heard that one came that changes nothing. They must not block for long:
+	// the next question waits for them.
 	Tell  func(membership.Answer)
 	Heard func()
 
 	before   map[string]membership.Endpoint
-	logged   map[string]time.Time
-	leader   bool // the next question goes to the leader
+	doubt    doubt
+	sayMu    sync.Mutex
+	logged   map[string]time.Time // guarded by sayMu
+	leader   bool                 // the next question goes to the leader
 	returnAt time.Time
 	back     time.Duration // see returnAfter
 }
@@ -65,6 +67,7 @@
 func New(s Settings, mode membership.Mode, resolve func(string) string) (*Watcher, error) {
 	w := &Watcher{set: s, resolve: resolve, qualified: mode == membership.Consul, agents: s.agents(),
 		before: map[string]membership.Endpoint{}, logged: map[string]time.Time{}, back: returnAfter}
+	w.doubt.w = w
 	var conf *tls.Config
 	scheme := "http"
 	if s.TLS {
@@ -104,7 +107,15 @@
 	if w.set.CertFile != "" {
 		// Read at each handshake: it may be replaced while running.
 		get := func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, err := tls.LoadX509KeyPair(w.resolve(w.set.CertFile), w.resolve(w.set.KeyFile))
+			key, err := secretfile.Key(w.resolve(w.set.KeyFile))
+			if err != nil {
+				return nil, err
+			}
+			text, err := os.ReadFile(w.resolve(w.set.CertFile))
+			if err != nil {
+				return nil, err
+			}
+			cert, err := tls.X509KeyPair(text, key)
 			return &cert, err
 		}
 		if _, err := get(nil); err != nil {
@@ -257,6 +268,8 @@
 			t.CloseIdleConnections()
 		}
 	}()
+	w.doubt.begin(ctx)
+	defer w.doubt.end()
 	first := true
 	for ctx.Err() == nil {
 		if agent != 0 && time.Now().After(w.returnAt) {
@@ -288,10 +301,10 @@
 		}
 		if failures > 0 || first {
 			log.Printf("consul: agent %s answers: %d instances of %s", w.agents[agent], len(after), w.set.Service)
-			clear(w.logged)
+			w.forgetSaid()
 		}
 		failures, first = 0, false
-		w.take(ctx, agent, after, faults, m)
+		w.take(agent, after, faults, m)
 		work := time.Since(m.came)
 		switch next := nextIndex(index, m.index); {
 		case m.index == 0 && m.hash != "":
@@ -306,8 +319,9 @@
 	}
 }
 
-// take reads an answer and tells what it changes.
-func (w *Watcher) take(ctx context.Context, agent int, after map[string]membership.Endpoint, faults []string, m meta) {
+// take reads an answer and tells what it changes. What it tells waits for nothing: an answer that lacks too
+// many may hold the word that another one is critical.
+func (w *Watcher) take(agent int, after map[string]membership.Endpoint, faults []string, m meta) {
 	for _, f := range faults {
 		w.say(f, "consul: %s", f)
 	}
@@ -315,34 +329,24 @@
 	a.UnixMS = time.Now().UnixMilli()
 	a.Doubtful = !m.leader || m.lastContact > w.set.LongestStale
 	w.leader = a.Doubtful && m.leader
-	if len(a.Missing) > 0 && (len(a.Missing) > 2 || len(after) == 0) && 2*len(a.Missing) >= len(w.before) && !a.Doubtful {
-		// Too many at once: the catalogue is asked, by way of the leader and its peers.
-		a.Confirmed = w.confirm(ctx, agent, a.Missing)
-	}
 	w.before = after
-	if len(a.Changed) == 0 && len(a.Missing) == 0 && !a.Confirmed {
+	if len(a.Changed) == 0 && len(a.Missing) == 0 {
 		w.Heard()
 		return
 	}
-	w.Tell(a)
-}
-
-// confirm tells whether the catalogue lacks all of them too.
-func (w *Watcher) confirm(ctx context.Context, agent int, missing []string) bool {
-	there := map[string]bool{}
-	if _, err := w.ask(ctx, agent, "/v1/catalog/service/"+url.PathEscape(w.set.Service), "ServiceTags", 0, "", 0, Consistent, func(body io.Reader) error {
-		return each(body, mostInstances, func(l *listed) { there[w.set.uid(l.Node, l.ServiceID, l.ServiceMeta, w.qualified)] = true })
-	}); err != nil {
-		w.say("confirm", "consul: the catalogue does not answer: %s", plain(err))
-		return false
+	w.doubt.note(a, func() { w.Tell(a) })
+	const few = 2 // what membership believes at once, whatever its settings
+	if len(a.Missing) > few || len(a.Missing) > 0 && (a.Doubtful || len(after) == 0) {
+		w.doubt.follow(agent, a.Missing)
 	}
-	return !slices.ContainsFunc(missing, func(uid string) bool { return there[uid] })
 }
 
 // say logs a line unless the same was logged within the last minute.
 func (w *Watcher) say(key, format string, args ...any) {
 	const mostKeys = 1000
 	text := fmt.Sprintf(format, args...)
+	w.sayMu.Lock()
+	defer w.sayMu.Unlock()
 	if at, ok := w.logged[key+text]; ok && time.Since(at) < time.Minute {
 		return
 	}
@@ -353,6 +357,13 @@
 	log.Print(text)
 }
 
+// forgetSaid has what is said from here on logged, though it was logged before.
+func (w *Watcher) forgetSaid() {
+	w.sayMu.Lock()
+	defer w.sayMu.Unlock()
+	clear(w.logged)
+}
+
 // plain words an error without what an agent may have put into it at length, and without the question's URL.
 func plain(err error) string {
 	var status api.StatusError
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -53,8 +53,9 @@
 	Known   int        // how many the one before had
 	// Doubtful says that the answer comes from a server that may not know: what it lacks is not believed.
 	Doubtful bool
-	// Confirmed says that a consistent read of the catalogue lacks the same.
-	Confirmed bool
+	// Confirmed are uids that were missing before and that a consistent read of the catalogue lacks too. An
+	// answer that has them has nothing else.
+	Confirmed []string
 	UnixMS    int64 // the time of day, for starts that are not told
 }
 
@@ -140,6 +141,8 @@
 // Members judges. The zero value is not to be used.
 type Members struct {
 	set     Settings
+	zones   names
+	models  names
 	members map[string]*member
 	byAddr  map[string][]*member // with Consul's word, by its address
 	held    map[string]*member   // with good news that waits
@@ -159,9 +162,9 @@
 	log      []string
 }
 
-// New begins with nothing known.
-func New(s Settings) *Members {
-	return &Members{set: s, members: map[string]*member{}, byAddr: map[string][]*member{}, diverged: map[string]string{},
+// New begins with no endpoint known; zones and models are the names that the settings have.
+func New(s Settings, zones, models []string) *Members {
+	return &Members{set: s, zones: newNames(zones), models: newNames(models), members: map[string]*member{}, byAddr: map[string][]*member{}, diverged: map[string]string{},
 		held: map[string]*member{}, lacking: map[string]*member{}, dirty: map[string]*member{}}
 }
 
@@ -203,11 +206,9 @@
 	if l.Kind == gingerlead.Cached && m.heard {
 		return List{}, false // there is a better one
 	}
+	l.Endpoints = m.sift("discovery", l.Endpoints)
 	listed := map[string]bool{}
 	for _, e := range l.Endpoints {
-		if e.State == Unknown {
-			continue
-		}
 		listed[e.UID] = true
 		x := m.get(e.UID)
 		if e.State == gingerlead.Gone {
@@ -267,13 +268,20 @@
 
 // FromConsul takes an answer of Consul's. It returns what the module is to be told, false for nothing.
 func (m *Members) FromConsul(now time.Duration, a Answer) (List, bool) {
+	if len(a.Confirmed) > 0 {
+		return m.confirmed(now, a.Confirmed)
+	}
 	first := !m.heard
 	if first && len(a.Changed) == 0 && m.set.Mode == Consul {
 		return List{}, false // a first answer without anybody says nothing: what is known goes on
 	}
 	m.stale = m.stale || first || m.expired
 	m.heard, m.heardAt, m.expired = true, now, false
-	for _, e := range a.Changed {
+	usable := m.sift("consul", a.Changed)
+	if len(usable) < len(a.Changed) {
+		m.unusable(a.Changed)
+	}
+	for _, e := range usable {
 		m.consulSays(now, e, first, a.UnixMS)
 	}
 	missing := a.Missing
@@ -310,12 +318,6 @@
 	}
 	lost := len(missing)
 	doubt := a.Doubtful || lost > 2 && float64(lost) >= m.set.ShrinkShare*float64(max(1, a.Known)) || lost > 0 && lost >= a.Known && a.Known > 0
-	// Where nothing would be left, neither the catalogue nor time is believed: a Consul that has lost its data
-	// would end all service. What the attempts find out settles it, one endpoint after another.
-	solid := m.solid(missing)
-	if a.Confirmed && solid {
-		doubt = false
-	}
 	if doubt && lost > 0 {
 		why := "too many at once"
 		if a.Doubtful {
@@ -336,11 +338,6 @@
 			m.lacking[uid], m.dirty[uid] = x, x
 		}
 	}
-	if a.Confirmed && solid {
-		for uid, x := range m.lacking {
-			m.drop(uid, x)
-		}
-	}
 	if m.Passes() {
 		m.passed(now)
 		return List{}, false
@@ -352,23 +349,47 @@
 	return m.settle(now, kind)
 }
 
+// confirmed takes the catalogue's word that endpoints are gone which health lacks. Where nothing would be left,
+// neither it nor time is believed: a Consul that has lost its data would end all service. What the attempts
+// find out settles it then, one endpoint after another.
+func (m *Members) confirmed(now time.Duration, gone []string) (List, bool) {
+	if !m.solid() {
+		return List{}, false
+	}
+	for _, uid := range gone {
+		if x := m.lacking[uid]; x != nil {
+			m.drop(uid, x)
+		}
+	}
+	if m.Passes() {
+		m.passed(now)
+		return List{}, false
+	}
+	return m.settle(now, gingerlead.Delta)
+}
+
 // solid tells whether Consul has any endpoint but those that it lacks.
-func (m *Members) solid(missing []string) bool {
+func (m *Members) solid() bool {
 	if m.set.Mode != Consul {
 		return true // the platform's list is the set
 	}
-	lost := make(map[string]bool, len(missing))
-	for _, uid := range missing {
-		lost[uid] = true
-	}
-	for uid, x := range m.members {
-		if x.consul != nil && !x.lacking && !lost[uid] {
+	for _, x := range m.members {
+		if x.consul != nil && !x.lacking {
 			return true
 		}
 	}
 	return false
 }
 
+// unusable takes out those that Consul has changed into what cannot be used: their old word is not true any more.
+func (m *Members) unusable(changed []Endpoint) {
+	for _, e := range changed {
+		if x := m.members[e.UID]; x != nil && !m.usable(&e) {
+			m.drop(e.UID, x)
+		}
+	}
+}
+
 // drop believes that Consul has an endpoint no more.
 func (m *Members) drop(uid string, x *member) {
 	if x.consul != nil {
@@ -488,7 +509,7 @@
 	for uid, x := range m.lacking {
 		// Answers may have stopped coming: only one that came since counts as saying so still.
 		if now >= x.lackedAt+m.set.ConfirmAfter {
-			if m.heardAt > x.lackedAt && m.solid(nil) {
+			if m.heardAt > x.lackedAt && m.solid() {
 				m.drop(uid, x)
 			} else {
 				x.lackedAt = now
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -24,7 +24,7 @@
 func drive(t testing.TB, mode Mode) *driver {
 	set := *Table.Default()
 	set.Mode = mode
-	return &driver{t: t, m: New(set), knows: map[string]Endpoint{}}
+	return &driver{t: t, m: New(set, []string{"z"}, nil), knows: map[string]Endpoint{}}
 }
 
 func (d *driver) told(l List, news bool) {
@@ -130,7 +130,9 @@
 			{Kind: gingerlead.Delta, Version: 10},
 			{Kind: gingerlead.Delta, Version: 11, Endpoints: eps("a")},
 		} {
-			if got, news := d.m.FromPlatform(d.now, l); !news || fmt.Sprint(got) != fmt.Sprint(l) {
+			want := l
+			want.Endpoints = slices.DeleteFunc(slices.Clone(l.Endpoints), func(e Endpoint) bool { return e.State == Unknown })
+			if got, news := d.m.FromPlatform(d.now, l); !news || fmt.Sprint(got) != fmt.Sprint(want) {
 				t.Errorf("%s: %v became %v", mode, l, got)
 			}
 		}
@@ -203,12 +205,19 @@
 	d.want(full)
 
 	d = start()
-	d.consul(Answer{Missing: letters(5), Known: 8, Confirmed: true})
-	d.want("f g h")
+	d.consul(Answer{Confirmed: letters(5)}) // of whom nothing was missing: that is no news
+	d.want(full)
+	d.consul(Answer{Missing: letters(5), Known: 8})
+	d.consul(Answer{Confirmed: []string{"a", "b", "none"}}) // the catalogue has the others still
+	d.want("c d e f g h")
+	d.consul(Answer{Changed: eps("c"), Known: 3})
+	d.consul(Answer{Confirmed: letters(5)})
+	d.want("c f g h")
 
 	// Nothing would be left: neither the catalogue nor time settles that, only the attempts do.
 	d = start()
-	d.consul(Answer{Missing: letters(8), Known: 8, Confirmed: true})
+	d.consul(Answer{Missing: letters(8), Known: 8})
+	d.consul(Answer{Confirmed: letters(8)})
 	for range 30 {
 		d.at(d.now + 5*s)
 		d.told(d.m.Heard(d.now))
@@ -482,3 +491,50 @@
 		t.Error("the whole list does not count")
 	}
 }
+
+// What cannot be used is passed over and named; what is known of it otherwise stays, or goes where Consul has
+// changed it.
+func TestUnusableEntries(t *testing.T) {
+	none, noUID, unknown := ep("none"), ep(""), ep("unknown")
+	none.Address, unknown.State, unknown.Why = "nowhere", Unknown, "Melting"
+	d := drive(t, Platform)
+	d.platform(gingerlead.Whole, ep("a"), none, noUID, unknown)
+	d.want("a")
+	logs := strings.Join(d.m.Logs(), "\n")
+	for _, want := range []string{`"none" passed over: state "ready", endpoint "nowhere"`, `"" passed over`, `state "Melting"`} {
+		if !strings.Contains(logs, want) {
+			t.Errorf("%s lacks %s", logs, want)
+		}
+	}
+	bad := ep("a")
+	bad.Address = "nowhere"
+	d.platform(gingerlead.Delta, bad)
+	d.want("a")
+	bad.State = gingerlead.Draining // for which no address is needed
+	d.platform(gingerlead.Delta, bad)
+	d.want("a-")
+
+	// The names of zones and of models are bounded, over all sources and for good.
+	d = drive(t, Consul)
+	var all []Endpoint
+	for n := range mostNames + 10 {
+		e := ep(fmt.Sprintf("e%03d", n))
+		e.Zone = fmt.Sprint("zone ", n)
+		all = append(all, e)
+	}
+	d.consul(Answer{Changed: all})
+	if len(d.knows) != mostNames-1 { // one is the settings'
+		t.Errorf("%d are known", len(d.knows))
+	}
+	moved := all[0]
+	moved.Zone = "one more"
+	d.consul(Answer{Changed: []Endpoint{moved}, Known: len(all)})
+	if e, ok := d.knows[moved.UID]; ok {
+		t.Errorf("it goes on as %+v though it is elsewhere", e)
+	}
+	moved.Zone = "z"
+	d.consul(Answer{Changed: []Endpoint{moved}, Known: len(all)})
+	if _, ok := d.knows[moved.UID]; !ok {
+		t.Error("it came back and is not known")
+	}
+}
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,7 +61,7 @@
 				slow.told(slow.m.Tick(slow.now))
 			}
 			slow.now = now
-			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			switch rapid.IntRange(0, 7).Draw(rt, "event") {
 			case 0:
 				e := draw()
 				e.Maintenance = false
@@ -85,7 +87,7 @@
 				}
 				both(func(d *driver) { d.platform(gingerlead.Whole, all...) })
 			case 2, 3:
-				a := Answer{Known: len(w.consul), Doubtful: rapid.IntRange(0, 5).Draw(rt, "doubtful") == 0, Confirmed: rapid.IntRange(0, 5).Draw(rt, "confirmed") == 0}
+				a := Answer{Known: len(w.consul), Doubtful: rapid.IntRange(0, 5).Draw(rt, "doubtful") == 0}
 				changed := map[string]bool{}
 				for range rapid.IntRange(0, 4).Draw(rt, "changed") {
 					if e := draw(); !changed[e.UID] {
@@ -109,6 +111,11 @@
 				if fast.m.heard {
 					both(func(d *driver) { d.told(d.m.Heard(d.now)) })
 				}
+			case 7:
+				if gone := slices.Sorted(maps.Keys(w.lacked)); len(gone) > 0 {
+					gone = gone[:rapid.IntRange(1, len(gone)).Draw(rt, "confirmed")]
+					both(func(d *driver) { d.consul(Answer{Confirmed: gone}) })
+				}
 			case 5:
 				uid := uids.Draw(rt, "failed")
 				both(func(d *driver) { d.told(d.m.Failed(d.now, uid)) })
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -95,22 +94,16 @@
 	models names
 }
 
-// names numbers names as the settings do, and those that they lack after them.
+// names numbers names as the settings do, and those that they lack after them. Membership bounds them.
 type names map[string]int
 
-// mostNames bounds the names of one sort that lists may bring.
-const mostNames = 256
-
-// index is false when there are too many names.
-func (n names) index(name string) (int, bool) {
-	if i, ok := n[name]; ok {
-		return i, true
-	}
-	if len(n) >= mostNames {
-		return 0, false
+func (n names) index(name string) int {
+	i, ok := n[name]
+	if !ok {
+		i = len(n)
+		n[name] = i
 	}
-	n[name] = len(n)
-	return n[name], true
+	return i
 }
 
 func newEndpoints(zones, models []string, origin time.Time) *endpoints {
@@ -163,14 +156,6 @@
 	listed := map[gingerlead.EndpointID]bool{}
 	for _, x := range l.Endpoints {
 		state := x.State
-		zone, zoneOK := t.zones.index(x.Zone)
-		model, modelOK := t.models.index(x.Model)
-		_, _, err := net.SplitHostPort(x.Address)
-		if state == membership.Unknown || !zoneOK || !modelOK || x.UID == "" || err != nil && state == gingerlead.Ready {
-			log.Printf("discovery: entry %q passed over: state %q, endpoint %q, az %q, model %q", x.UID,
-				cmp.Or(x.Why, membership.StateName(state)), x.Address, x.Zone, x.Model)
-			continue
-		}
 		id := t.id(x.UID)
 		listed[id] = true
 		e := t.byID[id]
@@ -189,7 +174,7 @@
 		if state == gingerlead.Gone {
 			t.forget(e)
 		}
-		entries = append(entries, gingerlead.Entry{Endpoint: id, Zone: zone, Kind: model, Cell: x.Cell, State: state,
+		entries = append(entries, gingerlead.Entry{Endpoint: id, Zone: t.zones.index(x.Zone), Kind: t.models.index(x.Model), Cell: x.Cell, State: state,
 			Weight: x.Weight, Started: t.started(x.BootMS)})
 	}
 	if l.Kind != gingerlead.Delta {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -81,17 +81,6 @@
 	if e.byID[2] != nil || len(e.ids) != 1 {
 		t.Error("an endpoint that left the whole list is open")
 	}
-	for i := range 2 * mostNames {
-		y := ready("s-3", 0)
-		y.Zone, y.Model = fmt.Sprint(i), fmt.Sprint(i)
-		e.update(endpointList{Targets: []target{y}}.judged(membership.FromWatch))
-	}
-	if len(e.zones) > mostNames || len(e.models) > mostNames {
-		t.Error("names that lists bring are kept without end")
-	}
-	if entries, _ := e.update(endpointList{Targets: []target{{UID: "s-3", Address: "nowhere", State: "Ready"}}}.judged(membership.FromWatch)); len(entries) != 0 {
-		t.Error("an endpoint without an address is told to the Balancer")
-	}
 }
 
 // Lists reach the Balancer in order: what is older than its list is dropped.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -63,7 +63,7 @@
 	l := &loop{
 		events: make(chan func(), eventQueue), origin: time.Now().Add(-clockStart), config: c,
 		requests: map[gingerlead.RequestID]*request{},
-		feed:     membership.Feed{MustAsk: c.Settings.MustAsk}, members: membership.New(c.tuning.membership),
+		feed:     membership.Feed{MustAsk: c.Settings.MustAsk}, members: membership.New(c.tuning.membership, c.Settings.Zones, c.Settings.Models),
 		unfollow: func() {},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
--- a/internal/standin/consul/consul.go
+++ b/internal/standin/consul/consul.go
@@ -67,8 +67,9 @@
 	Lag       time.Duration // changes are seen so late
 	IndexBack uint64        // the index is so much lower than it was
 	Body      string        // this instead of the list
-	// CatalogKnows says that the catalogue is right all the same.
+	// CatalogKnows says that the catalogue is right all the same, CatalogHangs that it answers nothing.
 	CatalogKnows bool
+	CatalogHangs bool
 }
 
 // Server is the stand-in.
@@ -263,9 +264,10 @@
 			return
 		}
 		same := last > 0 && index <= last && fault.IndexBack == 0 || q.Get("hash") != "" && q.Get("hash") == contentHash(index)
-		if same || fault.Hang {
+		hangs := fault.Hang || fault.CatalogHangs && parts[1] == "catalog"
+		if same || hangs {
 			limit := deadline.C
-			if fault.Hang {
+			if hangs {
 				limit = nil
 			}
 			select {
