--- a/internal/appfile/appfile.go
+++ b/internal/appfile/appfile.go
@@ -111,7 +111,7 @@
 	schema.Duration("ask_every", func(d *Discovery) *time.Duration { return &d.AskEvery },
 		schema.Bounds[time.Duration]{Default: 10 * time.Second, Least: time.Second, Most: time.Hour}, schema.AtStart,
 		"With mode ask: how long the list may be left unasked for."),
-	schema.SecretFile("token_file", func(d *Discovery) *string { return &d.TokenFile }, "/etc/quincegap/discovery.token", schema.OnReload,
+	schema.SecretFile("token_file", func(d *Discovery) *string { return &d.TokenFile }, schema.Token, "/etc/quincegap/discovery.token", schema.OnReload,
 		"A file with a token that goes to discovery as Authorization: Bearer (RFC 6750); it is read again on SIGHUP."),
 ).Unless("address", func(f *schema.File) bool {
 	s := f.Setting("membership", "source") // Consul may be all there is
--- a/internal/product/product.go
+++ b/internal/product/product.go
@@ -99,7 +99,12 @@
 // names them.
 func Secrets(f *schema.File, path string, found *finding.List) {
 	for _, s := range f.Secrets() {
-		if _, err := secretfile.Read(Resolve(path, s.Unquoted())); err != nil {
+		at := Resolve(path, s.Unquoted())
+		_, err := secretfile.Read(at)
+		if s.Key.Secret == schema.PrivateKey {
+			_, err = secretfile.Key(at)
+		}
+		if err != nil {
 			found.Add(s.Place.File, s.Place.Pos, "%s: %v", s.ID(), err)
 		}
 	}
--- a/internal/schema/keys.go
+++ b/internal/schema/keys.go
@@ -340,17 +340,27 @@
 	return String(name, field, s, change, help)
 }
 
+// Secret is a kind of secret in a file.
+type Secret int
+
+// The kinds.
+const (
+	NoSecret   Secret = iota
+	Token             // one word
+	PrivateKey        // PEM (RFC 7468)
+)
+
 // SecretFile is the path of a file with a secret; the file's own rights are for who opens it to check.
-func SecretFile[T any](name string, field func(*T) *string, example string, change Change, help string) KeyOf[T] {
+func SecretFile[T any](name string, field func(*T) *string, secret Secret, example string, change Change, help string) KeyOf[T] {
 	k := String(name, field, Text{Type: "path of a secret", Example: example}, change, help)
-	k.Secret = true
+	k.Secret = secret
 	return k
 }
 
 // Secrets are the settings of a file that name files with secrets.
 func (f *File) Secrets() (all []*Setting) {
 	for _, s := range f.Settings() {
-		if s.Key.Secret {
+		if s.Key.Secret != NoSecret {
 			all = append(all, s)
 		}
 	}
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -44,7 +44,7 @@
 	Default  string // as TOML; empty where there is none
 	Example  string // as TOML, of a key that has no default
 	Required bool
-	Secret   bool // the value is the path of a file with a secret
+	Secret   Secret // what the file holds that the value is the path of
 	Change   Change
 
 	unless func(f *File) bool // where it is not required after all
--- a/internal/secretfile/secretfile.go
+++ b/internal/secretfile/secretfile.go
@@ -4,6 +4,7 @@
 package secretfile
 
 import (
+	"encoding/pem"
 	"fmt"
 	"io"
 	"io/fs"
@@ -16,32 +17,62 @@
 
 // Read reads the secret in a file, white space around it left out.
 func Read(path string) (string, error) {
+	text, err := read(path)
+	if err != nil {
+		return "", err
+	}
+	secret := strings.TrimSpace(string(text))
+	switch {
+	case secret == "":
+		return "", fmt.Errorf("%s: is empty, so it holds no secret", path)
+	case strings.ContainsFunc(secret, func(r rune) bool { return r <= ' ' || r >= 0x7f }):
+		return "", fmt.Errorf("%s: holds more than one word of plain characters, so it is no token", path)
+	}
+	return secret, nil
+}
+
+// Key reads a private key in PEM (RFC 7468, section 10), as it stands in the file.
+func Key(path string) ([]byte, error) {
+	text, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	for rest := text; ; {
+		var block *pem.Block
+		if block, rest = pem.Decode(rest); block == nil {
+			return nil, fmt.Errorf("%s: holds no private key in PEM", path)
+		}
+		if block.Type == "ENCRYPTED PRIVATE KEY" {
+			return nil, fmt.Errorf("%s: its key is encrypted, and nobody is here to be asked for the password", path)
+		}
+		if block.Type == "PRIVATE KEY" || strings.HasSuffix(block.Type, " PRIVATE KEY") {
+			return text, nil
+		}
+	}
+}
+
+// read reads a file that is fit to hold a secret.
+func read(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return "", fmt.Errorf("the secret cannot be read: %w", err)
+		return nil, fmt.Errorf("the secret cannot be read: %w", err)
 	}
 	defer f.Close()
 	info, err := f.Stat()
 	if err != nil {
-		return "", fmt.Errorf("the secret cannot be read: %w", err)
+		return nil, fmt.Errorf("the secret cannot be read: %w", err)
 	}
 	if err := fit(info); err != nil {
-		return "", fmt.Errorf("%s: %w", path, err)
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	text, err := io.ReadAll(io.LimitReader(f, MostBytes+1))
 	if err != nil {
-		return "", fmt.Errorf("the secret cannot be read: %w", err)
+		return nil, fmt.Errorf("the secret cannot be read: %w", err)
 	}
-	secret := strings.TrimSpace(string(text))
-	switch {
-	case len(text) > MostBytes:
-		return "", fmt.Errorf("%s: has more than %d bytes, so it is no secret", path, MostBytes)
-	case secret == "":
-		return "", fmt.Errorf("%s: is empty, so it holds no secret", path)
-	case strings.ContainsFunc(secret, func(r rune) bool { return r <= ' ' || r >= 0x7f }):
-		return "", fmt.Errorf("%s: holds more than one word of plain characters, so it is no token", path)
+	if len(text) > MostBytes {
+		return nil, fmt.Errorf("%s: has more than %d bytes, so it is no secret", path, MostBytes)
 	}
-	return secret, nil
+	return text, nil
 }
 
 // fit guards against a secret that others can read, or put in place of the real one. Rights of the group are
--- a/internal/secretfile/secretfile_test.go
+++ b/internal/secretfile/secretfile_test.go
@@ -1,6 +1,7 @@
 package secretfile
 
 import (
+	"encoding/pem"
 	"os"
 	"path/filepath"
 	"strings"
@@ -38,3 +39,33 @@
 		}
 	}
 }
+
+func TestKey(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	block := func(sort string) string {
+		return string(pem.EncodeToMemory(&pem.Block{Type: sort, Bytes: []byte("s3cret")}))
+	}
+	for _, c := range []struct {
+		text string
+		mode os.FileMode
+		want string // of the error; empty for none
+	}{
+		{block("PRIVATE KEY"), 0o600, ""}, {block("EC PARAMETERS") + block("EC PRIVATE KEY"), 0o640, ""},
+		{block("PRIVATE KEY"), 0o644, "read by everybody"}, {block("CERTIFICATE"), 0o600, "holds no private key"}, {"", 0o600, "holds no private key"},
+		{block("ENCRYPTED PRIVATE KEY"), 0o600, "is encrypted"}, {strings.Repeat(block("CERTIFICATE"), 500), 0o600, "more than"},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chmod(path, c.mode); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Key(path)
+		switch {
+		case c.want == "" && (err != nil || string(got) != c.text):
+			t.Errorf("%q: %v", got, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "s3cret")):
+			t.Errorf("mode %o: %v, want %q", c.mode, err, c.want)
+		}
+	}
+}
