Consul: cold boxes audited against the rule's budget; restarts in six more situations

Need: that a new instance gets less was shown, not that it gets no more than the fourth rule allows; restarts of the sidecar were untested with two instances at one address, all critical, overlay and rehearsal.

--- /dev/null
+++ b/cmd/quincegap/consul_cold_test.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gingerlead/internal/standin/booking"
+	"gingerlead/internal/standin/consul"
+)
+
+// The fourth rule's terms in these tests: stricter than any platform's, so that an equal share breaks them.
+const (
+	coldShare   = 0.1
+	warmAfter   = 5 * time.Second
+	tipMultiple = 1.2
+	tipWindow   = time.Second
+	slots       = 2
+	warmTakes   = 20 * time.Millisecond // a booking, in one slot of a warm box
+)
+
+const coldSettings = `
+[warmup]
+cold_share = 0.1
+warm_after = "5s"
+tip_multiple = 1.2
+tip_window = "1s"
+`
+
+// slowBox is a box with a capacity: so many bookings at once, each taking its time. While it is cold it can take
+// less, and does not show it: one that answered more slowly would be spared for that alone.
+type slowBox struct {
+	*booking.Endpoint
+	room chan struct{}
+
+	mu      sync.Mutex
+	started time.Time // zero for long ago
+	came    []time.Time
+}
+
+func startSlowBox(t *testing.T, name string) *slowBox {
+	t.Helper()
+	b := &slowBox{room: make(chan struct{}, slots)}
+	var err error
+	b.Endpoint, err = booking.StartEndpoint(name, func(w http.ResponseWriter, r *http.Request) {
+		now := time.Now()
+		b.mu.Lock()
+		b.came = append(b.came, now)
+		b.mu.Unlock()
+		io.Copy(io.Discard, r.Body)
+		b.room <- struct{}{}
+		time.Sleep(warmTakes)
+		<-b.room
+		io.WriteString(w, name)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+// share is the share of its capacity that it has at a time. The lock is held.
+func (b *slowBox) share(at time.Time) float64 {
+	if b.started.IsZero() || at.Sub(b.started) >= warmAfter {
+		return 1
+	}
+	return coldShare + (1-coldShare)*float64(at.Sub(b.started))/float64(warmAfter)
+}
+
+// restart makes it cold from now on.
+func (b *slowBox) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.started = time.Now()
+}
+
+// audit holds what came since its start against the rule's budget: in no window more than the multiple of what
+// it could do in that window. It returns how full the fullest one was.
+func (b *slowBox) audit(t *testing.T) (worst float64) {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	const slack = 4 // bookings, for chance
+	came := b.came[slices.IndexFunc(b.came, func(at time.Time) bool { return at.After(b.started) }):]
+	for i, from := range came {
+		if from.Sub(b.started) > warmAfter {
+			break
+		}
+		n := 0
+		for _, at := range came[i:] {
+			if at.Sub(from) < tipWindow {
+				n++
+			}
+		}
+		full := float64(slots) * float64(tipWindow) / float64(warmTakes)
+		budget := tipMultiple * full * (b.share(from) + b.share(from.Add(tipWindow))) / 2
+		worst = max(worst, float64(n)/budget)
+		if float64(n) > budget+slack {
+			t.Errorf("%s, %v after its start, got %d bookings within %v, its budget was %.0f", b.Name, from.Sub(b.started), n, tipWindow, budget)
+			return worst
+		}
+	}
+	return worst
+}
+
+// stream sends bookings at an even pace, whatever becomes of those before, until the function that is
+// returned is called. That one returns how many there were, and how many of them were turned away; all others
+// were served.
+func (p *process) stream(every time.Duration) (end func() (all, refused int64)) {
+	var sent, refused atomic.Int64
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		var out sync.WaitGroup
+		defer out.Wait()
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+			}
+			sent.Add(1)
+			out.Go(func() {
+				switch status, err := p.book(client, "trip"); {
+				case err != nil:
+					p.t.Errorf("a booking: %v", err)
+				case status == http.StatusServiceUnavailable:
+					refused.Add(1)
+				case status != http.StatusOK:
+					p.t.Errorf("a booking: status %d", status)
+				}
+			})
+		}
+	}()
+	return func() (int64, int64) {
+		close(done)
+		<-ended
+		client.CloseIdleConnections()
+		return sent.Load(), refused.Load()
+	}
+}
+
+func coldTown(t *testing.T, n int) (*town, []*slowBox) {
+	t.Helper()
+	tn := build(t, 0)
+	var boxes []*slowBox
+	tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+		for i := range n {
+			b := startSlowBox(t, fmt.Sprintf("box-%d", i))
+			boxes = append(boxes, b)
+			all = append(all, consul.Instance{Node: "n", ID: b.Name, Passing: 1, Warning: 1}.At(b.Target().Address))
+		}
+		return all
+	})
+	text := strings.Replace(tn.text("127.0.0.1:1", "consul"), "[membership]\n", "[membership]\nrestart_after = \"300ms\"\n", 1)
+	tn.p = launch(t, text+coldSettings)
+	return tn, boxes
+}
+
+// An instance that is registered while the others are busy gets no more than its budget, though it says
+// nothing of its start.
+func TestConsulColdBudget(t *testing.T) {
+	t.Parallel()
+	tn, _ := coldTown(t, 3)
+	tn.shows("box-0", "box-1", "box-2")
+	end := tn.p.stream(5 * time.Millisecond)
+	time.Sleep(2 * time.Second) // of bookings, to learn from
+	fresh := startSlowBox(t, "fresh")
+	fresh.restart()
+	tn.consul.Update(func(all []consul.Instance) []consul.Instance {
+		return append(all, consul.Instance{Node: "n", ID: "fresh", Passing: 1, Warning: 1}.At(fresh.Target().Address))
+	})
+	time.Sleep(warmAfter + tipWindow)
+	all, refused := end()
+	full := fresh.audit(t)
+	fresh.mu.Lock()
+	n := len(fresh.came)
+	fresh.mu.Unlock()
+	t.Logf("%d bookings, %d turned away; fresh got %d, at most %.0f%% of its budget in a window", all, refused, n, 100*full)
+	if n < 20 || refused*20 > all {
+		t.Errorf("the fresh box got %d of %d bookings, %d were turned away", n, all, refused)
+	}
+}
+
+// The whole fleet restarts, one box after another: each is critical for a while, and cold when it comes back.
+func TestConsulRollingRestartBudget(t *testing.T) {
+	t.Parallel()
+	tn, boxes := coldTown(t, 5)
+	tn.shows("box-0", "box-1", "box-2", "box-3", "box-4")
+	end := tn.p.stream(8 * time.Millisecond)
+	time.Sleep(2 * time.Second)
+	for _, b := range boxes {
+		tn.consul.SetStatus(b.Name, "critical")
+		time.Sleep(500 * time.Millisecond) // longer than restart_after
+		b.restart()
+		tn.consul.SetStatus(b.Name, "passing")
+		time.Sleep(time.Second)
+	}
+	time.Sleep(2 * time.Second)
+	all, refused := end()
+	worst := 0.0
+	for _, b := range boxes {
+		worst = max(worst, b.audit(t))
+	}
+	t.Logf("%d bookings, %d turned away; at most %.0f%% of the budget in a window", all, refused, 100*worst)
+	if refused*20 > all {
+		t.Errorf("%d of %d bookings were turned away", refused, all)
+	}
+}
--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -504,6 +504,90 @@
 	}
 }
 
+// The sidecar is killed and starts again in the middle of what Consul and the platform may say, and comes to the
+// same view as before.
+func TestConsulRestartAmidst(t *testing.T) {
+	one := func(all []consul.Instance, id, status string) []consul.Instance {
+		for i := range all {
+			if all[i].ID == id || id == "" {
+				all[i].Checks = []consul.Check{{CheckID: "c", Status: status}}
+			}
+		}
+		return all
+	}
+	for _, c := range []struct {
+		name, source string
+		change       func(tn *town, all []consul.Instance) []consul.Instance
+		platform     []string // ids that discovery lists too
+		want         []string
+	}{
+		{"two at one address", "consul", func(tn *town, all []consul.Instance) []consul.Instance {
+			return append(all, inst(tn.boxes[0], "again"))
+		}, nil, []string{"again", "box-1", "box-2"}},
+		{"all critical", "consul", func(tn *town, all []consul.Instance) []consul.Instance {
+			return one(all, "", "critical")
+		}, nil, []string{"box-0", "box-1", "box-2"}},
+		{"all but one critical", "consul", func(tn *town, all []consul.Instance) []consul.Instance {
+			return one(one(all, "", "critical"), "box-1", "passing")
+		}, nil, []string{"box-1"}},
+		{"overlay", "overlay", func(tn *town, all []consul.Instance) []consul.Instance {
+			return one(all, "box-0", "critical")
+		}, []string{"box-0", "box-1"}, []string{"box-1"}},
+		{"overlay of nobody", "overlay", func(tn *town, all []consul.Instance) []consul.Instance { return nil },
+			[]string{"box-0", "box-1"}, []string{"box-0", "box-1"}},
+		{"rehearsal", "rehearsal", func(tn *town, all []consul.Instance) []consul.Instance {
+			return one(all, "box-0", "critical")
+		}, []string{"box-0", "box-1"}, []string{"box-0", "box-1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			tn := build(t, 3)
+			discovery := "127.0.0.1:1"
+			if c.platform != nil {
+				var targets []booking.Target
+				for _, b := range tn.boxes {
+					if slices.Contains(c.platform, b.Name) {
+						targets = append(targets, b.Target())
+					}
+				}
+				d, err := booking.StartDiscovery("", targets...)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(d.Close)
+				discovery = d.Address()
+			}
+			tn.open(tn.text(discovery, c.source))
+			tn.goOn(30)
+			tn.consul.Update(func(all []consul.Instance) []consul.Instance { return c.change(tn, all) })
+			tn.shows(c.want...)
+			tn.goOn(30)
+			for range 2 {
+				tn.calm()
+				tn.p.cmd.Process.Kill()
+				tn.open(tn.text(discovery, c.source))
+				tn.shows(c.want...)
+				tn.goOn(30)
+			}
+			// Nothing goes to those that it does not show, though it has just started.
+			var idle []int
+			busy := func(b *box) bool {
+				return slices.Contains(c.want, b.Name) || b == tn.boxes[0] && slices.Contains(c.want, "again")
+			}
+			for _, b := range tn.boxes {
+				idle = append(idle, b.count())
+			}
+			tn.goOn(50)
+			for i, b := range tn.boxes {
+				if got := b.count() - idle[i]; got > 0 && !busy(b) {
+					t.Errorf("%s got %d bookings", b.Name, got)
+				}
+			}
+			tn.calm()
+		})
+	}
+}
+
 // The sidecar is killed and starts again while a check flaps and the fleet's ids change their addresses.
 func TestConsulRestartDuringChanges(t *testing.T) {
 	t.Parallel()
