--- a/cmd/quincegap/consul_bench_test.go
+++ b/cmd/quincegap/consul_bench_test.go
@@ -61,12 +61,7 @@
 		b.Fatal(err)
 	}
 	defer c.Close()
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	address := probe.Addr().String()
-	probe.Close()
+	address := freePort(b)
 	file := filepath.Join(b.TempDir(), "sidecar.toml")
 	text := strings.Replace(fmt.Sprintf(goodFile, "127.0.0.1:1"), "127.0.0.1:0", address, 1) + fmt.Sprintf(`
 [membership]
--- a/cmd/quincegap/file_test.go
+++ b/cmd/quincegap/file_test.go
@@ -373,12 +373,7 @@
 	d := site(b, 3)
 	dir := b.TempDir()
 	platform, file := filepath.Join(dir, "config.json"), filepath.Join(dir, "sidecar.toml")
-	taken, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	address := taken.Addr().String()
-	taken.Close()
+	address := freePort(b)
 	os.WriteFile(platform, []byte(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"a1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 		"settings":{"allowed":{"connectTimeout":2000000},"discovery":"push","instances":1,"services":[{"name":"book-trip","aim":1000000,
 		"deadline":6000000,"effect":"idempotency_key","keyScope":"all","window":10000000,"gain":1}],"tiers":["front"],"zones":["z"],"models":["m"]}}`, address, d.Address())), 0o600)
@@ -438,3 +433,14 @@
 	}
 	return kb
 }
+
+// freePort is a loopback address that nobody listens at.
+func freePort(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -21,15 +21,17 @@
 	{"tools", false, []string{"internal/tool"}},
 	{"wiring", false, []string{"internal/product"}},
 	{"input and output", false, []string{"internal/sidecar", "internal/consul", "internal/admin", "internal/wire", "internal/standin/..."}},
-	{"files", false, []string{"internal/atomicfile", "internal/secretfile"}},
-	{"modules without I/O", false, []string{"internal/apps", "internal/membership"}},
+	{"protocols", false, []string{"internal/http1", "internal/http3"}},
+	{"exchange", false, []string{"internal/exchange"}},
+	{"files", false, []string{"internal/atomicfile", "internal/secretfile", "internal/certfile"}},
+	{"modules without I/O", false, []string{"internal/apps", "internal/membership", "internal/reach"}},
 	{"data", true, []string{"internal/appfile", "internal/schema", "internal/doc", "internal/finding", "internal/settings"}},
 	{"decisions", false, []string{""}},
 }
 
 // pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
 var (
-	pure      = []string{"", "internal/apps", "internal/membership", "internal/appfile", "internal/schema", "internal/doc", "internal/settings"}
+	pure      = []string{"", "internal/apps", "internal/membership", "internal/reach", "internal/appfile", "internal/schema", "internal/doc", "internal/settings"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
--- a/internal/sidecar/callers.go
+++ b/internal/http1/front.go
@@ -1,15 +1,22 @@
-package sidecar
+// Package http1 speaks HTTP/1.1: a front for callers and a transport to
+// endpoints.
+package http1
 
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
+
+	"gingerlead/internal/exchange"
 )
 
+const excessSockets = exchange.ExcessSockets
+
 // stage is how far the request has come that a caller's connection is to bring.
 type stage int
 
@@ -162,15 +169,15 @@
 	}
 }
 
-// taken notes that a request's headers have come, and tells when it began and whether there is room for it.
-func (c *caller) taken() (began time.Time, over bool) {
+// Taken notes that a request's headers have come, and tells when it began and whether there is room for it.
+func (c *caller) Taken() (began time.Time, over bool) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	return c.began, c.over
 }
 
-// served notes that a request has come whole, and tells how many connections stand idle beside its own.
-func (c *caller) served() (idles int) {
+// Served notes that a request has come whole, and tells how many connections stand idle beside its own.
+func (c *caller) Served() (idles int) {
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	c.callers.move(c, serving)
@@ -184,9 +191,78 @@
 	return cs.open == 0 && time.Since(cs.newest) >= d
 }
 
-type callerKey struct{}
+// Last is of exchange.Caller.
+func (c *caller) Last(answer http.Header) { answer.Set("Connection", "close") }
+
+// Early is of exchange.Caller: there is no early data beneath.
+func (c *caller) Early() bool { return false }
+
+// Confirm is of exchange.Caller.
+func (c *caller) Confirm(context.Context) bool { return true }
 
 // withCaller puts a connection into the context of its requests.
 func withCaller(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerKey{}, c)
+	return exchange.WithCaller(ctx, c.(*caller))
+}
+
+// Bounds are a front's.
+type Bounds struct {
+	Connections    int           // at once
+	MaxHeader      int           // bytes of a request's headers
+	RequestTimeout time.Duration // for a whole request
+	IdleTimeout    time.Duration // between two
+	WriteTimeout   time.Duration // from a request's headers to the end of its answer
+}
+
+// Front takes callers' requests over HTTP/1.1.
+type Front struct {
+	callers callers
+	server  http.Server
+}
+
+// NewFront makes one that hands what comes at a listener to a handler.
+func NewFront(listener net.Listener, handler http.Handler, b Bounds) *Front {
+	f := &Front{}
+	f.callers.Listener, f.callers.most = listener, b.Connections
+	f.server = http.Server{
+		Handler: handler, ConnContext: withCaller, ConnState: f.callers.state, MaxHeaderBytes: b.MaxHeader,
+		ReadHeaderTimeout: b.RequestTimeout, IdleTimeout: b.IdleTimeout, WriteTimeout: b.WriteTimeout,
+	}
+	return f
+}
+
+// Serve is of exchange.Front.
+func (f *Front) Serve() error {
+	if err := f.server.Serve(&f.callers); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Quiet is of exchange.Front.
+func (f *Front) Quiet(d time.Duration) bool { return f.callers.quietFor(d) }
+
+// Stop is of exchange.Front.
+func (f *Front) Stop(ctx context.Context) error { return f.server.Shutdown(ctx) }
+
+// Close is of exchange.Front.
+func (f *Front) Close() error { return f.server.Close() }
+
+// Counts are the connections: all, those that stand idle, and those that are in some stage; and how many there
+// may be.
+func (f *Front) Counts() (open, idles, staged, most int) {
+	cs := &f.callers
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for i := range cs.stages {
+		staged += cs.stages[i].Len()
+	}
+	return cs.open, cs.stages[idle].Len(), staged, cs.most
+}
+
+// SetConnections changes how many there may be.
+func (f *Front) SetConnections(n int) {
+	f.callers.mu.Lock()
+	defer f.callers.mu.Unlock()
+	f.callers.most = n
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/http1/transport.go
@@ -1,4 +1,4 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
@@ -19,17 +19,14 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/exchange"
 	"gingerlead/internal/settings"
 )
 
 const (
-	maxBody       = 64 << 10
-	maxAnswerHead = 16 << 10
-	// idleShare is the part of connIdle after which an idle connection is retired: a request that is written
-	// while the endpoint closes it would be lost as a reset.
-	idleShare      = 0.5
-	idleDefault    = 10 * time.Second // where connIdle is not told
-	maxInformation = 16               // 1xx responses before the final one
+	maxBody        = exchange.MaxBody
+	maxAnswerHead  = 16 << 10
+	maxInformation = 16 // 1xx responses before the final one
 	// settle is how long a connection rests after an answer. Nothing ties an answer to its request, so what an
 	// endpoint sends beyond an answer must be seen before the next request is written.
 	settle = time.Millisecond
@@ -43,7 +40,7 @@
 	reader    *bufio.Reader // of what Read gives
 	left      int           // bytes that may still be read
 	idleSince time.Time
-	endpoint  *endpoint // while it is idle:
+	endpoint  *exchange.Endpoint // while it is idle:
 	idle      *list.Element
 }
 
@@ -56,7 +53,7 @@
 // Read never brings more than was allowed: an endpoint may go on without end.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.left <= 0 {
-		return 0, errTooLarge
+		return 0, exchange.ErrTooLarge
 	}
 	n, err := c.Conn.Read(b[:min(len(b), c.left)])
 	c.left -= n
@@ -91,35 +88,80 @@
 	return n, err
 }
 
-// pool holds the idle connections to all endpoints, and bounds all connections to them. The loop owns it.
-type pool struct {
-	idle    map[*endpoint][]*conn // the most recently used last
-	order   list.List             // of all idle ones, the longest idle first
-	open    int                   // connections in use, idle or being made
-	most    int
-	maxIdle time.Duration
+// Transport makes attempts over HTTP/1.1: one on a connection at a time.
+type Transport struct {
+	pool
+	connect time.Duration
+}
+
+// NewTransport makes one with its bounds: connections, in use and idle, to all endpoints together; how long
+// one may stand idle; how long making one may take.
+func NewTransport(most int, maxIdle, connect time.Duration) *Transport {
+	return &Transport{pool{idle: map[*exchange.Endpoint][]*conn{}, most: most, maxIdle: maxIdle}, connect}
+}
+
+// SetMaxIdle changes how long a connection may stand idle.
+func (t *Transport) SetMaxIdle(d time.Duration) { t.maxIdle = d }
+
+// Counts are the connections: all, and those that stand idle.
+func (t *Transport) Counts() (open, idle int) { return t.open, t.order.Len() }
+
+// IdleAt is how many stand idle to an address.
+func (t *Transport) IdleAt(address string) (n int) {
+	for e, conns := range t.idle {
+		if e.Address == address {
+			n += len(conns)
+		}
+	}
+	return n
 }
 
-func newPool(c *Config) pool {
-	p := pool{idle: map[*endpoint][]*conn{}, maxIdle: c.maxIdle(c.tuning),
-		most: int(c.tuning.endpoints.Share * float64(c.Limits.Sockets-reservedSockets))}
-	return p
+// Acquire is of exchange.Transport.
+func (t *Transport) Acquire(e *exchange.Endpoint, now time.Time) (exchange.Conn, bool) {
+	c, ok := t.acquire(e, now)
+	if c == nil {
+		return nil, ok // not a nil in an interface
+	}
+	return c, ok
+}
+
+// Release is of exchange.Transport.
+func (t *Transport) Release(e *exchange.Endpoint, _, left exchange.Conn) {
+	c, _ := left.(*conn)
+	t.release(e, c)
 }
 
-// maxIdle is how long an idle connection to an endpoint is kept.
-func (c *Config) maxIdle(t *tuning) time.Duration {
-	switch idle := c.Settings.ConnIdle; {
-	case t.endpoints.KeepIdle > 0:
-		return t.endpoints.KeepIdle
-	case idle > 0:
-		return time.Duration(idleShare * float64(idle))
+// CloseIdle is of exchange.Transport.
+func (t *Transport) CloseIdle(e *exchange.Endpoint) { t.closeIdle(e) }
+
+// Sweep is of exchange.Transport.
+func (t *Transport) Sweep(now time.Time) { t.sweep(now) }
+
+// Close closes what stands idle.
+func (t *Transport) Close() {
+	for e := range t.idle {
+		t.closeIdle(e)
 	}
-	return idleDefault
+}
+
+// Run is of exchange.Transport.
+func (t *Transport) Run(a *exchange.Attempt, c exchange.Conn) exchange.Result {
+	had, _ := c.(*conn)
+	return (&attempt{a}).run(had, t.connect)
+}
+
+// pool holds the idle connections to all endpoints, and bounds all connections to them.
+type pool struct {
+	idle    map[*exchange.Endpoint][]*conn // the most recently used last
+	order   list.List                      // of all idle ones, the longest idle first
+	open    int                            // connections in use, idle or being made
+	most    int
+	maxIdle time.Duration
 }
 
 // acquire takes the most recently used connection; nil asks for a new one. It is false when there may be no
 // further connection. Whether the connection is alive shows when it is used.
-func (p *pool) acquire(e *endpoint, now time.Time) (c *conn, ok bool) {
+func (p *pool) acquire(e *exchange.Endpoint, now time.Time) (c *conn, ok bool) {
 	if conns := p.idle[e]; len(conns) > 0 {
 		if last := conns[len(conns)-1]; now.Sub(last.idleSince) < p.maxIdle {
 			p.take(last)
@@ -139,11 +181,11 @@
 }
 
 // release takes a connection back after an attempt; nil if it is closed.
-func (p *pool) release(e *endpoint, c *conn) {
+func (p *pool) release(e *exchange.Endpoint, c *conn) {
 	switch {
 	case c == nil:
 		p.open--
-	case !e.open.Load():
+	case !e.Open.Load():
 		c.Close()
 		p.open--
 	default:
@@ -173,7 +215,7 @@
 	p.open--
 }
 
-func (p *pool) closeIdle(e *endpoint) {
+func (p *pool) closeIdle(e *exchange.Endpoint) {
 	for _, c := range slices.Clone(p.idle[e]) {
 		p.close(c)
 	}
@@ -190,46 +232,14 @@
 	}
 }
 
-// attempt is one sending of a request to an endpoint.
-type attempt struct {
-	request  *request
-	endpoint *endpoint
-	number   int
-	sent     time.Time
-	ctx      context.Context // ends with the time-out, or when the attempt is cancelled
-	cancel   context.CancelFunc
-}
-
-// result is how an attempt ended. Its connection is nil unless it can carry another attempt.
-type result struct {
-	status   gingerlead.Status
-	took     time.Duration
-	response *response
-	load     *gingerlead.Load
-	conn     *conn
-}
-
-// response is an endpoint's whole answer.
-type response struct {
-	header http.Header
-	body   []byte
-}
-
-func newAttempt(r *request, e *endpoint, timeout time.Duration) *attempt {
-	a := &attempt{request: r, endpoint: e, number: r.attempts, sent: time.Now()}
-	deadline := r.deadline
-	if end := a.sent.Add(timeout); timeout != 0 && end.Before(deadline) {
-		deadline = end
-	}
-	a.ctx, a.cancel = context.WithDeadline(context.Background(), deadline)
-	return a
-}
+// attempt is one over this protocol.
+type attempt struct{ *exchange.Attempt }
 
 // run makes the attempt: one write on one connection, and the answer to it. net/http's Transport would send
 // a request again by itself and does not tell whether its last byte was written, so it is not used here.
 // When run returns, the connection is either closed or free, so the Balancer may send again.
-func (a *attempt) run(c *conn, connectTimeout time.Duration, bodies *budget) (res result) {
-	defer func() { res.took = time.Since(a.sent) }()
+func (a *attempt) run(c *conn, connectTimeout time.Duration) (res exchange.Result) {
+	defer func() { res.Took = time.Since(a.Sent) }()
 	if c != nil {
 		time.Sleep(time.Until(c.idleSince.Add(settle)))
 		if !c.alive() {
@@ -240,11 +250,11 @@
 	if c == nil {
 		var err error
 		if c, err = a.dial(connectTimeout); err != nil {
-			return result{status: a.unsent()}
+			return exchange.Result{Status: a.Unsent()}
 		}
 	}
-	res = a.over(c, bodies)
-	if res.status == gingerlead.Reset {
+	res = a.over(c)
+	if res.Status == gingerlead.Reset {
 		a.whatBroke(&res, connectTimeout)
 	}
 	return res
@@ -254,9 +264,9 @@
 // then, and a dead one does it twice.
 func (a *attempt) dial(timeout time.Duration) (*conn, error) {
 	dialer := net.Dialer{Timeout: timeout}
-	raw, err := dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
+	raw, err := dialer.DialContext(a.Context, "tcp", a.Endpoint.Address)
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-		raw, err = dialer.DialContext(a.ctx, "tcp", a.endpoint.address)
+		raw, err = dialer.DialContext(a.Context, "tcp", a.Endpoint.Address)
 	}
 	if err != nil {
 		return nil, err
@@ -267,76 +277,56 @@
 // whatBroke tells a connection that alone broke from an endpoint that did: one that ends takes all its
 // connections along and accepts no new ones. Taken for that, one connection would cost a sound endpoint its
 // place, and then a slow start. The new connection takes the broken one's place.
-func (a *attempt) whatBroke(res *result, connectTimeout time.Duration) {
+func (a *attempt) whatBroke(res *exchange.Result, connectTimeout time.Duration) {
 	time.Sleep(resetsSpread)
-	if a.endpoint.waiting.Load() > 0 {
-		res.status = gingerlead.Spoilt
+	if a.Endpoint.Waiting.Load() > 0 {
+		res.Status = gingerlead.Spoilt
 		return
 	}
 	if c, err := a.dial(connectTimeout); err == nil {
-		res.status, res.conn = gingerlead.Spoilt, c
+		res.Status, res.Conn = gingerlead.Spoilt, c
 	}
 }
 
 // over makes the attempt over a connection.
-func (a *attempt) over(c *conn, bodies *budget) result {
-	release := context.AfterFunc(a.ctx, func() { c.Close() })
-	res := a.exchange(c, bodies)
-	if !release() || res.conn == nil {
+func (a *attempt) over(c *conn) exchange.Result {
+	release := context.AfterFunc(a.Context, func() { c.Close() })
+	res := a.exchange(c)
+	if !release() || res.Conn == nil {
 		c.Close()
-		res.conn = nil
+		res.Conn = nil
 	}
 	return res
 }
 
-// unsent is the status of an attempt whose last byte was certainly not written.
-func (a *attempt) unsent() gingerlead.Status {
-	// The dialer keeps the context's deadline by a timer of its own, which may fire before the context's does.
-	// Taken for a failed connection, a request's own deadline would isolate a sound endpoint.
-	if deadline, _ := a.ctx.Deadline(); a.ctx.Err() != nil || !time.Now().Before(deadline) {
-		return gingerlead.Moot
-	}
-	return gingerlead.ConnectFailed
-}
-
-func (a *attempt) exchange(c *conn, bodies *budget) result {
-	deadline, _ := a.ctx.Deadline()
-	text := a.request.encode(time.Until(deadline))
+func (a *attempt) exchange(c *conn) exchange.Result {
+	deadline, _ := a.Context.Deadline()
+	text := encode(a.Request, time.Until(deadline))
 	// The dial may have outlasted the endpoint's welcome.
-	if !a.endpoint.open.Load() || a.ctx.Err() != nil {
-		return result{status: gingerlead.Moot}
+	if !a.Endpoint.Open.Load() || a.Context.Err() != nil {
+		return exchange.Result{Status: gingerlead.Moot}
 	}
 	if n, err := c.Write(text); err != nil && n < len(text) {
-		return result{status: a.unsent()}
+		return exchange.Result{Status: a.Unsent()}
 	}
-	a.endpoint.waiting.Add(1)
-	res, err := a.read(c, bodies)
-	a.endpoint.waiting.Add(-1)
-	switch {
-	case err == nil:
-	case errors.Is(a.ctx.Err(), context.DeadlineExceeded):
-		res.status = gingerlead.Timeout
-	case a.ctx.Err() != nil:
-		res.status = gingerlead.Cancelled
-	case errors.As(err, new(*net.OpError)), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF),
-		errors.Is(err, io.ErrClosedPipe):
-		res.status = gingerlead.Reset
-	default:
-		// The endpoint has run it and is well, but what it says cannot be used.
-		res.status = gingerlead.Spoilt
+	a.Endpoint.Waiting.Add(1)
+	res, err := a.read(c)
+	a.Endpoint.Waiting.Add(-1)
+	if err != nil {
+		res.Status = a.Broken(errors.As(err, new(*net.OpError)) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+			errors.Is(err, io.ErrClosedPipe))
 	}
 	return res
 }
 
 var (
-	errTooLarge = errors.New("too large")
-	errSpoilt   = errors.New("cannot be read")
-	errNoRoom   = errors.New("no memory for the body")
+	errSpoilt = errors.New("cannot be read")
+	errNoRoom = errors.New("no memory for the body")
 )
 
 // read takes the response to the request that was written. An error that is not the connection's means that
 // the response cannot be used; its connection is of no more use then.
-func (a *attempt) read(c *conn, bodies *budget) (res result, err error) {
+func (a *attempt) read(c *conn) (res exchange.Result, err error) {
 	c.left = maxAnswerHead
 	var code int
 	var header textproto.MIMEHeader
@@ -352,35 +342,35 @@
 	if code < http.StatusOK {
 		return res, errSpoilt // its real answer is still to come
 	}
-	if !bodies.take(maxBody) {
+	if !a.Bodies.Take(maxBody) {
 		return res, errNoRoom
 	}
 	kept := 0
-	defer func() { bodies.give(maxBody - kept) }()
+	defer func() { a.Bodies.Give(maxBody - kept) }()
 	c.left = maxBody + maxAnswerHead // beside the body, what its chunks take
 	body, err := readBody(c.reader, code, header)
 	if err != nil {
 		return res, err
 	}
-	res.status = gingerlead.Error
+	res.Status = gingerlead.Error
 	if report := header.Get("X-Pressure"); report != "" {
-		res.load, _ = settings.ParseLoad(report, "=") // a report that cannot be read is none
+		res.Load, _ = settings.ParseLoad(report, "=") // a report that cannot be read is none
 	}
 	switch {
 	case code == http.StatusOK:
-		res.status = gingerlead.OK
-		removeHopByHop(http.Header(header))
-		res.response = &response{header: http.Header(header), body: body}
+		res.Status = gingerlead.OK
+		exchange.RemoveHopByHop(http.Header(header))
+		res.Response = &exchange.Response{Header: http.Header(header), Body: body}
 		kept = len(body)
 	case code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout:
 		if header.Get("X-Turned-Away") == "1" {
-			res.status = gingerlead.Full
+			res.Status = gingerlead.Full
 		}
 	case code < http.StatusInternalServerError:
-		res.status = gingerlead.Spoilt // the request is at fault, not the endpoint
+		res.Status = gingerlead.Spoilt // the request is at fault, not the endpoint
 	}
 	if lasting && c.reader.Buffered() == 0 {
-		res.conn = c
+		res.Conn = c
 	}
 	return res, nil
 }
@@ -416,7 +406,7 @@
 	case code == http.StatusNoContent || code == http.StatusNotModified:
 		return nil, nil
 	case len(codings) == 1 && len(lengths) == 0 && strings.EqualFold(codings[0], "chunked"):
-		body, err := readAll(httputil.NewChunkedReader(r))
+		body, err := exchange.ReadAll(httputil.NewChunkedReader(r))
 		if err != nil {
 			return nil, err
 		}
@@ -428,9 +418,9 @@
 			return nil, errSpoilt
 		}
 		if n > maxBody {
-			return nil, errTooLarge
+			return nil, exchange.ErrTooLarge
 		}
-		body, err := readAll(io.LimitReader(r, int64(n)))
+		body, err := exchange.ReadAll(io.LimitReader(r, int64(n)))
 		if err == nil && len(body) < int(n) {
 			err = io.ErrUnexpectedEOF
 		}
@@ -439,41 +429,29 @@
 	return nil, errSpoilt
 }
 
-// readAll reads a body of at most maxBody bytes. Space is taken as they come: a length is only a word.
-func readAll(body io.Reader) ([]byte, error) {
-	b := bytes.NewBuffer(make([]byte, 0, bytes.MinRead))
-	if _, err := b.ReadFrom(io.LimitReader(body, maxBody+1)); err != nil {
-		return nil, err
-	}
-	if b.Len() > maxBody {
-		return nil, errTooLarge
-	}
-	return b.Bytes(), nil
-}
-
 // written are the headers that encode words itself.
 var written = map[string]bool{"Content-Length": true, "X-Remaining": true}
 
 // encode is the request as it goes on to an endpoint, which is told how long its answer is waited for.
-func (in *inbound) encode(left time.Duration) []byte {
+func encode(in *exchange.Inbound, left time.Duration) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Remaining: %du\r\n", in.method, in.target, in.host,
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Remaining: %du\r\n", in.Method, in.Target, in.Host,
 		max(left, 0).Microseconds())
-	if len(in.body) > 0 || in.method != http.MethodGet {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(in.body))
+	if len(in.Body) > 0 || in.Method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(in.Body))
 	}
-	in.header.WriteSubset(&b, written)
+	in.Header.WriteSubset(&b, written)
 	b.WriteString("\r\n")
-	b.Write(in.body)
+	b.Write(in.Body)
 	return b.Bytes()
 }
 
-// probe asks an endpoint for its health on a connection of its own.
-func probe(e *endpoint, timeout time.Duration) gingerlead.Status {
+// Probe asks an endpoint for its health on a connection of its own.
+func Probe(e *exchange.Endpoint, timeout time.Duration) gingerlead.Status {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	transport := &http.Transport{DisableKeepAlives: true}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+"/health", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/health", nil)
 	if err != nil {
 		return gingerlead.Moot
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/http1/transport_test.go
@@ -1,11 +1,13 @@
-package sidecar
+package http1
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -13,29 +15,37 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/exchange"
 )
 
+const patience = 10 * time.Second
+
+func newAttempt(address string, timeout time.Duration, bodies *exchange.Budget) (*attempt, func()) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	a := &attempt{&exchange.Attempt{Sent: time.Now(), Context: ctx, Bodies: bodies, Endpoint: &exchange.Endpoint{Address: address},
+		Request: &exchange.Inbound{Method: http.MethodPost, Target: "/api", Host: "h", Header: http.Header{}, Body: []byte("trip")}}}
+	a.Endpoint.Open.Store(true)
+	return a, cancel
+}
+
 // tryOut makes an attempt at an endpoint, on a connection of the test's if there is one.
-func tryOut(address string, open bool, c net.Conn, timeout time.Duration, during func(*attempt)) result {
-	r := &request{deadline: time.Now().Add(patience), inbound: inbound{method: http.MethodPost,
-		target: "/api", host: "h", header: http.Header{}, body: []byte("trip")}}
-	e := &endpoint{address: address}
-	e.open.Store(open)
-	a := newAttempt(r, e, timeout)
-	defer a.cancel()
+func tryOut(address string, open bool, c net.Conn, timeout time.Duration, during func(cancel func())) exchange.Result {
+	a, cancel := newAttempt(address, timeout, roomy())
+	defer cancel()
+	a.Endpoint.Open.Store(open)
 	if during != nil {
-		go during(a)
+		go during(cancel)
 	}
 	if c == nil {
-		return a.run(nil, patience, roomy())
+		return a.run(nil, patience)
 	}
-	return a.over(newConn(c), roomy())
+	return a.over(newConn(c))
 }
 
 // roomy is a budget for bodies that is not used up.
-func roomy() *budget {
-	b := &budget{}
-	b.give(1 << 30)
+func roomy() *exchange.Budget {
+	b := &exchange.Budget{}
+	b.Give(1 << 30)
 	return b
 }
 
@@ -117,14 +127,14 @@
 		}, gingerlead.ConnectFailed, false},
 	} {
 		res := tryOut("", true, pipe(t, c.play), patience, nil)
-		if res.status != c.want || (res.conn != nil) != c.keep {
-			t.Errorf("%s: status %v, kept %v", name, res.status, res.conn != nil)
+		if res.Status != c.want || (res.Conn != nil) != c.keep {
+			t.Errorf("%s: status %v, kept %v", name, res.Status, res.Conn != nil)
 		}
-		if wantLoad := name == "with a report"; (res.load != nil) != wantLoad || wantLoad && res.load.Queue != 2 {
-			t.Errorf("%s: load %+v", name, res.load)
+		if wantLoad := name == "with a report"; (res.Load != nil) != wantLoad || wantLoad && res.Load.Queue != 2 {
+			t.Errorf("%s: load %+v", name, res.Load)
 		}
-		if c.want == gingerlead.OK && string(res.response.body) != "ok" {
-			t.Errorf("%s: body %q", name, res.response.body)
+		if c.want == gingerlead.OK && string(res.Response.Body) != "ok" {
+			t.Errorf("%s: body %q", name, res.Response.Body)
 		}
 	}
 }
@@ -152,8 +162,8 @@
 				}
 			}
 		})
-		if res := tryOut("", true, near, patience, nil); res.status != gingerlead.Spoilt || res.conn != nil {
-			t.Errorf("%s: status %v", name, res.status)
+		if res := tryOut("", true, near, patience, nil); res.Status != gingerlead.Spoilt || res.Conn != nil {
+			t.Errorf("%s: status %v", name, res.Status)
 		}
 		near.Close()
 		if most := int64(maxBody + 2*maxAnswerHead + 100); sent.Load() > most {
@@ -168,22 +178,19 @@
 		readRequest(far)
 		io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	}
-	try := func(b *budget) result {
-		r := &request{deadline: time.Now().Add(patience), inbound: inbound{method: "GET", target: "/", host: "h"}}
-		e := &endpoint{}
-		e.open.Store(true)
-		a := newAttempt(r, e, 0)
-		defer a.cancel()
-		return a.over(newConn(pipe(t, answer)), b)
+	try := func(b *exchange.Budget) exchange.Result {
+		a, cancel := newAttempt("", patience, b)
+		defer cancel()
+		return a.over(newConn(pipe(t, answer)))
 	}
-	tight := &budget{}
-	tight.give(maxBody - 1)
-	if res := try(tight); res.status != gingerlead.Spoilt || tight.left.Load() != maxBody-1 {
-		t.Errorf("status %v, %d bytes left", res.status, tight.left.Load())
+	tight := &exchange.Budget{}
+	tight.Give(maxBody - 1)
+	if res := try(tight); res.Status != gingerlead.Spoilt || tight.Left() != maxBody-1 {
+		t.Errorf("status %v, %d bytes left", res.Status, tight.Left())
 	}
-	tight.give(1)
-	if res := try(tight); res.status != gingerlead.OK || tight.left.Load() != maxBody-2 {
-		t.Errorf("status %v, %d bytes left", res.status, tight.left.Load())
+	tight.Give(1)
+	if res := try(tight); res.Status != gingerlead.OK || tight.Left() != maxBody-2 {
+		t.Errorf("status %v, %d bytes left", res.Status, tight.Left())
 	}
 }
 
@@ -207,12 +214,10 @@
 	for end := time.Now().Add(patience); c.alive() && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	e := &endpoint{address: l.Addr().String()}
-	e.open.Store(true)
-	a := newAttempt(&request{deadline: time.Now().Add(patience), inbound: inbound{method: "GET", target: "/", host: "h"}}, e, 0)
-	defer a.cancel()
-	if res := a.run(c, patience, roomy()); res.status != gingerlead.OK || string(res.response.body) != "new" {
-		t.Errorf("status %v, response %+v", res.status, res.response)
+	a, cancel := newAttempt(l.Addr().String(), patience, roomy())
+	defer cancel()
+	if res := a.run(c, patience); res.Status != gingerlead.OK || string(res.Response.Body) != "new" {
+		t.Errorf("status %v, response %+v", res.Status, res.Response)
 	}
 }
 
@@ -223,8 +228,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	if res := tryOut(l.Addr().String(), false, nil, patience, nil); res.status != gingerlead.Moot || res.conn != nil {
-		t.Errorf("status %v, conn %v", res.status, res.conn)
+	if res := tryOut(l.Addr().String(), false, nil, patience, nil); res.Status != gingerlead.Moot || res.Conn != nil {
+		t.Errorf("status %v, conn %v", res.Status, res.Conn)
 	}
 	c, err := l.Accept()
 	if err != nil {
@@ -261,17 +266,15 @@
 		}
 		defer c.Close()
 	}
-	e := &endpoint{address: address}
-	e.open.Store(true)
-	a := newAttempt(&request{deadline: time.Now().Add(patience)}, e, 0)
-	defer a.cancel()
-	if res := a.run(nil, 100*time.Millisecond, roomy()); res.status != gingerlead.ConnectFailed {
-		t.Errorf("status %v", res.status)
+	a, cancel := newAttempt(address, patience, roomy())
+	defer cancel()
+	if res := a.run(nil, 100*time.Millisecond); res.Status != gingerlead.ConnectFailed {
+		t.Errorf("status %v", res.Status)
 	}
-	a = newAttempt(&request{deadline: time.Now().Add(100 * time.Millisecond)}, e, 0)
-	defer a.cancel()
-	if res := a.run(nil, patience, roomy()); res.status != gingerlead.Moot {
-		t.Errorf("status %v at the request's deadline", res.status)
+	a, cancel = newAttempt(address, 100*time.Millisecond, roomy())
+	defer cancel()
+	if res := a.run(nil, patience); res.Status != gingerlead.Moot {
+		t.Errorf("status %v at the request's deadline", res.Status)
 	}
 }
 
@@ -282,8 +285,8 @@
 	}
 	address := l.Addr().String()
 	l.Close()
-	if res := tryOut(address, true, nil, patience, nil); res.status != gingerlead.ConnectFailed {
-		t.Errorf("status %v", res.status)
+	if res := tryOut(address, true, nil, patience, nil); res.Status != gingerlead.ConnectFailed {
+		t.Errorf("status %v", res.Status)
 	}
 }
 
@@ -305,14 +308,14 @@
 				t.Errorf("%s: endpoint got %d bytes, %v", name, n, err)
 			}
 		})
-		res := tryOut("", true, near, c.timeout, func(a *attempt) {
+		res := tryOut("", true, near, c.timeout, func(cancel func()) {
 			<-written
 			if c.cancel {
-				a.cancel()
+				cancel()
 			}
 		})
-		if res.status != c.want || res.conn != nil {
-			t.Errorf("%s: status %v, conn %v", name, res.status, res.conn)
+		if res.Status != c.want || res.Conn != nil {
+			t.Errorf("%s: status %v, conn %v", name, res.Status, res.Conn)
 		}
 		if _, err := near.Write([]byte("x")); err != io.ErrClosedPipe {
 			t.Errorf("%s: the connection is open: %v", name, err)
@@ -344,10 +347,10 @@
 }
 
 func TestPool(t *testing.T) {
-	e, other := &endpoint{id: 1}, &endpoint{id: 2}
-	e.open.Store(true)
-	other.open.Store(true)
-	p := pool{idle: map[*endpoint][]*conn{}, most: 3, maxIdle: time.Minute}
+	e, other := &exchange.Endpoint{ID: 1}, &exchange.Endpoint{ID: 2}
+	e.Open.Store(true)
+	other.Open.Store(true)
+	p := pool{idle: map[*exchange.Endpoint][]*conn{}, most: 3, maxIdle: time.Minute}
 	var conns []*conn
 	for range 3 {
 		if c, ok := p.acquire(e, time.Now()); c != nil || !ok {
@@ -383,7 +386,7 @@
 	}
 	c, _ = tcpPair(t)
 	p.open++
-	e.open.Store(false)
+	e.Open.Store(false)
 	p.release(e, c)
 	if p.open != 0 || len(p.idle) != 0 {
 		t.Error("a connection to a draining endpoint is kept")
@@ -406,22 +409,26 @@
 func TestProbe(t *testing.T) {
 	var health atomic.Int64
 	health.Store(http.StatusOK)
-	x := peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+	at := func(serve http.HandlerFunc) *exchange.Endpoint {
+		s := httptest.NewServer(serve)
+		t.Cleanup(s.Close)
+		return &exchange.Endpoint{Address: s.Listener.Addr().String()}
+	}
+	e := at(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodGet || r.URL.Path != "/health" {
 			t.Errorf("probed with %s %s", r.Method, r.URL.Path)
 		}
 		w.WriteHeader(int(health.Load()))
 	})
-	e := &endpoint{address: x.Address}
-	if got := probe(e, patience); got != gingerlead.OK {
+	if got := Probe(e, patience); got != gingerlead.OK {
 		t.Errorf("healthy: %v", got)
 	}
 	health.Store(http.StatusServiceUnavailable)
-	if got := probe(e, patience); got != gingerlead.Error {
+	if got := Probe(e, patience); got != gingerlead.Error {
 		t.Errorf("unwell: %v", got)
 	}
-	mute := peer(t, "s-2", func(w http.ResponseWriter, r *http.Request) { gone(r) })
-	if got := probe(&endpoint{address: mute.Address}, 100*time.Millisecond); got != gingerlead.Timeout {
+	mute := at(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	if got := Probe(mute, 100*time.Millisecond); got != gingerlead.Timeout {
 		t.Errorf("mute: %v", got)
 	}
 }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -282,3 +282,21 @@
 	c.noDiscovery = found.Address == "" && membership.Table.In(f).Mode == membership.Consul
 	return c, c.check()
 }
+
+// Idle connections to endpoints are kept for idleShare of what the platform tells, or idleDefault: a request
+// that is written while the endpoint closes its connection would be lost as a reset.
+const (
+	idleShare   = 0.5
+	idleDefault = 10 * time.Second
+)
+
+// maxIdle is how long an idle connection to an endpoint is kept.
+func (c *Config) maxIdle(t *tuning) time.Duration {
+	switch idle := c.Settings.ConnIdle; {
+	case t.endpoints.KeepIdle > 0:
+		return t.endpoints.KeepIdle
+	case idle > 0:
+		return time.Duration(idleShare * float64(idle))
+	}
+	return idleDefault
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -15,10 +15,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/exchange"
 	"gingerlead/internal/membership"
 )
 
@@ -74,21 +74,11 @@
 	return list
 }
 
-// endpoint is one start of an endpoint at one address. When either changes, another takes its place.
-type endpoint struct {
-	id      gingerlead.EndpointID
-	uid     string
-	address string
-	bootMS  int64
-	open    atomic.Bool  // it may get new attempts
-	waiting atomic.Int32 // attempts that wait for its answer, on connections that stand
-}
-
 // endpoints is the table of the endpoints that are listed. One that has gone is forgotten at once: what is
 // still out to it holds on to its endpoint, that is open to nothing new. The loop owns the table.
 type endpoints struct {
 	origin time.Time // zero of the event clock
-	byID   map[gingerlead.EndpointID]*endpoint
+	byID   map[gingerlead.EndpointID]*exchange.Endpoint
 	ids    map[string]gingerlead.EndpointID
 	zones  names
 	models names
@@ -107,7 +97,7 @@
 }
 
 func newEndpoints(zones, models []string, origin time.Time) *endpoints {
-	t := &endpoints{origin: origin, byID: map[gingerlead.EndpointID]*endpoint{},
+	t := &endpoints{origin: origin, byID: map[gingerlead.EndpointID]*exchange.Endpoint{},
 		ids: map[string]gingerlead.EndpointID{}, zones: names{}, models: names{}}
 	for _, z := range zones {
 		t.zones.index(z)
@@ -139,35 +129,35 @@
 }
 
 // put puts an endpoint into the table, in the place of one that it replaces.
-func (t *endpoints) put(e *endpoint) {
-	t.byID[e.id], t.ids[e.uid] = e, e.id
+func (t *endpoints) put(e *exchange.Endpoint) {
+	t.byID[e.ID], t.ids[e.UID] = e, e.ID
 }
 
 // forget takes an endpoint that has gone out of the table.
-func (t *endpoints) forget(e *endpoint) {
-	e.open.Store(false)
-	delete(t.byID, e.id)
-	delete(t.ids, e.uid)
+func (t *endpoints) forget(e *exchange.Endpoint) {
+	e.Open.Store(false)
+	delete(t.byID, e.ID)
+	delete(t.ids, e.UID)
 }
 
 // update takes a list in and returns it in the Balancer's terms, with the endpoints whose idle connections
 // are of no more use.
-func (t *endpoints) update(l membership.List) (entries []gingerlead.Entry, retired []*endpoint) {
+func (t *endpoints) update(l membership.List) (entries []gingerlead.Entry, retired []*exchange.Endpoint) {
 	listed := map[gingerlead.EndpointID]bool{}
 	for _, x := range l.Endpoints {
 		state := x.State
 		id := t.id(x.UID)
 		listed[id] = true
 		e := t.byID[id]
-		if e == nil || state == gingerlead.Ready && (e.address != x.Address || e.bootMS != x.BootMS) {
+		if e == nil || state == gingerlead.Ready && (e.Address != x.Address || e.BootMS != x.BootMS) {
 			if e != nil {
-				e.open.Store(false)
+				e.Open.Store(false)
 				retired = append(retired, e)
 			}
-			e = &endpoint{id: id, uid: x.UID, address: x.Address, bootMS: x.BootMS}
+			e = &exchange.Endpoint{ID: id, UID: x.UID, Address: x.Address, BootMS: x.BootMS}
 			t.put(e)
 		}
-		e.open.Store(state == gingerlead.Ready)
+		e.Open.Store(state == gingerlead.Ready)
 		if state != gingerlead.Ready {
 			retired = append(retired, e)
 		}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/exchange"
 	"gingerlead/internal/membership"
 )
 
@@ -24,7 +25,7 @@
 	a, b := newEndpoints(nil, nil, time.Now()), newEndpoints(nil, nil, time.Now())
 	put := func(t *endpoints, uid string) gingerlead.EndpointID {
 		id := t.id(uid)
-		t.put(&endpoint{id: id, uid: uid})
+		t.put(&exchange.Endpoint{ID: id, UID: uid})
 		return id
 	}
 	if a.id("s-00000001") != 1 || a.id("s-5be2a07c") != 0x5be2a07c {
@@ -67,14 +68,14 @@
 		change()
 		old := e.byID[1]
 		entries, retired := e.update(endpointList{Targets: []target{x}}.judged(membership.FromWatch))
-		if len(retired) != 1 || retired[0] != old || old.open.Load() || !e.byID[1].open.Load() || e.byID[1].address != x.Address {
+		if len(retired) != 1 || retired[0] != old || old.Open.Load() || !e.byID[1].Open.Load() || e.byID[1].Address != x.Address {
 			t.Errorf("after a change: %+v", e.byID[1])
 		}
 		if x.BootMS > 0 && entries[0].Started == 0 {
 			t.Error("the start is not told")
 		}
 	}
-	if first.open.Load() || !e.byID[2].open.Load() {
+	if first.Open.Load() || !e.byID[2].Open.Load() {
 		t.Error("a delta closed what it does not name, or left the old address open")
 	}
 	e.update(endpointList{All: true, Targets: []target{x}}.judged(membership.FromWatch))
@@ -93,11 +94,11 @@
 		l.targets(endpointList{Rev: 5, Targets: []target{draining}}, membership.FromWatch)
 		l.targets(endpointList{Rev: 4, All: true, Targets: []target{ready("s-1", 0)}}, membership.FromFetch)
 		l.targets(endpointList{Rev: 5, Targets: []target{ready("s-1", 0)}}, membership.FromWatch)
-		if l.endpoints.byID[1].open.Load() || !l.endpoints.byID[2].open.Load() || l.feed.Rev != 5 {
+		if l.endpoints.byID[1].Open.Load() || !l.endpoints.byID[2].Open.Load() || l.feed.Rev != 5 {
 			t.Error("an older list undid a drain")
 		}
 		l.targets(endpointList{Rev: 6, All: true, Targets: []target{ready("s-1", 0)}}, membership.FromFetch)
-		if !l.endpoints.byID[1].open.Load() || l.endpoints.byID[2] != nil {
+		if !l.endpoints.byID[1].Open.Load() || l.endpoints.byID[2] != nil {
 			t.Error("a newer list is not followed")
 		}
 	})
@@ -236,7 +237,7 @@
 	}
 	rg.inLoop(func() {
 		old.fetch() // a late answer of the old discovery
-		if l.endpoints.byID[1] != nil && l.endpoints.byID[1].open.Load() {
+		if l.endpoints.byID[1] != nil && l.endpoints.byID[1].Open.Load() {
 			t.Error("an endpoint that the new list lacks is open")
 		}
 	})
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/exchange"
+	"gingerlead/internal/http1"
 	"gingerlead/internal/membership"
 )
 
@@ -24,7 +26,7 @@
 	events chan func()
 	origin time.Time   // zero of the event clock
 	ready  atomic.Bool // the Balancer has a list
-	bodies budget
+	bodies exchange.Budget
 
 	config    *Config
 	endsAt    time.Time // when all must be answered; zero unless this sidecar was told to stop
@@ -36,14 +38,14 @@
 	requests  map[gingerlead.RequestID]*request
 	past      past
 	endpoints *endpoints
-	pool      pool
+	http1     *http1.Transport
 	watcher   *watcher
 }
 
 // request is one request from its arrival until it is answered and its last attempt has ended.
 type request struct {
 	gingerlead.Request
-	inbound
+	exchange.Inbound
 
 	deadline time.Time // when its attempts end, so that the last byte of its answer is out in time
 	attempts int
@@ -54,7 +56,7 @@
 
 // answer is the final answer to a request: an endpoint's response, or a refusal or failure of our own.
 type answer struct {
-	response   *response // nil unless served
+	response   *exchange.Response // nil unless served
 	refused    bool
 	retryAfter time.Duration
 }
@@ -67,8 +69,8 @@
 		unfollow: func() {},
 	}
 	l.endpoints = newEndpoints(c.Settings.Zones, c.Settings.Models, l.origin)
-	l.pool = newPool(c)
-	l.bodies.left.Store(int64(c.tuning.callers.BodyShare * float64(c.Limits.MemoryMB<<20)))
+	l.http1 = http1.NewTransport(int(c.tuning.endpoints.Share*float64(c.Limits.Sockets-reservedSockets)), c.maxIdle(c.tuning), c.Settings.ConnectTimeout)
+	l.bodies.Give(int(c.tuning.callers.BodyShare * float64(c.Limits.MemoryMB<<20)))
 	l.watcher = newWatcher(c.Discovery, c.token, l)
 	var err error
 	l.balancer, err = gingerlead.New(c.Settings.Settings, c.Seed, l)
@@ -94,7 +96,7 @@
 		case event := <-l.events:
 			event()
 		case <-sweep.C:
-			l.pool.sweep(time.Now())
+			l.http1.Sweep(time.Now())
 		}
 	}
 }
@@ -159,45 +161,53 @@
 	l.forget(r)
 }
 
-// budget bounds the bytes that are held for the bodies of all requests and answers together.
-type budget struct{ left atomic.Int64 }
+// attempt is one sending of a request to an endpoint.
+type attempt struct {
+	exchange.Attempt
+	request  *request
+	number   int
+	cancel   context.CancelFunc
+	by       exchange.Transport
+	acquired exchange.Conn
+}
 
-func (b *budget) take(n int) bool {
-	if b.left.Add(-int64(n)) >= 0 {
-		return true
+func newAttempt(r *request, e *exchange.Endpoint, timeout time.Duration, bodies *exchange.Budget) *attempt {
+	a := &attempt{request: r, number: r.attempts}
+	a.Request, a.Endpoint, a.Sent, a.Bodies = &r.Inbound, e, time.Now(), bodies
+	deadline := r.deadline
+	if end := a.Sent.Add(timeout); timeout != 0 && end.Before(deadline) {
+		deadline = end
 	}
-	b.give(n)
-	return false
+	a.Context, a.cancel = context.WithDeadline(context.Background(), deadline)
+	return a
 }
 
-func (b *budget) give(n int) { b.left.Add(int64(n)) }
-
 // closed takes the end of an attempt; its connection is closed or fit for another one.
-func (l *loop) closed(a *attempt, res result) {
+func (l *loop) closed(a *attempt, res exchange.Result) {
 	r := a.request
-	l.pool.release(a.endpoint, res.conn)
+	a.by.Release(a.Endpoint, a.acquired, res.Conn)
 	r.out = nil
 	final := r.answered
-	if res.status == gingerlead.OK && !r.answered {
+	if res.Status == gingerlead.OK && !r.answered {
 		final = true
-		l.finish(r, answer{response: res.response})
+		l.finish(r, answer{response: res.Response})
 	} else {
-		l.discard(res.response)
+		l.discard(res.Response)
 	}
 	l.balancer.Outcome(l.now(), gingerlead.Outcome{
-		ID: r.ID, Endpoint: a.endpoint.id, Attempt: a.number, Final: final,
-		Elapsed: res.took, Status: res.status, Load: res.load,
+		ID: r.ID, Endpoint: a.Endpoint.ID, Attempt: a.number, Final: final,
+		Elapsed: res.Took, Status: res.Status, Load: res.Load,
 	})
 	l.forget(r)
-	if res.status == gingerlead.ConnectFailed && l.members.Doubts() {
-		l.told(l.members.Failed(l.now(), a.endpoint.uid))
+	if res.Status == gingerlead.ConnectFailed && l.members.Doubts() {
+		l.told(l.members.Failed(l.now(), a.Endpoint.UID))
 	}
 }
 
 // discard lets go of a response.
-func (l *loop) discard(r *response) {
+func (l *loop) discard(r *exchange.Response) {
 	if r != nil {
-		l.bodies.give(len(r.body))
+		l.bodies.Give(len(r.Body))
 	}
 }
 
@@ -250,15 +260,21 @@
 
 func (l *loop) Send(id gingerlead.RequestID, to gingerlead.EndpointID, timeout time.Duration) {
 	r := l.requests[id]
-	a := newAttempt(r, l.endpoints.byID[to], timeout)
+	a := newAttempt(r, l.endpoints.byID[to], timeout, &l.bodies)
 	r.attempts++
 	r.out = a
-	c, ok := l.pool.acquire(a.endpoint, a.sent)
+	l.dispatch(a, l.http1)
+}
+
+// dispatch makes an attempt by a transport.
+func (l *loop) dispatch(a *attempt, by exchange.Transport) {
+	c, ok := by.Acquire(a.Endpoint, a.Sent)
+	a.by, a.acquired = by, c
 	go func() {
 		defer a.cancel()
-		res := result{status: gingerlead.Moot}
+		res := exchange.Result{Status: gingerlead.Moot}
 		if ok {
-			res = a.run(c, l.config.Settings.ConnectTimeout, &l.bodies)
+			res = by.Run(&a.Attempt, c)
 		}
 		l.post(func() { l.closed(a, res) })
 	}()
@@ -296,7 +312,7 @@
 	}
 	sent := time.Now()
 	go func() {
-		status := probe(e, l.config.Settings.ConnectTimeout)
+		status := http1.Probe(e, l.config.Settings.ConnectTimeout)
 		l.post(func() {
 			l.balancer.Probed(l.now(), gingerlead.Probed{Endpoint: to, Status: status, Elapsed: time.Since(sent)})
 		})
@@ -319,7 +335,7 @@
 	}
 }
 
-func (l *loop) CloseIdle(to gingerlead.EndpointID) { l.pool.closeIdle(l.endpoints.byID[to]) }
+func (l *loop) CloseIdle(to gingerlead.EndpointID) { l.http1.CloseIdle(l.endpoints.byID[to]) }
 
 func (l *loop) Log(text string) { log.Print(text) }
 
@@ -362,7 +378,7 @@
 	if news {
 		entries, retired := l.endpoints.update(list)
 		for _, e := range retired {
-			l.pool.closeIdle(e)
+			l.http1.CloseIdle(e)
 		}
 		l.balancer.Targets(l.now(), gingerlead.List{Kind: list.Kind, Version: list.Version, Entries: entries})
 		if list.Kind != gingerlead.Cached || len(entries) > 0 {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,13 +12,14 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/exchange"
+	"gingerlead/internal/http1"
 )
 
 const (
 	// reservedSockets are for the listener, discovery, probes, standard streams and the runtime, and for
-	// excessSockets: callers that come when all connections are busy, and are turned away.
+	// exchange.ExcessSockets.
 	reservedSockets = 32
-	excessSockets   = 12
 	writeTimeout    = 10 * time.Second // beyond the longest deadline
 	maxName         = 128              // bytes of an id
 	maxRemaining    = time.Hour
@@ -30,18 +32,9 @@
 	stopPoll    = 20 * time.Millisecond
 )
 
-// inbound is what goes on to an endpoint unchanged.
-type inbound struct {
-	method string
-	target string // as the client wrote it
-	host   string
-	header http.Header
-	body   []byte
-}
-
 // server takes callers' requests to the loop, and its answers back.
 type server struct {
-	http    http.Server
+	fronts  []exchange.Front
 	loop    *loop
 	config  *Config
 	classes map[string]int
@@ -50,14 +43,11 @@
 	quiet   time.Duration             // see quietAfter
 	tuning  atomic.Pointer[tuning]    // as the configuration file has it now
 	end     atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
-
-	callers callers
 }
 
-func newServer(c *Config, l *loop) *server {
+func newServer(c *Config, l *loop, listener net.Listener) *server {
 	s := &server{loop: l, config: c, classes: map[string]int{}, tenants: map[string]int{}, quiet: quietAfter}
 	s.tuning.Store(c.tuning)
-	s.callers.most = int(c.tuning.callers.Share * float64(c.Limits.Sockets-reservedSockets))
 	for i, class := range c.Settings.Classes {
 		s.classes[class.Name] = i
 		s.longest = max(s.longest, class.Deadline)
@@ -65,13 +55,18 @@
 	for i, tenant := range c.Settings.Tenants {
 		s.tenants[tenant.Name] = i
 	}
-	s.http = http.Server{
-		Handler: s, ConnContext: withCaller, ConnState: s.callers.state, MaxHeaderBytes: int(c.tuning.callers.MaxHeader),
-		ReadHeaderTimeout: c.tuning.callers.RequestTimeout, IdleTimeout: c.tuning.callers.IdleTimeout, WriteTimeout: s.longest + writeTimeout,
-	}
+	s.fronts = []exchange.Front{http1.NewFront(listener, s, s.bounds())}
 	return s
 }
 
+// bounds are those of a front for HTTP/1.1.
+func (s *server) bounds() http1.Bounds {
+	c := s.config.tuning.callers
+	return http1.Bounds{Connections: int(c.Share * float64(s.config.Limits.Sockets-reservedSockets)), MaxHeader: int(c.MaxHeader),
+		RequestTimeout: c.RequestTimeout, IdleTimeout: c.IdleTimeout, WriteTimeout: s.longest + writeTimeout}
+}
+
+// ServeHTTP takes a request from any front.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/ready" && r.Header.Get("X-Txn") == "" {
 		if !s.loop.ready.Load() || s.end.Load() != nil {
@@ -79,47 +74,48 @@
 		}
 		return
 	}
-	c := r.Context().Value(callerKey{}).(*caller)
-	began, over := c.taken()
+	c := exchange.CallerOf(r)
+	began, over := c.Taken()
 	if over {
-		w.Header().Set("Connection", "close")
-		s.write(w, answer{refused: true})
+		c.Last(w.Header())
+		s.write(w, c, answer{refused: true})
 		return
 	}
 	req, status, fault := s.parse(r)
 	if fault != "" {
 		// What follows on the connection may be no request.
-		w.Header().Set("Connection", "close")
+		c.Last(w.Header())
 		http.Error(w, fault, status)
 		return
 	}
 	// An attempt writes a copy of the body.
 	if held := 2 * int(r.ContentLength); held > 0 {
-		if !s.loop.bodies.take(held) {
-			w.Header().Set("Connection", "close")
-			s.write(w, answer{refused: true, retryAfter: time.Second})
+		if !s.loop.bodies.Take(held) {
+			c.Last(w.Header())
+			s.write(w, c, answer{refused: true, retryAfter: time.Second})
 			return
 		}
-		defer s.loop.bodies.give(held)
+		defer s.loop.bodies.Give(held)
 	}
 	// The limit on reading holds for the body alone. Left in place, it would pass for the client going away.
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(began.Add(s.config.tuning.callers.RequestTimeout))
-	body, err := readAll(r.Body)
+	body, err := exchange.ReadAll(r.Body)
 	control.SetReadDeadline(time.Time{})
 	if err != nil {
-		w.Header().Set("Connection", "close")
+		c.Last(w.Header())
 		http.Error(w, "request body cut short", http.StatusBadRequest)
 		return
 	}
 	received := time.Now()
-	req.Idle = c.served()
-	removeHopByHop(r.Header)
-	req.inbound = inbound{method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, body: body}
+	req.Idle = c.Served()
+	exchange.RemoveHopByHop(r.Header)
+	req.Inbound = exchange.Inbound{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Safe: s.config.Settings.Classes[req.Class].Effect == gingerlead.Safe}
 	s.loop.post(func() { s.loop.arrive(req, received) })
 	select {
 	case a := <-req.answer:
-		s.write(w, a)
+		s.write(w, c, a)
 		s.loop.discard(a.response)
 	case <-r.Context().Done():
 		s.loop.post(func() { s.loop.lapse(req) })
@@ -216,18 +212,18 @@
 }
 
 // write gives the final answer.
-func (s *server) write(w http.ResponseWriter, a answer) {
+func (s *server) write(w http.ResponseWriter, c exchange.Caller, a answer) {
 	if end := s.end.Load(); end != nil && time.Until(*end) < lastAnswers {
-		w.Header().Set("Connection", "close")
+		c.Last(w.Header())
 	}
 	switch {
 	case a.response != nil:
 		header := w.Header()
-		for name, values := range a.response.header {
+		for name, values := range a.response.Header {
 			header[name] = values
 		}
-		header.Set("Content-Length", strconv.Itoa(len(a.response.body)))
-		w.Write(a.response.body) // a client that has gone cannot be told
+		header.Set("Content-Length", strconv.Itoa(len(a.response.Body)))
+		w.Write(a.response.Body) // a client that has gone cannot be told
 	case a.refused:
 		if a.retryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
@@ -238,21 +234,6 @@
 	}
 }
 
-// hopByHop are the headers that belong to one connection.
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
-
-func removeHopByHop(h http.Header) {
-	for _, line := range slices.Clone(h["Connection"]) {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
-
 // stop ends the server shortly before it would be killed, with all answered that it has taken. Until then it
 // goes on serving: no front sends it new callers, but those that it has go on using their connections, and
 // where it is the only sidecar, or the others are gone or just starting, whom it cuts off has nowhere to go.
@@ -269,13 +250,29 @@
 	if s.config.Settings.Instances > 1 {
 		last = end.Add(-min(how.HandOver, max(0, linger-s.quiet)))
 	}
-	for time.Now().Before(last) && (time.Since(told) < s.quiet || !s.callers.quietFor(s.quiet)) {
+	for time.Now().Before(last) && (time.Since(told) < s.quiet || !s.isQuiet()) {
 		time.Sleep(stopPoll)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(how.Margin/2))
 	defer cancel()
-	if err := s.http.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	return s.http.Close() // what is left has not brought a whole request, or does not read its answer
+	ends := make(chan error, len(s.fronts))
+	for _, f := range s.fronts {
+		go func() {
+			err := f.Stop(ctx)
+			if errors.Is(err, context.DeadlineExceeded) {
+				err = f.Close() // what is left has not brought a whole request, or does not read its answer
+			}
+			ends <- err
+		}()
+	}
+	var err error
+	for range s.fronts {
+		err = errors.Join(err, <-ends)
+	}
+	return err
+}
+
+// isQuiet tells whether nobody is connected by any front.
+func (s *server) isQuiet() bool {
+	return !slices.ContainsFunc(s.fronts, func(f exchange.Front) bool { return !f.Quiet(s.quiet) })
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,11 +1,9 @@
 package sidecar
 
 import (
-	"errors"
 	"log"
 	"math"
 	"net"
-	"net/http"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -33,10 +31,10 @@
 	if err != nil {
 		return err
 	}
-	return newServer(c, l).run(listener, stop, reload)
+	return newServer(c, l, listener).run(listener.Addr(), stop, reload)
 }
 
-func (s *server) run(listener net.Listener, stop, reload <-chan os.Signal) error {
+func (s *server) run(at net.Addr, stop, reload <-chan os.Signal) error {
 	go s.loop.run()
 	go func() {
 		for range reload {
@@ -56,10 +54,15 @@
 		}
 		defer stop()
 	}
-	log.Printf("%s: serving on %s", s.config.Name, listener.Addr())
-	s.callers.Listener = listener
-	if err := s.http.Serve(&s.callers); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	log.Printf("%s: serving on %s", s.config.Name, at)
+	served := make(chan error, len(s.fronts))
+	for _, f := range s.fronts {
+		go func() { served <- f.Serve() }()
+	}
+	for range s.fronts {
+		if err := <-served; err != nil {
+			return err
+		}
 	}
 	return <-stopped
 }
@@ -83,7 +86,7 @@
 		return x.Path[0] == "consul" || x.Path[0] == membership.Table.Name && x.Key.Name == "source"
 	})
 	s.loop.post(func() {
-		s.loop.pool.maxIdle = s.config.maxIdle(c.tuning)
+		s.loop.http1.SetMaxIdle(s.config.maxIdle(c.tuning))
 		s.loop.told(s.loop.members.Set(s.loop.now(), c.tuning.membership))
 		if refollow {
 			s.loop.followBeside(c.follower)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -20,6 +20,8 @@
 
 	"gingerlead"
 	"gingerlead/internal/appfile"
+	"gingerlead/internal/exchange"
+	"gingerlead/internal/http1"
 )
 
 // patience bounds what a test waits for; it only passes when something is wrong.
@@ -95,12 +97,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rg.server, rg.url = newServer(config, l), "http://"+listener.Addr().String()
-	go func() { rg.ended <- rg.server.run(listener, rg.signals, rg.reloads) }()
+	rg.server, rg.url = newServer(config, l, listener), "http://"+listener.Addr().String()
+	go func() { rg.ended <- rg.server.run(listener.Addr(), rg.signals, rg.reloads) }()
 	t.Cleanup(func() {
 		rg.inLoop(func() { l.watcher.stop() })
 		close(rg.reloads)
-		rg.server.http.Close()
+		rg.front().Close()
 		discovery.CloseClientConnections()
 		discovery.Close()
 	})
@@ -115,6 +117,13 @@
 	return rg
 }
 
+func (rg *rig) front() *http1.Front { return rg.server.fronts[0].(*http1.Front) }
+
+func (rg *rig) most() int {
+	_, _, _, most := rg.front().Counts()
+	return most
+}
+
 // until waits for something that shows by itself.
 func (rg *rig) until(what string, done func() bool) {
 	rg.t.Helper()
@@ -290,7 +299,7 @@
 func TestBadInputNeverReachesAnEndpoint(t *testing.T) {
 	var came atomic.Int64
 	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { came.Add(1) }))
-	large := strings.Repeat("x", maxBody+1)
+	large := strings.Repeat("x", exchange.MaxBody+1)
 	for name, c := range map[string]struct {
 		spoil func(r *http.Request)
 		want  int
@@ -443,7 +452,7 @@
 	}
 	rg.until("the request is forgotten", func() bool {
 		n := 0
-		rg.inLoop(func() { n = len(rg.server.loop.requests) + rg.server.loop.pool.open })
+		rg.inLoop(func() { open, _ := rg.server.loop.http1.Counts(); n = len(rg.server.loop.requests) + open })
 		return n == 0
 	})
 }
@@ -469,7 +478,7 @@
 			t.Fatal(status)
 		}
 		rg.until("the connection is idle", func() (idle bool) {
-			rg.inLoop(func() { idle = len(rg.server.loop.pool.idle) == 1 })
+			rg.inLoop(func() { _, n := rg.server.loop.http1.Counts(); idle = n == 1 })
 			return idle
 		})
 	}
@@ -513,9 +522,7 @@
 	}
 	idle := true
 	rg.inLoop(func() {
-		for e := range rg.server.loop.pool.idle {
-			idle = idle && e.address != a.Address
-		}
+		idle = rg.server.loop.http1.IdleAt(a.Address) == 0
 	})
 	if !idle {
 		t.Error("connections to it are kept")
@@ -529,12 +536,10 @@
 		_, c := rg.raw("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
 		idles = append(idles, c)
 	}
-	cs := &rg.server.callers
 	rg.until("only these are open, and idle", func() bool {
 		http.DefaultClient.CloseIdleConnections()
-		cs.mu.Lock()
-		defer cs.mu.Unlock()
-		return cs.stages[idle].Len() == n && cs.open == n
+		open, idle, _, _ := rg.front().Counts()
+		return idle == n && open == n
 	})
 	return idles
 }
@@ -800,7 +805,7 @@
 			return done
 		})
 	}
-	full := l.bodies.left.Load()
+	full := l.bodies.Left()
 	rev := uint64(1)
 	for i := range 20 {
 		x := peer(t, fmt.Sprintf("s-%08x", i), func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })
@@ -819,17 +824,12 @@
 	http.DefaultClient.CloseIdleConnections()
 	rg.until("all is forgotten", func() (done bool) {
 		rg.inLoop(func() {
-			e, p := l.endpoints, &l.pool
-			done = len(e.byID)+len(e.ids)+len(p.idle)+p.order.Len()+p.open+len(l.requests) == 0 &&
-				l.bodies.left.Load() == full
+			e := l.endpoints
+			open, idle := l.http1.Counts()
+			done = len(e.byID)+len(e.ids)+idle+open+len(l.requests) == 0 && l.bodies.Left() == full
 		})
-		cs := &rg.server.callers
-		cs.mu.Lock()
-		defer cs.mu.Unlock()
-		for i := range cs.stages {
-			done = done && cs.stages[i].Len() == 0
-		}
-		return done && cs.open == 0
+		open, _, staged, _ := rg.front().Counts()
+		return done && staged == 0 && open == 0
 	})
 	var past past
 	for i := range 3 * pastMost {
@@ -867,7 +867,7 @@
 	}
 	ask()
 	var crowd []net.Conn
-	for range 5 * rg.server.callers.most {
+	for range 5 * rg.most() {
 		crowd = append(crowd, dial())
 	}
 	ask()
@@ -908,7 +908,7 @@
 func TestIdleCallersMakeRoom(t *testing.T) {
 	rg := start(t, appfile.LeastSockets, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") }))
 	var first net.Conn
-	for i := range 3 * rg.server.callers.most {
+	for i := range 3 * rg.most() {
 		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
 		if err != nil {
 			t.Fatal(err)
@@ -930,9 +930,8 @@
 		t.Errorf("the first connection: %d bytes, %v", n, err)
 	}
 	rg.until("open connections are within their share", func() bool {
-		rg.server.callers.mu.Lock()
-		defer rg.server.callers.mu.Unlock()
-		return rg.server.callers.open <= rg.server.callers.most
+		open, _, _, most := rg.front().Counts()
+		return open <= most
 	})
 }
 
@@ -944,9 +943,7 @@
 		<-serve
 		fmt.Fprint(w, "ok")
 	}))
-	rg.server.callers.mu.Lock()
-	rg.server.callers.most = 2 // as if the machine were that small
-	rg.server.callers.mu.Unlock()
+	rg.front().SetConnections(2) // as if the machine were that small
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", strings.TrimPrefix(rg.url, "http://"))
 		if err != nil {
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gingerlead/internal/exchange"
 	"gingerlead/internal/membership"
 	"gingerlead/internal/schema"
 )
@@ -29,7 +30,7 @@
 		schema.Bounds[int64]{Default: 8 << 10, Least: 1 << 10, Most: 64 << 10}, schema.AtStart,
 		"The headers of one request."),
 	schema.Size("max_body", func(c *Callers) *int64 { return &c.MaxBody },
-		schema.Bounds[int64]{Default: maxBody, Least: 0, Most: maxBody}, schema.OnReload,
+		schema.Bounds[int64]{Default: exchange.MaxBody, Least: 0, Most: exchange.MaxBody}, schema.OnReload,
 		"The body of one request; a larger one is answered 413."),
 	schema.Float("caller_share", func(c *Callers) *float64 { return &c.Share },
 		schema.Bounds[float64]{Default: 0.6, Least: 0.05, Most: 0.95}, schema.AtStart,
