--- a/cmd/quincegap/exchange_bench_test.go
+++ b/cmd/quincegap/exchange_bench_test.go
@@ -229,7 +229,8 @@
 			before := ticks(b, x.cmd.Process.Pid)
 			for range n {
 				var rt http.RoundTripper
-				method, url, done := "GET", "https://"+relay.Address(), func() {}
+				var done func()
+				method, url := "GET", "https://"+relay.Address()
 				switch kind {
 				case "http1":
 					t := &http.Transport{}
