--- a/cmd/quincegap/http3_test.go
+++ b/cmd/quincegap/http3_test.go
@@ -275,3 +275,85 @@
 		t.Errorf("%d over HTTP/3", n)
 	}
 }
+
+// SIGTERM while callers book over HTTP/3 without pause, and SIGKILL: each booking that was answered ran once, and
+// after SIGTERM each that ran was answered.
+func TestHTTP3Ends(t *testing.T) {
+	for _, end := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(end.String(), func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			ran := map[string]int{}
+			e, err := booking.StartEndpoint("box-0", func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				mu.Lock()
+				ran[r.Header.Get("X-Txn")]++
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+				io.WriteString(w, "ok")
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(e.Close)
+			disc, err := booking.StartDiscovery("", e.Target())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(disc.Close)
+			d := newDesk(t)
+			p := launch(t, d.text(disc.Address(), "127.0.0.1:0")+"\n[stop]\nstop_longest = \"1s\"\n")
+			at := udpOf(p)
+			var callers sync.WaitGroup
+			var answered sync.Map
+			var served atomic.Int64
+			for range 6 {
+				callers.Go(func() {
+					c := d.caller(nil)
+					c.QUICConfig.MaxIdleTimeout = 2 * time.Second
+					client := &http.Client{Transport: c, Timeout: patience}
+					for {
+						r, _ := http.NewRequest("POST", "https://"+at+"/trips", strings.NewReader("trip"))
+						id := fmt.Sprintf("e%d", txn.Add(1))
+						r.Header.Set("X-Txn", id)
+						r.Header.Set("X-Lane", "book-trip")
+						r.Header.Set("X-Remaining", "6000m")
+						r.Header.Set("Idempotency-Key", id)
+						res, err := client.Do(r)
+						if err != nil {
+							return // it has gone
+						}
+						io.Copy(io.Discard, res.Body)
+						res.Body.Close()
+						if res.StatusCode == http.StatusOK {
+							answered.Store(id, true)
+							served.Add(1)
+						} else if res.StatusCode != http.StatusServiceUnavailable {
+							t.Errorf("status %d", res.StatusCode)
+						}
+					}
+				})
+			}
+			for until := time.Now().Add(patience); served.Load() < 100; time.Sleep(time.Millisecond) {
+				if time.Now().After(until) {
+					t.Fatal("no bookings")
+				}
+			}
+			p.signal(end)
+			callers.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			for id, n := range ran {
+				if _, ok := answered.Load(id); n != 1 || !ok && end == syscall.SIGTERM {
+					t.Errorf("%s ran %d times, answered %v", id, n, ok)
+				}
+			}
+			answered.Range(func(id, _ any) bool {
+				if ran[id.(string)] != 1 {
+					t.Errorf("%v was answered and ran %d times", id, ran[id.(string)])
+				}
+				return true
+			})
+		})
+	}
+}
--- a/internal/apps/check.go
+++ b/internal/apps/check.go
@@ -78,12 +78,24 @@
 	return g
 }
 
-// addresses reports listeners that would take each other's address.
+// addresses reports listeners that would take each other's address: over TCP, and over UDP.
 func (g *graph) addresses() {
+	g.listeners("sidecar", "listen")
+	g.listeners("http3", "http3_listen")
+}
+
+// listeners reports those that have an address twice by a setting.
+func (g *graph) listeners(table, name string) {
 	type key struct{ host, ip, port string }
 	taken := map[key]*node{}
+	listen := func(n *node) string {
+		if s := n.File.Setting(table, name); s != nil {
+			return s.Unquoted()
+		}
+		return ""
+	}
 	for _, n := range g.nodes {
-		ip, port, err := net.SplitHostPort(n.sidecar.Listen)
+		ip, port, err := net.SplitHostPort(listen(n))
 		if err != nil || port == "0" {
 			continue
 		}
@@ -105,9 +117,9 @@
 			other = taken[key{n.sidecar.Host, "any", port}]
 		}
 		if other != nil {
-			at := n.File.Place("sidecar", "listen")
-			g.found.Add(at.File, at.Pos, "sidecar.listen: %s is taken by %s, which listens on %s (%s)", n.sidecar.Listen, other.Name,
-				other.sidecar.Listen, other.File.Place("sidecar", "listen"))
+			at := n.File.Place(table, name)
+			g.found.Add(at.File, at.Pos, "%s.%s: %s is taken by %s, which listens on %s (%s)", table, name, listen(n), other.Name,
+				listen(other), other.File.Place(table, name))
 			continue
 		}
 		taken[k] = n
--- a/internal/http3/front_test.go
+++ b/internal/http3/front_test.go
@@ -717,3 +717,40 @@
 		t.Error("the old connection goes on")
 	}
 }
+
+// Clocks differ between a sidecar and the one that takes its place, by less than a day: tickets hold all the
+// same. By more, the handshake is a full one, and the caller is served just as well.
+func TestTicketsAndClocks(t *testing.T) {
+	for _, skew := range []time.Duration{0, 23 * time.Hour, -23 * time.Hour, 72 * time.Hour} {
+		var ahead atomic.Int64
+		r := open(t, echo, func(c *Callers, _ *Bounds, s *Security) {
+			c.EarlyData = EarlySafe
+			s.Secret = []byte("0123456789abcdef0123456789abcdef")
+			s.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+		})
+		address := r.at()
+		cache := tls.NewLRUClientSessionCache(10)
+		c := r.caller("", cache)
+		if code, _, err := ask(c, "GET", address+"/", ""); code != 200 || err != nil {
+			t.Fatal(code, err)
+		}
+		time.Sleep(50 * time.Millisecond) // for the ticket
+		c.Close()
+		r.close()
+		ahead.Store(int64(skew))
+		r.start(address)
+		conf := &tls.Config{RootCAs: r.pool, ServerName: "front.example.org", NextProtos: []string{"h3"}, ClientSessionCache: cache}
+		conn, err := quic.DialAddr(context.Background(), address, conf, nil)
+		if err != nil {
+			t.Fatalf("skew %v: %v", skew, err)
+		}
+		if got, want := conn.ConnectionState().TLS.DidResume, skew.Abs() < 24*time.Hour; got != want {
+			t.Errorf("skew %v: resumed %v", skew, got)
+		}
+		if code, _, err := ask((&http3.Transport{}).NewClientConn(conn), "GET", address+"/", ""); code != 200 || err != nil {
+			t.Errorf("skew %v: %d %v", skew, code, err)
+		}
+		conn.CloseWithError(0x100, "")
+		r.close()
+	}
+}
--- a/internal/product/product.go
+++ b/internal/product/product.go
@@ -124,8 +124,10 @@
 		}
 	}
 	if c := http3.CallersTable.In(f); c.Listen != "" && c.Cert != "" && c.Key != "" {
-		_, err := certfile.Read(Resolve(path, c.Cert), Resolve(path, c.Key), now)
-		report("http3", "http3_cert_file", err)
+		if _, err := secretfile.Key(Resolve(path, c.Key)); err == nil { // else that is reported
+			_, err = certfile.Read(Resolve(path, c.Cert), Resolve(path, c.Key), now)
+			report("http3", "http3_cert_file", err)
+		}
 		if c.Secret != "" {
 			if text, err := secretfile.Read(Resolve(path, c.Secret)); err == nil && len(text) < http3.LeastSecret {
 				report("http3", "http3_secret_file", fmt.Errorf("has %d characters; %d are the least that nobody guesses", len(text), http3.LeastSecret))
--- a/internal/sidecar/each_test.go
+++ b/internal/sidecar/each_test.go
@@ -1,11 +1,14 @@
 package sidecar
 
 import (
+	"context"
 	"crypto/tls"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 	"gingerlead/internal/http3"
 	"gingerlead/internal/standin/authority"
 	"gingerlead/internal/standin/h3"
+	"gingerlead/internal/standin/udp"
 )
 
 // way is the protocols of a test: of its callers and to its endpoints.
@@ -160,9 +164,9 @@
 // A proxy in front that takes early data says so; what must not run twice is sent back to be sent again.
 func TestTooEarly(t *testing.T) {
 	overEach(t, func(t *testing.T) {
-		var came []string
+		came := make(chan string, 10)
 		rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
-			came = append(came, r.Header.Get("X-Lane")+r.Header.Get("Early-Data"))
+			came <- r.Header.Get("X-Lane") + r.Header.Get("Early-Data")
 		}))
 		set := *rg.server.tuning.Load()
 		set.callers.TooEarly = true
@@ -174,8 +178,124 @@
 				t.Errorf("%s: %d, want %d", class, status, want)
 			}
 		}
-		if len(came) != 1 || came[0] != "read1" {
-			t.Errorf("endpoints got %v", came)
+		if n := len(came); n != 1 {
+			t.Errorf("endpoints got %d requests", n)
+		} else if got := <-came; got != "read1" {
+			t.Errorf("endpoints got %s", got)
+		}
+	})
+}
+
+// A booking in a first flight that is recorded and sent again, to this sidecar and to one that has restarted with
+// the same secret, runs once.
+func TestReplayedBookingRunsOnce(t *testing.T) {
+	current = way{"http3", "http1"}
+	defer func() { current = way{"http1", "http1"} }()
+	var runs atomic.Int64
+	rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Write([]byte("ok"))
+	}))
+	front := rg.server.fronts[1].(*http3.Front)
+	relay, err := udp.Start(front.Address().String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer relay.Close()
+	conf := &tls.Config{RootCAs: signer.Pool(), ServerName: frontName, NextProtos: []string{"h3"}, ClientSessionCache: tls.NewLRUClientSessionCache(4)}
+	// flight books on a new connection, in early data if there is a ticket, and returns its datagrams.
+	flight := func() [][]byte {
+		relay.Record()
+		conn, err := quic.DialAddrEarly(context.Background(), relay.Address(), conf, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.CloseWithError(0x100, "")
+		s, err := (&qh3.Transport{DisableCompression: true}).NewClientConn(conn).OpenRequestStream(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := rg.request("book", 5*time.Second)
+		r.Body, r.ContentLength = nil, 0
+		if err := s.SendRequestHeader(r); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		res, err := s.ReadResponse()
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("%+v, %v", res, err)
+		}
+		time.Sleep(50 * time.Millisecond) // for the ticket
+		if conn.ConnectionState().Used0RTT != (runs.Load() == 2) {
+			t.Fatalf("early data: %v in flight %d", conn.ConnectionState().Used0RTT, runs.Load())
+		}
+		return relay.Recorded()
+	}
+	flight()
+	recorded := flight()
+	// Under the id of a new request, the desk would not know it again by that.
+	rg.inLoop(func() { rg.server.loop.past = past{} })
+	for range 100 {
+		if err := relay.Replay(recorded); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// A connection that comes after the replays is served after them.
+	if status, _ := rg.ask(rg.request("once", 5*time.Second)); status != 200 {
+		t.Error(status)
+	}
+	rg.until("no handshake is under way", func() bool { _, _, n := front.Counts(); return n == 0 })
+	if runs.Load() != 3 {
+		t.Errorf("three bookings ran %d times", runs.Load())
+	}
+}
+
+// Half a body and silence: the request ends with an error in its time, and nothing of it goes on.
+func TestHalfABody(t *testing.T) {
+	overEach(t, func(t *testing.T) {
+		var came atomic.Int64
+		rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { came.Add(1) }))
+		rg.server.config.tuning.callers.RequestTimeout = 300 * time.Millisecond
+		read, write := io.Pipe()
+		defer write.Close()
+		go write.Write([]byte("half"))
+		r := rg.request("once", 5*time.Second)
+		r.Body, r.ContentLength = read, 100
+		c, _ := rg.client()
+		if res, err := c.RoundTrip(r); err == nil {
+			if res.StatusCode != 400 {
+				t.Errorf("status %d", res.StatusCode)
+			}
+			res.Body.Close()
+		}
+		if came.Load() != 0 {
+			t.Error("it went on")
+		}
+	})
+}
+
+// Callers leave just as their answers go out, at every moment: nothing is kept of them.
+func TestCallerLeavesAsTheAnswerComes(t *testing.T) {
+	overEach(t, func(t *testing.T) {
+		rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(2 * time.Millisecond)
+			w.Write([]byte("ok"))
+		}))
+		full := rg.server.loop.bodies.Left()
+		for i := range 60 {
+			ctx, leave := context.WithTimeout(context.Background(), time.Duration(i)*100*time.Microsecond)
+			c, _ := rg.client()
+			if res, err := c.RoundTrip(rg.request("once", 5*time.Second).WithContext(ctx)); err == nil {
+				res.Body.Close()
+			}
+			leave()
+		}
+		rg.until("nothing is kept", func() (done bool) {
+			rg.inLoop(func() { done = len(rg.server.loop.requests) == 0 && rg.server.loop.bodies.Left() == full })
+			return done
+		})
+		if status, _ := rg.ask(rg.request("once", 5*time.Second)); status != 200 {
+			t.Errorf("then: %d", status)
 		}
 	})
 }
