--- a/internal/sidecar/each_test.go
+++ b/internal/sidecar/each_test.go
@@ -27,6 +27,9 @@
 // current is the way of the test that runs; these tests run one after the other.
 var current = way{"http1", "http1"}
 
+// adjust changes the configuration of the sidecars that a test starts.
+var adjust = func(*Config) {}
+
 // overEach runs a test over every front and transport.
 func overEach(t *testing.T, test func(t *testing.T)) {
 	for _, w := range []way{{"http1", "http1"}, {"http3", "http1"}, {"http1", "http3"}, {"http3", "http3"}} {
@@ -52,6 +55,7 @@
 // apply has a sidecar's configuration speak by the current way.
 func (w way) apply(t *testing.T, c *Config) {
 	t.Helper()
+	adjust(c)
 	dir := t.TempDir()
 	put := func(name string, text []byte) string {
 		at := filepath.Join(dir, name)
@@ -254,8 +258,9 @@
 func TestHalfABody(t *testing.T) {
 	overEach(t, func(t *testing.T) {
 		var came atomic.Int64
+		adjust = func(c *Config) { c.tuning.callers.RequestTimeout = 300 * time.Millisecond }
+		defer func() { adjust = func(*Config) {} }()
 		rg := start(t, 1024, peer(t, "s-1", func(w http.ResponseWriter, r *http.Request) { came.Add(1) }))
-		rg.server.config.tuning.callers.RequestTimeout = 300 * time.Millisecond
 		read, write := io.Pipe()
 		defer write.Close()
 		go write.Write([]byte("half"))
