Decisions: no walk for trials, overtaking and isolations; odds worked out once a draw

Need: a decision walks the whole list several times over.

Change: endpoints with calls in flight and the number of isolated ones are kept as they change, and a draw works out each candidate's odds once.

--- a/balancer.go
+++ b/balancer.go
@@ -128,6 +128,8 @@
 	scratch  []*endpoint
 
 	out      int     // attempts in flight
+	busy     busy    // endpoints that have some
+	isolated int     // endpoints
 	lost     int     // those of them that no answer is expected for
 	answered int     // answers of any kind
 	rate     flow    // base latencies answered a second: the calls in flight at little load
@@ -615,20 +617,20 @@
 func (b *Balancer) draw(now time.Duration, c []*endpoint) *endpoint {
 	var best *endpoint
 	least := 0.0
+	b.note(now, c)
 	for n := 0; n < candidates && len(c) > 0; n++ {
 		total := 0.0
 		for _, e := range c {
-			total += b.share(now, e) * b.odds(e)
+			total += e.odds
 		}
 		x, i := b.rng.Float64()*total, 0
 		for ; i < len(c)-1; i++ {
-			if x -= b.share(now, c[i]) * b.odds(c[i]); x < 0 {
+			if x -= c[i].odds; x < 0 {
 				break
 			}
 		}
 		e := c[i]
-		c[i] = c[len(c)-1]
-		c = c[:len(c)-1]
+		c[i], c = c[len(c)-1], c[:len(c)-1]
 		// The same calls in flight are a longer queue at a smaller endpoint. Of equals the first drawn stays: a
 		// coin, in a subset of two, gave both the same whatever their odds.
 		if load := float64(b.load(now, e)) / b.odds(e); best == nil || load < least {
@@ -641,7 +643,7 @@
 // dueTrial is an isolated endpoint whose turn for a trial call has come. Only a first attempt with time
 // for another is risked.
 func (b *Balancer) dueTrial(now time.Duration, r *request) *endpoint {
-	if r.attempts > 0 || r.class.Effect == Unsafe {
+	if b.isolated == 0 || r.attempts > 0 || r.class.Effect == Unsafe {
 		return nil
 	}
 	for _, e := range b.listed {
@@ -662,6 +664,7 @@
 		b.out++
 	}
 	e.calls = append(e.calls, r)
+	b.busy.note(e)
 	if e.mark == ramping {
 		e.tokens--
 	}
@@ -710,6 +713,7 @@
 		b.out--
 	}
 	e.calls = slices.DeleteFunc(e.calls, func(x *request) bool { return x == r })
+	b.busy.note(e)
 	b.report(now, e, o.Load)
 	b.judge(now, r, e, o)
 	if o.Final || r.done || r.stream {
@@ -966,13 +970,7 @@
 // mayEject keeps errors and silence from isolating too much of the list: that many failing at once have
 // a cause they share.
 func (b *Balancer) mayEject() bool {
-	n := 1
-	for _, e := range b.listed {
-		if e.mark == isolated {
-			n++
-		}
-	}
-	return float64(n) <= maxEjected*float64(len(b.listed))
+	return float64(b.isolated+1) <= maxEjected*float64(len(b.listed))
 }
 
 // isolate takes an endpoint out of the draw until a trial call is served or a newer list names a new start.
@@ -981,6 +979,7 @@
 		return
 	}
 	e.mark = isolated
+	b.isolated++
 	b.out -= len(e.calls) // stuck calls must not use up the limit
 	b.count()
 	e.trialPause = max(seconds(trialFirst*b.set.ConnectTimeout.Seconds()), b.tick)
@@ -1145,7 +1144,7 @@
 
 // overtake notes that a call was answered before others that were sent earlier.
 func (b *Balancer) overtake(by *request) {
-	for _, e := range b.listed {
+	for _, e := range b.busy {
 		for _, r := range e.calls {
 			if r.sentAt >= by.sentAt {
 				break
@@ -1280,6 +1279,7 @@
 // reopen counts an isolated endpoint's calls in flight again, as it is isolated no longer.
 func (b *Balancer) reopen(e *endpoint) {
 	if e.mark == isolated {
+		b.isolated--
 		b.out += len(e.calls)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -32,6 +32,8 @@
 	coldFrom   time.Duration // since when its ramp counts
 
 	calls      []*request // own calls in flight, oldest first
+	odds       float64    // in the draw that is made
+	busyAt     int        // its place among those that have some, from 1; 0 if it has none
 	debts      []time.Duration
 	choked     bool    // far slower than its kind, and not yet recovered
 	broke      bool    // a connection broke: it may have restarted, and be cold
@@ -47,6 +49,30 @@
 	tokensAt   time.Duration
 }
 
+// busy are the endpoints with calls in flight, in no order.
+type busy []*endpoint
+
+// note puts an endpoint in or takes it out, as its calls in flight have come to be.
+func (s *busy) note(e *endpoint) {
+	switch in := len(e.calls) > 0; {
+	case in && e.busyAt == 0:
+		*s = append(*s, e)
+		e.busyAt = len(*s)
+	case !in && e.busyAt > 0:
+		last := (*s)[len(*s)-1]
+		(*s)[e.busyAt-1], last.busyAt = last, e.busyAt
+		*s = (*s)[:len(*s)-1]
+		e.busyAt = 0
+	}
+}
+
+// note works out the odds of candidates once for a draw, that looks at each of them four times.
+func (b *Balancer) note(now time.Duration, c []*endpoint) {
+	for _, e := range c {
+		e.odds = b.share(now, e) * b.odds(e)
+	}
+}
+
 // request is one request from its arrival to its final answer and last outcome.
 type request struct {
 	id       RequestID
