HTTP/3: SIGTERM with callers at each stage, tested by the program

Need: the issue names the signals at each stage; only SIGTERM and SIGKILL amid bookings were tested. Change: a handshake that stands still, a mute connection, half a request, one that is out and an idle one at once.

--- a/cmd/quincegap/http3_test.go
+++ b/cmd/quincegap/http3_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
@@ -357,3 +358,87 @@
 		})
 	}
 }
+
+// SIGTERM finds callers at each stage: a handshake that stands still, a connection that has said nothing, half a
+// request, one that is out, and an idle connection. What is out is answered, and nothing else holds up the end.
+func TestHTTP3EndsAtEachStage(t *testing.T) {
+	t.Parallel()
+	came, serve := make(chan bool, 1), make(chan bool)
+	e, err := booking.StartEndpoint("box-0", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		if strings.Contains(r.Header.Get("X-Txn"), "t") {
+			came <- true
+			<-serve
+		}
+		io.WriteString(w, "ok")
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	disc, err := booking.StartDiscovery("", e.Target())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(disc.Close)
+	d := newDesk(t)
+	p := launch(t, d.text(disc.Address(), "127.0.0.1:0")+"\n[stop]\nstop_longest = \"2s\"\n")
+	at := udpOf(p)
+	relay, err := udp.Start(at, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	relay.Set(udp.Fault{Deaf: true})
+	conf := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h3"}}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	var still sync.WaitGroup
+	still.Go(func() {
+		if conn, err := quic.DialAddr(ctx, relay.Address(), conf, nil); err == nil {
+			t.Error("a deaf caller ended its handshake")
+			conn.CloseWithError(0, "")
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		still.Wait()
+	})
+	for _, text := range []string{"", "\x01\x40"} {
+		conn, err := quic.DialAddr(ctx, at, conf, &quic.Config{KeepAlivePeriod: 100 * time.Millisecond})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.CloseWithError(0, "") })
+		if s, err := conn.OpenStreamSync(ctx); err != nil {
+			t.Fatal(err)
+		} else if text != "" {
+			s.Write([]byte(text))
+		}
+	}
+	answered := make(chan string, 1)
+	out := p.over(d.caller(nil), at)
+	go func() {
+		status, err := out.book(nil, "trip")
+		answered <- fmt.Sprint(status, err)
+	}()
+	<-came
+	p.signal(syscall.SIGTERM)
+	time.AfterFunc(300*time.Millisecond, func() { close(serve) })
+	if got := <-answered; got != "200<nil>" && got != "200 <nil>" {
+		t.Errorf("what was out: %s", got)
+	}
+	ended := make(chan error, 1)
+	began := time.Now()
+	go func() { ended <- p.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("it does not end")
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("it took %v to end", took)
+	}
+}
