--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -386,11 +386,7 @@
 	for _, b := range tn.boxes {
 		targets = append(targets, b.Target())
 	}
-	d, err := booking.StartDiscovery("", targets...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Close)
+	d := listing(t, targets...)
 	tn.open(tn.text(d.Address(), "overlay"))
 	tn.shows("box-0", "box-1", "box-2", "box-3")
 	tn.drained(tn.boxes[0], tn.consul.SetStatus("box-0", "critical"))
@@ -410,11 +406,7 @@
 func TestConsulRehearsal(t *testing.T) {
 	t.Parallel()
 	tn := build(t, 3)
-	d, err := booking.StartDiscovery("", tn.boxes[0].Target(), tn.boxes[1].Target())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Close)
+	d := listing(t, tn.boxes[0].Target(), tn.boxes[1].Target())
 	tn.open(tn.text(d.Address(), "rehearsal"))
 	tn.shows("box-0", "box-1")
 	tn.p.said("rehearsal: box-2: only consul lists it")
@@ -429,11 +421,7 @@
 func TestConsulReload(t *testing.T) {
 	t.Parallel()
 	tn := build(t, 3)
-	d, err := booking.StartDiscovery("", tn.boxes[0].Target(), tn.boxes[1].Target())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Close)
+	d := listing(t, tn.boxes[0].Target(), tn.boxes[1].Target())
 	other, err := consul.Start("", inst(tn.boxes[1], "other-1"), inst(tn.boxes[2], "other-2"))
 	if err != nil {
 		t.Fatal(err)
@@ -550,11 +538,7 @@
 						targets = append(targets, b.Target())
 					}
 				}
-				d, err := booking.StartDiscovery("", targets...)
-				if err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(d.Close)
+				d := listing(t, targets...)
 				discovery = d.Address()
 			}
 			tn.open(tn.text(discovery, c.source))
--- a/cmd/quincegap/exchange_bench_test.go
+++ b/cmd/quincegap/exchange_bench_test.go
@@ -67,11 +67,7 @@
 		b.Cleanup(over3.Close)
 		targets = append(targets, e.Target())
 	}
-	disc, err := booking.StartDiscovery("", targets...)
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(disc.Close)
+	disc := listing(b, targets...)
 	x := &bench{b: b, d: d, udp: freePort(b)}
 	text := d.text(disc.Address(), x.udp) + "http3_connections = 1000\n"
 	if toEndpoints == "http3" {
--- a/cmd/quincegap/file_test.go
+++ b/cmd/quincegap/file_test.go
@@ -200,11 +200,7 @@
 		t.Cleanup(e.Close)
 		targets = append(targets, e.Target())
 	}
-	d, err := booking.StartDiscovery("", targets...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Close)
+	d := listing(t, targets...)
 	return d
 }
 
@@ -448,3 +444,14 @@
 	defer l.Close()
 	return l.Addr().String()
 }
+
+// listing is a discovery with endpoints.
+func listing(t testing.TB, targets ...booking.Target) *booking.Discovery {
+	t.Helper()
+	d, err := booking.StartDiscovery("", targets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
--- a/cmd/quincegap/http3_test.go
+++ b/cmd/quincegap/http3_test.go
@@ -224,11 +224,7 @@
 	}
 	t.Cleanup(plain.Close)
 	t.Cleanup(relay.Close)
-	disc, err := booking.StartDiscovery("", plain.Target())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(disc.Close)
+	disc := listing(t, plain.Target())
 	file := filepath.Join(t.TempDir(), "ca.pem")
 	if err := os.WriteFile(file, ca.PEM(), 0o600); err != nil {
 		t.Fatal(err)
@@ -297,11 +293,7 @@
 				t.Fatal(err)
 			}
 			t.Cleanup(e.Close)
-			disc, err := booking.StartDiscovery("", e.Target())
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(disc.Close)
+			disc := listing(t, e.Target())
 			d := newDesk(t)
 			p := launch(t, d.text(disc.Address(), "127.0.0.1:0")+"\n[stop]\nstop_longest = \"1s\"\n")
 			at := udpOf(p)
@@ -376,11 +368,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Close)
-	disc, err := booking.StartDiscovery("", e.Target())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(disc.Close)
+	disc := listing(t, e.Target())
 	d := newDesk(t)
 	p := launch(t, d.text(disc.Address(), "127.0.0.1:0")+"\n[stop]\nstop_longest = \"2s\"\n")
 	at := udpOf(p)
--- a/internal/certfile/certfile.go
+++ b/internal/certfile/certfile.go
@@ -18,9 +18,25 @@
 // mostBytes bounds a file with certificates.
 const mostBytes = 1 << 20
 
-// Read reads a pair once, and says what is wrong with it: files that cannot be read, a key that is another
-// certificate's, one that holds no more at that time or not yet.
+// Read is Load for a certificate that has to hold at that time.
 func Read(certPath, keyPath string, now time.Time) (*tls.Certificate, error) {
+	pair, err := Load(certPath, keyPath)
+	if err != nil {
+		return nil, err
+	}
+	const day = "2006-01-02 15:04 MST"
+	switch {
+	case now.After(pair.Leaf.NotAfter):
+		return nil, fmt.Errorf("%s: holds until %s only", certPath, pair.Leaf.NotAfter.UTC().Format(day))
+	case now.Before(pair.Leaf.NotBefore):
+		return nil, fmt.Errorf("%s: holds from %s only", certPath, pair.Leaf.NotBefore.UTC().Format(day))
+	}
+	return pair, nil
+}
+
+// Load reads a pair once, and says what is wrong with it: files that cannot be read, a key that is another
+// certificate's.
+func Load(certPath, keyPath string) (*tls.Certificate, error) {
 	key, err := secretfile.Key(keyPath)
 	if err != nil {
 		return nil, err
@@ -38,13 +54,6 @@
 			return nil, fmt.Errorf("%s: %w", certPath, err)
 		}
 	}
-	const day = "2006-01-02 15:04 MST"
-	switch {
-	case now.After(pair.Leaf.NotAfter):
-		return nil, fmt.Errorf("%s: holds until %s only", certPath, pair.Leaf.NotAfter.UTC().Format(day))
-	case now.Before(pair.Leaf.NotBefore):
-		return nil, fmt.Errorf("%s: holds from %s only", certPath, pair.Leaf.NotBefore.UTC().Format(day))
-	}
 	return &pair, nil
 }
 
--- a/internal/consul/watch.go
+++ b/internal/consul/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,7 +12,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -22,6 +20,7 @@
 
 	"github.com/hashicorp/consul/api"
 
+	"gingerlead/internal/certfile"
 	"gingerlead/internal/membership"
 	"gingerlead/internal/secretfile"
 )
@@ -96,27 +95,15 @@
 func (w *Watcher) tls() (*tls.Config, error) {
 	c := &tls.Config{ServerName: w.set.ServerName, MinVersion: tls.VersionTLS12}
 	if w.set.CAFile != "" {
-		text, err := os.ReadFile(w.resolve(w.set.CAFile))
-		if err != nil {
+		var err error
+		if c.RootCAs, err = certfile.Pool(w.resolve(w.set.CAFile)); err != nil {
 			return nil, fmt.Errorf("consul.tls_ca_file: %w", err)
 		}
-		if c.RootCAs = x509.NewCertPool(); !c.RootCAs.AppendCertsFromPEM(text) {
-			return nil, fmt.Errorf("consul.tls_ca_file: %s holds no certificate", w.set.CAFile)
-		}
 	}
 	if w.set.CertFile != "" {
 		// Read at each handshake: it may be replaced while running.
 		get := func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			key, err := secretfile.Key(w.resolve(w.set.KeyFile))
-			if err != nil {
-				return nil, err
-			}
-			text, err := os.ReadFile(w.resolve(w.set.CertFile))
-			if err != nil {
-				return nil, err
-			}
-			cert, err := tls.X509KeyPair(text, key)
-			return &cert, err
+			return certfile.Load(w.resolve(w.set.CertFile), w.resolve(w.set.KeyFile))
 		}
 		if _, err := get(nil); err != nil {
 			return nil, fmt.Errorf("consul.tls_cert_file: %w", err)
