--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -20,12 +20,16 @@
 	{"programs", false, []string{"cmd/..."}},
 	{"tools", false, []string{"internal/tool"}},
 	{"wiring", false, []string{"internal/product"}},
+	{"rehearsals", false, []string{"internal/rehearse"}},
 	{"input and output", false, []string{"internal/sidecar", "internal/consul", "internal/admin", "internal/wire", "internal/standin/..."}},
 	{"protocols", false, []string{"internal/http1", "internal/http3"}},
 	{"exchange", false, []string{"internal/exchange"}},
 	{"certificates", false, []string{"internal/certfile"}},
 	{"files", false, []string{"internal/atomicfile", "internal/secretfile"}},
-	{"modules without I/O", false, []string{"internal/apps", "internal/membership", "internal/reach"}},
+	{"pages", false, []string{"internal/report"}},
+	{"virtual time", false, []string{"internal/dryrun"}},
+	{"mornings", false, []string{"internal/morning"}},
+	{"modules without I/O", false, []string{"internal/apps", "internal/membership", "internal/reach", "internal/emulator", "internal/audit"}},
 	{"data", true, []string{"internal/appfile", "internal/schema", "internal/doc", "internal/finding", "internal/settings"}},
 	{"decisions", false, []string{""}},
 	{"structures", false, []string{"internal/odds", "internal/due"}},
@@ -33,7 +37,8 @@
 
 // pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
 var (
-	pure      = []string{"", "internal/odds", "internal/due", "internal/apps", "internal/membership", "internal/reach", "internal/appfile", "internal/schema", "internal/doc", "internal/settings"}
+	pure      = []string{"", "internal/odds", "internal/due", "internal/apps", "internal/membership", "internal/reach", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
+		"internal/emulator", "internal/audit", "internal/morning", "internal/dryrun", "internal/report"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
