quincegapctl rehearse: a scripted morning on sockets, judged by the four rules

Change: internal/morning reads scripts of lines (participle) and draws a whole morning ahead by a seed; what is impossible is refused with its line. internal/rehearse plays it: boxes on the models, open-loop callers that retry, rude callers, discovery with lag and silence, and a process for each sidecar. A silent machine drops new connections by a full backlog, without privileges. internal/audit judges all events at the end; internal/report shows one screen and one page with charts (gonum/plot).

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -37,7 +37,7 @@
 
 // pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
 var (
-	pure      = []string{"", "internal/odds", "internal/due", "internal/apps", "internal/membership", "internal/reach", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
+	pure = []string{"", "internal/odds", "internal/due", "internal/apps", "internal/membership", "internal/reach", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
 		"internal/emulator", "internal/audit", "internal/morning", "internal/dryrun", "internal/report"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
--- /dev/null
+++ b/internal/audit/event.go
@@ -0,0 +1,96 @@
+// Package audit judges a rehearsal from what was seen on its sockets: the four
+// rules with their figures, the service, waste and lateness. It does no I/O. Each
+// part of a rehearsal adds events to a Log, on one clock; Judge reads them at the end.
+package audit
+
+import (
+	"sync"
+	"time"
+)
+
+// Kind is what an event is about.
+type Kind uint8
+
+// The kinds of events.
+const (
+	Asked    Kind = iota + 1 // the last byte of a request is written to a sidecar
+	Answered                 // the whole answer has been read
+	Closed                   // the connection ended before a whole answer
+	GaveUp                   // the caller's time is up, and it has closed the connection
+	Stray                    // bytes came that nobody had asked for
+	Sent                     // the last byte of an attempt has been read by a box
+	Ended                    // an attempt is over; How tells
+	Told                     // discovery has written to a sidecar what State a box is in
+	Up                       // a sidecar serves
+	Stopping                 // it was told to end
+	Killed                   // it was killed, or made to stand still
+	Died                     // it ended by itself, or hangs
+	Fell                     // a cold box fell over
+	Late                     // the emulator itself was late by Left
+)
+
+// How an attempt ended, as its box saw it.
+type How uint8
+
+// The ends of an attempt.
+const (
+	Served     How = iota + 1 // with the answer of the box, 200
+	Erred                     // with an error, 500
+	TurnedAway                // with X-Turned-Away: it never ran
+	Withdrawn                 // the sidecar closed the connection
+	Dropped                   // the box closed or reset the connection
+	Spoilt                    // with an answer that cannot be used
+	Cut                       // the connection ended before the last byte of the request: it never ran
+)
+
+func (h How) String() string {
+	return [...]string{"is still out", "served", "failed with 500", "turned away", "withdrawn by the sidecar", "dropped by the box", "answered with a spoilt answer", "cut off before its end"}[h]
+}
+
+// Event is one thing that was seen.
+type Event struct {
+	At      time.Duration
+	First   time.Duration // of a Sent: when its first byte came
+	Left    time.Duration // of an Asked: how long the caller waits; of an Answered: Retry-After, or -1; of a Late: by how much
+	Work    time.Duration // of an Ended: what it had the box do
+	Request string        // X-Txn
+	Text    string        // of a Told: the state; of a Died or Stray: what was seen
+	Attempt uint64        // of a Sent and its Ended: a number of its own
+	Origin  int           // of an Asked: the arrival that it is for; -1 for none
+	Box     int
+	Sidecar int
+	Status  int // of an Answered
+	Class   int
+	Try     int
+	Kind    Kind
+	How     How
+	Good    bool // of an Answered: it is what a box made for this request
+}
+
+// mostEvents bounds a Log; an event takes about 150 bytes.
+const mostEvents = 8 << 20
+
+// Log takes events from any goroutine. Its zero value is empty.
+type Log struct {
+	mu     sync.Mutex
+	events []Event
+	lost   int
+}
+
+// Add adds an event.
+func (l *Log) Add(e Event) {
+	l.mu.Lock()
+	if len(l.events) < mostEvents {
+		l.events = append(l.events, e)
+	} else {
+		l.lost++
+	}
+	l.mu.Unlock()
+}
+
+// Events are those that were added, in that order, and how many there was no room for.
+func (l *Log) Events() (events []Event, lost int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.events, l.lost
+}
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -530,6 +530,18 @@
 	b.pausing = max(b.pausing, until)
 }
 
+// Got is the work that a job has been given so far, of what it was offered or resumed with last.
+func (b *Box) Got(id uint64) time.Duration {
+	j := b.jobs[id]
+	switch {
+	case j == nil || j.where == queued:
+		return 0
+	case j.where == waiting:
+		return time.Duration(j.work * 1e9)
+	}
+	return time.Duration(max(0, min(j.work, j.work-(j.finish-b.attained))) * 1e9)
+}
+
 // Held is how many jobs it holds, in work and waiting.
 func (b *Box) Held() int { return len(b.jobs) }
 
--- /dev/null
+++ b/internal/rehearse/caller.go
@@ -0,0 +1,338 @@
+package rehearse
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gingerlead"
+	"gingerlead/internal/audit"
+	"gingerlead/internal/emulator"
+	"gingerlead/internal/morning"
+)
+
+// ask is one request to a sidecar.
+type ask struct {
+	request string
+	class   int
+	key     string
+	left    time.Duration
+	origin  int
+	try     int // 0 for the call of a box
+}
+
+// reply is what came of it.
+type reply struct {
+	status int // 0 if none
+	after  time.Duration
+	good   bool
+}
+
+// line is a caller's connection to a sidecar. One goroutine reads it, and knows what is owed on it.
+type line struct {
+	net.Conn
+	to      *sidecar
+	replies chan reply    // of the request that is out
+	closed  chan struct{} // closed when it has ended
+	mu      sync.Mutex
+	out     *ask // that is out on it
+	used    bool // a request has been answered on it
+}
+
+const dialTimeout = time.Second
+
+func (s *sidecar) dial() (*line, error) {
+	c, err := net.DialTimeout("tcp", s.address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	l := &line{Conn: c, to: s, replies: make(chan reply, 1), closed: make(chan struct{})}
+	go l.read()
+	return l, nil
+}
+
+// take is an idle connection, or a new one.
+func (s *sidecar) take() (*line, error) {
+	s.mu.Lock()
+	for len(s.idle) > 0 {
+		l := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		select {
+		case <-l.closed:
+			continue
+		default:
+		}
+		s.mu.Unlock()
+		return l, nil
+	}
+	s.mu.Unlock()
+	return s.dial()
+}
+
+func (s *sidecar) give(l *line) {
+	s.mu.Lock()
+	s.idle = append(s.idle, l)
+	s.mu.Unlock()
+}
+
+// read takes answers until the connection ends. What comes while nothing is owed is noted: nobody asked for it.
+func (l *line) read() {
+	defer close(l.closed)
+	defer l.Close()
+	r := bufio.NewReader(l.Conn)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		l.mu.Lock()
+		out := l.out
+		l.mu.Unlock()
+		if out == nil {
+			some, _ := r.Peek(min(r.Buffered(), 40))
+			l.to.w.add(audit.Event{At: l.to.w.now(), Kind: audit.Stray, Sidecar: l.to.index, Box: -1, Origin: -1, Text: strconv.Quote(string(some))})
+			return
+		}
+		answer, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(answer.Body, 1<<20))
+		if err != nil {
+			return
+		}
+		var after time.Duration
+		if f, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64); err == nil {
+			after = time.Duration(f * float64(time.Second))
+		}
+		good := bytes.HasPrefix(body, []byte("served "+out.request+" "))
+		l.to.w.add(audit.Event{At: l.to.w.now(), Kind: audit.Answered, Request: out.request, Status: answer.StatusCode, Left: after, Good: good,
+			Sidecar: l.to.index, Box: -1, Origin: out.origin, Try: out.try})
+		l.mu.Lock()
+		l.out, l.used = nil, true
+		l.mu.Unlock()
+		l.replies <- reply{answer.StatusCode, after, good}
+		if answer.Close {
+			return
+		}
+	}
+}
+
+// send asks, and waits for the answer until the request's time is up or nobody wants it any more. It is sent once more
+// where the connection, used before, ends with nothing said: the sidecar closed it between requests.
+func (s *sidecar) send(a ask, gone <-chan struct{}) reply {
+	w := s.w
+	give := time.NewTimer(a.left + 2*w.plan.Rules.Slack)
+	defer give.Stop()
+	began := w.now()
+	for resent := false; ; resent = true {
+		l, err := s.take()
+		if err != nil {
+			return reply{}
+		}
+		left := a.left - (w.now() - began)
+		if left <= 0 {
+			s.give(l)
+			return reply{}
+		}
+		used := l.used
+		class := w.plan.Classes[a.class]
+		l.mu.Lock()
+		l.out = &a
+		l.mu.Unlock()
+		w.add(audit.Event{At: w.now(), Kind: audit.Asked, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin, Try: a.try, Class: a.class, Left: left})
+		l.Write(text(class, &a, left))
+		select {
+		case r := <-l.replies:
+			s.give(l)
+			return r
+		case <-give.C:
+			w.add(audit.Event{At: w.now(), Kind: audit.GaveUp, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin})
+			l.Close()
+			return reply{}
+		case <-gone:
+			w.add(audit.Event{At: w.now(), Kind: audit.GaveUp, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin})
+			l.Close()
+			return reply{}
+		case <-l.closed:
+			select {
+			case r := <-l.replies: // the last on its connection
+				return r
+			default:
+			}
+			w.add(audit.Event{At: w.now(), Kind: audit.Closed, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin})
+			if !used || resent {
+				return reply{}
+			}
+		}
+	}
+}
+
+// text is a request as it goes out.
+func text(class *morning.Class, a *ask, left time.Duration) []byte {
+	method, body := "POST", "trip=dialysis\n"
+	if class.Effect == gingerlead.Safe {
+		method, body = "GET", ""
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s /trips HTTP/1.1\r\nHost: api.internal\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Remaining: %du\r\n", method, a.request, class.Name, left.Microseconds())
+	if class.Effect == gingerlead.Keyed {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", a.key)
+	}
+	if body != "" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	return []byte(b.String())
+}
+
+// call is the call of a box through its own sidecar; false if it was not served.
+func (w *world) call(box int, a ask, gone <-chan struct{}) bool {
+	s := w.behind[box]
+	if s == nil {
+		return false
+	}
+	r := s.send(a, gone)
+	return r.status == http.StatusOK && r.good
+}
+
+// front deals callers out among the sidecars of the first tier. It notices only after a while that one has died.
+type front struct {
+	mu   sync.Mutex
+	up   []*sidecar
+	next int
+}
+
+// notice is how long the front goes on sending to a sidecar that has died.
+const notice = 2 * time.Second
+
+func (f *front) add(s *sidecar) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.removeLocked(s)
+	f.up = append(f.up, s)
+}
+
+func (f *front) remove(s *sidecar) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.removeLocked(s)
+}
+
+func (f *front) removeLocked(s *sidecar) {
+	kept := f.up[:0:0]
+	for _, o := range f.up {
+		if o != s {
+			kept = append(kept, o)
+		}
+	}
+	f.up = kept
+}
+
+func (f *front) pick() *sidecar {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.up) == 0 {
+		return nil
+	}
+	f.next++
+	return f.up[f.next%len(f.up)]
+}
+
+// arrive plays one arrival: its tries, with waits between them, until it is served or its time is up.
+func (w *world) arrive(n int) {
+	at := &w.plan.Arrivals[n]
+	class := w.plan.Classes[at.Class]
+	random := rand.New(emulator.Source(w.plan.Seed, fmt.Sprint("caller ", n)))
+	began := w.now()
+	end := began + class.Deadline
+	w.counters.asked.Add(1)
+	last := 0
+	for try := 1; ; try++ {
+		left := min(time.Duration(at.Patience*float64(class.Deadline)), end-w.now())
+		if left <= 0 {
+			break
+		}
+		var r reply
+		if s := w.front.pick(); s != nil {
+			r = s.send(ask{request: fmt.Sprintf("r%dt%d", n, try), class: at.Class, key: fmt.Sprint("k", n), left: left, origin: n, try: try}, w.ctx.Done())
+		}
+		last = r.status
+		if r.status == http.StatusOK || try > w.plan.Callers.Retries {
+			break
+		}
+		refused := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+		if class.Effect == gingerlead.Unsafe && !refused {
+			break // it may have run
+		}
+		wait := time.Duration((0.5 + random.Float64()) * float64(w.plan.Callers.Backoff) * float64(int(1)<<(try-1)))
+		if refused && at.Honours {
+			wait = max(wait, r.after)
+		}
+		if w.now()+wait >= end {
+			break
+		}
+		select {
+		case <-time.After(wait):
+		case <-w.ctx.Done():
+			return
+		}
+	}
+	switch last {
+	case http.StatusOK:
+		w.counters.served.Add(1)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		w.counters.refused.Add(1)
+	default:
+		w.counters.failed.Add(1)
+	}
+}
+
+// Rude callers send what cannot be read, half of it, or nothing. rudeWait is what a sidecar has to answer or close.
+const rudeWait = 8 * time.Second
+
+const rudenesses = 10
+
+var rudeness = [rudenesses]string{
+	"", "\x16\x03\x01\x02\x00\x01\x00", "GET / HTTP/1.1\r\n", "POST /trips HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n",
+	"POST /trips HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999999999999\r\n\r\n",
+	"POST /trips HTTP/1.1\r\nHost: a\r\nX-Txn: x\r\nContent-Length: 50\r\n\r\nhalf",
+	"POST /trips HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"GET /trips HTTP/1.1\r\nHost: a\r\nX-Txn: y\r\nX-Lane: no-such-class\r\nX-Remaining: 1000m\r\n\r\n",
+	"GET /trips HTTP/1.1\r\nHost: a\r\nX-Lane: book-trip\r\nX-Remaining: soon\r\n\r\n",
+	"GET /trips HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-Long: "+strings.Repeat("a", 1000)+"\r\n", 40) + "\r\n",
+}
+
+// beRude plays one rude caller until it is not wanted any more.
+func (w *world) beRude(i int) {
+	random := rand.New(emulator.Source(w.plan.Seed, fmt.Sprint("rude ", i)))
+	for w.ctx.Err() == nil && int64(i) < w.rude.Load() {
+		s := w.front.pick()
+		if s == nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		c, err := net.DialTimeout("tcp", s.address, dialTimeout)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		how := random.IntN(len(rudeness))
+		io.WriteString(c, rudeness[how])
+		c.SetReadDeadline(time.Now().Add(rudeWait))
+		if n, err := io.Copy(io.Discard, io.LimitReader(c, 1<<20)); err != nil && n == 0 {
+			if e, ok := err.(net.Error); ok && e.Timeout() && w.ctx.Err() == nil && s.serving() {
+				w.hanging[how].Add(1)
+			}
+		}
+		c.Close()
+		time.Sleep(time.Duration(10+random.IntN(40)) * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/discovery.go
@@ -0,0 +1,170 @@
+package rehearse
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/standin/booking"
+)
+
+// news is what discovery knows of the boxes of one tier.
+type news struct {
+	w    *world
+	tier int
+
+	mu      sync.Mutex
+	rev     uint64
+	entries map[int]entry // by box
+	order   []int
+	quiet   bool
+	changed chan struct{} // closed at the next change
+}
+
+type entry struct {
+	state string
+	boot  time.Duration // 0 for long ago
+	rev   uint64
+}
+
+func newNews(w *world, tier int) *news {
+	n := &news{w: w, tier: tier, rev: 1, entries: map[int]entry{}, changed: make(chan struct{})}
+	for i, b := range w.plan.Boxes {
+		if b.Tier == tier && b.From == 0 {
+			n.entries[i] = entry{"Ready", 0, 1}
+			n.order = append(n.order, i)
+		}
+	}
+	return n
+}
+
+// tell has discovery know of a box's state.
+func (n *news) tell(box int, state string, boot time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rev++
+	if _, ok := n.entries[box]; !ok {
+		n.order = append(n.order, box)
+	}
+	n.entries[box] = entry{state, boot, n.rev}
+	n.wake()
+}
+
+func (n *news) wake() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// silent makes discovery say nothing, or speak again.
+func (n *news) silent(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quiet = on
+	n.wake()
+}
+
+type message struct {
+	Rev     uint64           `json:"rev"`
+	All     bool             `json:"all"`
+	Targets []booking.Target `json:"targets"`
+}
+
+// since is what changed after a revision, or all for 0, with the boxes and states that it tells of. n.mu is held.
+func (n *news) since(rev uint64) (m message, told map[int]string) {
+	m, told = message{Rev: n.rev, All: rev == 0, Targets: []booking.Target{}}, map[int]string{}
+	for _, i := range n.order {
+		e := n.entries[i]
+		if e.rev <= rev {
+			continue
+		}
+		told[i] = e.state
+		if m.All && e.state == "Gone" {
+			continue
+		}
+		b := &n.w.plan.Boxes[i]
+		t := booking.Target{UID: b.UID, Address: n.w.boxAddress(b.Slot), Zone: zone, Model: n.w.plan.Tiers[b.Tier].Name, Cell: b.Cell, State: e.state, Weight: 1}
+		if e.boot > 0 {
+			t.BootMS = n.w.wall(e.boot).UnixMilli()
+		}
+		m.Targets = append(m.Targets, t)
+	}
+	return m, told
+}
+
+const (
+	zone  = "loopback"
+	still = 2 * time.Second // how often a watch says that nothing has changed
+)
+
+// agent is discovery as one sidecar has it.
+type agent struct {
+	news    *news
+	sidecar int
+	server  http.Server
+}
+
+func startAgent(n *news, sidecar int) (*agent, error) {
+	l, err := net.Listen("tcp", n.w.discoveryAddress(sidecar))
+	if err != nil {
+		return nil, err
+	}
+	a := &agent{news: n, sidecar: sidecar}
+	a.server.Handler = a
+	go a.server.Serve(l)
+	return a, nil
+}
+
+// ServeHTTP answers GET /v1/endpoints, with follow=1 as a watch. While discovery is silent it says nothing.
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/endpoints" {
+		http.NotFound(w, r)
+		return
+	}
+	n := a.news
+	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	watch := r.URL.Query().Get("follow") != ""
+	control, encoder := http.NewResponseController(w), json.NewEncoder(w)
+	tick := time.NewTicker(still)
+	defer tick.Stop()
+	for first := true; ; first = false {
+		n.mu.Lock()
+		quiet, changed := n.quiet, n.changed
+		if since > n.rev {
+			since = 0 // of another discovery
+		}
+		m, told := n.since(since)
+		n.mu.Unlock()
+		if !quiet && (first || len(told) > 0) {
+			if encoder.Encode(m) != nil || control.Flush() != nil {
+				return
+			}
+			now := n.w.now()
+			for box, state := range told {
+				n.w.add(audit.Event{At: now, Kind: audit.Told, Sidecar: a.sidecar, Box: box, Text: state, Origin: -1})
+			}
+			since = m.Rev
+			if !watch {
+				return
+			}
+		} else if first {
+			first = false // nothing has been said yet: the first word is still owed
+		}
+		select {
+		case <-changed:
+		case <-tick.C:
+			if !quiet {
+				io.WriteString(w, "\n")
+				if control.Flush() != nil {
+					return
+				}
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearse/sidecar.go
@@ -0,0 +1,347 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/morning"
+)
+
+// sidecar is a process of the program that is rehearsed, with its files and its discovery.
+type sidecar struct {
+	w       *world
+	index   int
+	name    string
+	address string
+	tier    int // that it sends to
+	number  int // among its tier's
+	of      int // how many these are
+	config  string
+	agent   *agent
+
+	mu       sync.Mutex
+	idle     []*line
+	process  *exec.Cmd
+	ended    chan struct{} // closed when the process has ended
+	told     bool          // it was told to end, so that its end is no crash
+	stopped  bool          // SIGSTOP: it stands still
+	starts   int
+	cpu      time.Duration // of processes that have ended
+	memory   int64         // largest, in bytes
+	lastLine string
+}
+
+// program is the sidecar to start, and where its files and logs go.
+type program struct {
+	path string
+	dir  string
+	// starter runs on one thread for all the time: a child is killed when the thread that started it ends, and so no
+	// sidecar outlives this process, however it ends.
+	starter chan func()
+}
+
+func newProgram(path, dir string) *program {
+	p := &program{path: path, dir: dir, starter: make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for f := range p.starter {
+			f()
+		}
+	}()
+	return p
+}
+
+// settings is the platform's settings object for a sidecar.
+func (s *sidecar) settings() map[string]any {
+	p := s.w.plan
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	tier := p.Tiers[s.tier]
+	var services []map[string]any
+	for _, c := range p.Classes {
+		services = append(services, map[string]any{"name": c.Name, "aim": us(c.Aim), "deadline": us(c.Deadline), "gain": c.Worth, "lateValue": 0,
+			"effect":   map[string]string{"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}[string(c.Effect)],
+			"keyScope": string(c.Scope), "window": us(c.Window), "streamed": false})
+	}
+	var tiers, models []string
+	for _, t := range p.Tiers {
+		tiers, models = append(tiers, t.Name), append(models, t.Name)
+	}
+	return map[string]any{
+		"instances": s.of, "ordinal": s.number, "stage": s.tier, "quantum": 5000, "discovery": "push", "worthBy": "request", "overShareWorth": 0.1,
+		"zones": []string{zone}, "models": models, "tiers": tiers, "services": services, "tenants": []any{},
+		"goal":       map[string]any{"whole": 0.9, "worstClass": 0},
+		"familyInfo": map[string]any{"passesDeadline": true}, "clientHabits": map[string]any{"marksRetry": false},
+		"allowed": map[string]any{"cancel": true, "connIdle": us(30 * time.Second), "connectTimeout": us(p.Rules.Connect), "maxRetryAfter": us(2 * time.Second),
+			"mayProbe": true, "openCap": 20000, "peers": false, "retryAfter": true, "secondCopies": p.Rules.Copies, "sendCap": p.Rules.Attempts},
+		"rules": map[string]any{"askEvery": 0, "cold": us(tier.Warm), "coldFrom": tier.ColdFrom(), "fall": us(p.Rules.TipWindow),
+			"tipMultiple": p.Rules.TipBy, "graceToAnswer": 0},
+	}
+}
+
+// start starts the process, and returns when it serves.
+func (s *sidecar) start(ctx context.Context, p *program) error {
+	s.mu.Lock()
+	s.starts++
+	seed, starts := uint64(s.index)<<32^s.w.plan.Seed, s.starts
+	s.mu.Unlock()
+	config := map[string]any{"name": s.name, "listen": s.address, "discovery": s.w.discoveryAddress(s.index), "seed": fmt.Sprintf("%016x", seed+uint64(starts)),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": s.w.plan.Sidecars.MemoryMB, "sockets": s.w.plan.Sidecars.Sockets},
+		"settings": s.settings()}
+	if starts > 1 {
+		n := s.w.news[s.tier]
+		n.mu.Lock()
+		config["known"], _ = n.since(0)
+		n.mu.Unlock()
+	}
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	s.config = filepath.Join(p.dir, s.name+".json")
+	if err := os.WriteFile(s.config, text, 0o600); err != nil {
+		return err
+	}
+	logs, err := os.OpenFile(filepath.Join(p.dir, s.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.path)
+	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.config, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	r, pipe := io.Pipe()
+	cmd.Stdout, cmd.Stderr = pipe, pipe
+	started := make(chan error, 1)
+	p.starter <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		pipe.Close()
+		logs.Close()
+		return fmt.Errorf("%s cannot be started: %w", p.path, err)
+	}
+	ended := make(chan struct{})
+	s.mu.Lock()
+	s.process, s.ended, s.told, s.stopped = cmd, ended, false, false
+	s.mu.Unlock()
+	go func() {
+		defer logs.Close()
+		for lines := bufio.NewReader(r); ; {
+			line, err := lines.ReadString('\n')
+			io.WriteString(logs, line)
+			if line = strings.TrimSpace(line); line != "" {
+				s.mu.Lock()
+				s.lastLine = line
+				s.mu.Unlock()
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	go func() {
+		err := cmd.Wait()
+		pipe.Close()
+		s.mu.Lock()
+		told, last := s.told, s.lastLine
+		if use, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			s.memory = max(s.memory, use.Maxrss<<10)
+		}
+		s.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+		s.mu.Unlock()
+		if !told {
+			s.w.front.remove(s)
+			s.w.add(audit.Event{At: s.w.now(), Kind: audit.Died, Sidecar: s.index, Box: -1, Origin: -1, Text: fmt.Sprintf("ended by itself (%v); its last line: %s", errorOf(err), last)})
+		}
+		close(ended)
+	}()
+	return s.ready(ctx, ended)
+}
+
+func errorOf(err error) string {
+	if err == nil {
+		return "exit code 0"
+	}
+	return err.Error()
+}
+
+const readyWithin = 10 * time.Second
+
+// ready waits until the sidecar serves.
+func (s *sidecar) ready(ctx context.Context, ended <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for {
+		if s.answers(ctx) {
+			s.w.add(audit.Event{At: s.w.now(), Kind: audit.Up, Sidecar: s.index, Box: -1, Origin: -1})
+			return nil
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("%s ended before it served: %s", s.name, s.last())
+		case <-ctx.Done():
+			return fmt.Errorf("%s does not serve after %v: %s", s.name, readyWithin, s.last())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *sidecar) last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastLine
+}
+
+var asking = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+
+// answers tells whether GET /ready is answered 200.
+func (s *sidecar) answers(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	res, err := asking.Do(r)
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// serving tells whether its process is there and was not told to end.
+func (s *sidecar) serving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.process != nil && !s.told && !s.stopped
+}
+
+// signal sends one. After SIGTERM comes SIGKILL, when the platform's time is up.
+func (s *sidecar) signal(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.process == nil || s.process.Process == nil {
+		return
+	}
+	note := func(k audit.Kind) {
+		s.w.add(audit.Event{At: s.w.now(), Kind: k, Sidecar: s.index, Box: -1, Origin: -1})
+	}
+	process, ended := s.process.Process, s.ended
+	switch name {
+	case "SIGHUP":
+		process.Signal(syscall.SIGHUP)
+	case "SIGSTOP":
+		note(audit.Killed)
+		s.stopped, s.told = true, true
+		process.Signal(syscall.SIGSTOP)
+		time.AfterFunc(notice, func() { s.w.front.remove(s) })
+	case "SIGKILL":
+		note(audit.Killed)
+		s.told = true
+		process.Kill()
+		time.AfterFunc(notice, func() { s.w.front.removeEnded(s, process) })
+	case "SIGTERM":
+		note(audit.Stopping)
+		s.told = true
+		process.Signal(syscall.SIGTERM)
+		time.AfterFunc(drainsWithin, func() { s.w.front.removeEnded(s, process) })
+		time.AfterFunc(s.w.plan.Rules.Kill, func() {
+			select {
+			case <-ended:
+			default:
+				process.Kill()
+			}
+		})
+	}
+}
+
+// drainsWithin is how long new connections come to a sidecar that was told to end.
+const drainsWithin = 300 * time.Millisecond
+
+// removeEnded takes a sidecar out of the front, unless it has been started again since.
+func (f *front) removeEnded(s *sidecar, process *os.Process) {
+	s.mu.Lock()
+	same := s.process != nil && s.process.Process == process
+	s.mu.Unlock()
+	if same {
+		f.remove(s)
+	}
+}
+
+// revive starts a sidecar that has ended again, or lets one that stands still go on. One that has not ended yet is waited for.
+func (s *sidecar) revive(ctx context.Context, p *program) error {
+	s.mu.Lock()
+	process, ended, stopped := s.process, s.ended, s.stopped
+	s.mu.Unlock()
+	if stopped {
+		process.Process.Signal(syscall.SIGCONT)
+		s.mu.Lock()
+		s.stopped, s.told = false, false
+		s.mu.Unlock()
+		return s.ready(ctx, ended)
+	}
+	if ended != nil {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return s.start(ctx, p)
+}
+
+const endsWithin = 2 * time.Second
+
+// end ends the process for good. One that goes on after SIGTERM for longer than the platform lets it is killed, and said to hang.
+func (s *sidecar) end(p *program) {
+	s.mu.Lock()
+	process, ended, told, stopped := s.process, s.ended, s.told, s.stopped
+	s.told = true
+	s.mu.Unlock()
+	if process == nil {
+		return
+	}
+	select {
+	case <-ended:
+		return
+	default:
+	}
+	if stopped {
+		process.Process.Kill()
+	} else if !told {
+		process.Process.Signal(syscall.SIGTERM)
+	}
+	select {
+	case <-ended:
+	case <-time.After(s.w.plan.Rules.Kill + endsWithin):
+		s.w.add(audit.Event{At: s.w.now(), Kind: audit.Died, Sidecar: s.index, Box: -1, Origin: -1, Text: "did not end after SIGTERM, and was killed"})
+		syscall.Kill(-process.Process.Pid, syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// sidecarsOf makes the sidecars of a plan: those for callers, and one for each box that calls.
+func (w *world) sidecarsOf(plan *morning.Plan) {
+	for i := range plan.Sidecars.Count {
+		w.sidecars = append(w.sidecars, &sidecar{w: w, index: i, name: fmt.Sprintf("n%d", i+1), address: w.sidecarAddress(i), number: i, of: plan.Sidecars.Count})
+	}
+	for i, b := range plan.Boxes {
+		t := plan.Tiers[b.Tier]
+		if t.Calls == "" {
+			continue
+		}
+		n := len(w.sidecars)
+		s := &sidecar{w: w, index: n, name: fmt.Sprintf("%s-%d", t.Name, b.Number), address: w.sidecarAddress(n), tier: b.Tier + 1, number: (b.Number - 1) % t.Boxes, of: t.Boxes}
+		w.sidecars = append(w.sidecars, s)
+		w.behind[i] = s
+	}
+}
--- /dev/null
+++ b/internal/report/screen.go
@@ -0,0 +1,168 @@
+// Package report shows a verdict to people: on one screen, and as one page of
+// HTML that needs nothing beside it.
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/morning"
+)
+
+// Play is one playing of a morning.
+type Play struct {
+	Build   string // the program that was played
+	Plan    *morning.Plan
+	Verdict *audit.Verdict
+	Virtual bool // in virtual time, the decision module alone
+	CPU     time.Duration
+	Memory  int64 // bytes of the largest sidecar
+	Notes   []string
+}
+
+// Outcome is the word on a play.
+type Outcome int
+
+// The outcomes, the best first.
+const (
+	Kept   Outcome = iota
+	Missed         // an expectation of the script was not met
+	Broken         // a rule was broken, or a sidecar crashed
+	Void           // the emulator was too slow: it says nothing of the sidecar
+)
+
+func (o Outcome) String() string {
+	return [...]string{"KEPT", "MISSED", "BROKEN", "VOID"}[o]
+}
+
+// Judge is the outcome, with the reasons.
+func (p *Play) Judge() (o Outcome, why []string) {
+	v := p.Verdict
+	if v.Void != "" {
+		return Void, []string{v.Void}
+	}
+	for _, e := range p.Plan.Expect {
+		got := figure(v, e.What)
+		if e.Above && got < e.Bound || !e.Above && got > e.Bound {
+			o = Missed
+			why = append(why, fmt.Sprintf("line %d: %s is %.4f, expected %s %v", e.At.Line, e.What, got, map[bool]string{true: "above", false: "below"}[e.Above], e.Bound))
+		}
+	}
+	if len(v.Crashes) > 0 {
+		o = Broken
+		why = append(why, v.Crashes...)
+	}
+	for r, n := range v.Broken {
+		if n > 0 {
+			o = Broken
+			why = append(why, fmt.Sprintf("%s: broken %d times", audit.Rule(r), n))
+		}
+	}
+	return o, why
+}
+
+// figure is one that a script may expect something of.
+func figure(v *audit.Verdict, name string) float64 {
+	share := func(n int) float64 { return float64(n) / float64(max(1, v.Requests)) }
+	switch name {
+	case "service":
+		return v.Service
+	case "worst":
+		return v.Worst
+	case "refused":
+		return share(v.Refused)
+	case "failed":
+		return share(v.Failed)
+	}
+	return v.PerCall
+}
+
+// A row is a figure with its name.
+type row struct{ name, value string }
+
+// rows are the figures of a play.
+func (p *Play) rows() []row {
+	v := p.Verdict
+	pct := func(n int) string {
+		return fmt.Sprintf("%d (%.2f%%)", n, 100*float64(n)/float64(max(1, v.Requests)))
+	}
+	rows := []row{
+		{"service (worth in time / worth asked)", fmt.Sprintf("%.4f", v.Service)},
+		{"worst 10 s", fmt.Sprintf("%.4f, from %v", v.Worst, v.WorstFrom)},
+		{"requests", fmt.Sprint(v.Requests)},
+		{"served in time", pct(v.InTime)}, {"served late", pct(v.Late)}, {"refused", pct(v.Refused)}, {"failed", pct(v.Failed)},
+		{"tries of callers", fmt.Sprint(v.Tries)},
+		{"attempts at boxes, a call", fmt.Sprintf("%d, %.4f", v.Attempts, v.PerCall)},
+		{"work wasted", fmt.Sprintf("%.2f%%", 100*v.Waste)},
+		{"median, 99th percentile", fmt.Sprintf("%v, %v", v.P50.Round(time.Millisecond), v.P99.Round(time.Millisecond))},
+	}
+	if !p.Virtual {
+		rows = append(rows, row{"sidecars' CPU, largest memory", fmt.Sprintf("%v, %d MiB", p.CPU.Round(10*time.Millisecond), p.Memory>>20)},
+			row{"emulator late by at most", v.LateMax.Round(time.Millisecond).String()})
+	}
+	return rows
+}
+
+const shownBreaches = 5
+
+// Screen writes the verdict on one screen. Several plays, of several builds, stand side by side.
+func Screen(w io.Writer, plays ...*Play) error {
+	var b strings.Builder
+	first := plays[0]
+	fmt.Fprintf(&b, "\n%s (seed %d, %v)\n", first.Plan.Called(), first.Plan.Seed, first.Plan.Length)
+	if len(plays) > 1 {
+		fmt.Fprintf(&b, "  %-38s", "")
+		for _, p := range plays {
+			fmt.Fprintf(&b, " %-24s", p.Build)
+		}
+		b.WriteString("\n")
+	}
+	for i, r := range first.rows() {
+		fmt.Fprintf(&b, "  %-38s", r.name)
+		for _, p := range plays {
+			fmt.Fprintf(&b, " %-24s", p.rows()[i].value)
+		}
+		b.WriteString("\n")
+	}
+	for _, p := range plays {
+		o, why := p.Judge()
+		fmt.Fprintf(&b, "%s", o)
+		if len(plays) > 1 {
+			fmt.Fprintf(&b, " %s", p.Build)
+		}
+		b.WriteString("\n")
+		for _, y := range why {
+			fmt.Fprintf(&b, "  %s\n", y)
+		}
+		for i, br := range p.Verdict.Breaches {
+			if i == shownBreaches {
+				fmt.Fprintf(&b, "  and %d more\n", len(p.Verdict.Breaches)-i)
+				break
+			}
+			fmt.Fprintf(&b, "  %s\n", p.breach(br))
+		}
+		if n := p.Verdict.Excused; n > 0 {
+			fmt.Fprintf(&b, "  %d breaches do not count: the emulator was late\n", n)
+		}
+		for _, n := range p.Notes {
+			fmt.Fprintf(&b, "  %s\n", n)
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// breach names the second, the request and the box of a breach.
+func (p *Play) breach(b audit.Breach) string {
+	text := fmt.Sprintf("%.3f s: %s: ", b.At.Seconds(), b.Rule)
+	if b.Request != "" {
+		text += b.Request + ": "
+	}
+	if b.Box >= 0 && b.Box < len(p.Plan.Boxes) {
+		text += p.Plan.Name(b.Box) + ": "
+	}
+	return text + b.Text
+}
--- /dev/null
+++ b/internal/tool/rehearse.go
@@ -0,0 +1,189 @@
+package tool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gingerlead/internal/finding"
+	"gingerlead/internal/morning"
+	"gingerlead/internal/product"
+	"gingerlead/internal/rehearse"
+	"gingerlead/internal/report"
+)
+
+// Voided is the exit code of a rehearsal that says nothing: the emulator itself was too slow.
+const Voided = 3
+
+var errVoid = errors.New("void")
+
+type rehearsal struct {
+	seed    uint64
+	report  string
+	sidecar string
+	compare string
+	plan    bool
+	check   bool
+	quiet   bool
+}
+
+func (c *command) rehearse() *cobra.Command {
+	var o rehearsal
+	cmd := &cobra.Command{
+		Use: "rehearse SCRIPT", Short: "Play a bad morning against real sidecars on loopback", Args: cobra.ExactArgs(1),
+		Long: "rehearse plays a script of rehearsals/ (or your own) with emulated boxes, callers and discovery on loopback,\n" +
+			"and real sidecars as processes. It judges the four rules and the service.\n\n" +
+			"Exit codes: 0 all kept, 1 a rule was broken, an expectation missed or the script has findings, 2 wrong usage,\n" +
+			"3 void: this machine was too slow for the morning, which says nothing of the sidecar.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return c.playScript(ctx, args[0], o)
+		},
+	}
+	f := cmd.Flags()
+	f.Uint64Var(&o.seed, "seed", 0, "another seed than the script's: other boxes are hit, others come")
+	f.StringVar(&o.report, "report", "", "a directory for the page, the plan and the sidecars' logs")
+	f.StringVar(&o.sidecar, "sidecar", "", "the sidecar's program (quincegap beside this one)")
+	f.StringVar(&o.compare, "compare", "", "another build, which plays the same morning after the first")
+	f.BoolVar(&o.plan, "plan", false, "print what will happen when, and play nothing")
+	f.BoolVar(&o.check, "check", false, "check the script, and play nothing")
+	f.BoolVar(&o.quiet, "quiet", false, "no progress")
+	return cmd
+}
+
+// readMorning reads a script; findings are printed.
+func (c *command) readMorning(path string) (*morning.Morning, error) {
+	var found finding.List
+	text, err := product.Read(path, morning.MostBytes)
+	if err != nil {
+		return nil, failure{fmt.Errorf("%s: %w", path, err)}
+	}
+	m := morning.Read(path, text, &found)
+	if m == nil {
+		return nil, c.report(&found)
+	}
+	return m, nil
+}
+
+func (c *command) playScript(ctx context.Context, path string, o rehearsal) error {
+	m, err := c.readMorning(path)
+	if err != nil {
+		return err
+	}
+	if o.check {
+		fmt.Fprintf(c.out, "%s: can be played\n", path)
+		return nil
+	}
+	plan := m.Plan(o.seed)
+	if o.plan {
+		if err := plan.Print(c.out); err != nil {
+			return failure{err}
+		}
+		return nil
+	}
+	if o.sidecar == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return failure{err}
+		}
+		o.sidecar = filepath.Join(filepath.Dir(self), "quincegap")
+	}
+	var plays []*report.Play
+	for i, program := range []string{o.sidecar, o.compare} {
+		if program == "" {
+			continue
+		}
+		play, err := c.playOnce(ctx, m, plan, program, o, i)
+		if err != nil {
+			return err
+		}
+		plays = append(plays, play)
+	}
+	if err := report.Screen(c.out, plays...); err != nil {
+		return failure{err}
+	}
+	if o.report != "" {
+		if err := c.writePage(filepath.Join(o.report, "report.html"), plays); err != nil {
+			return failure{err}
+		}
+	}
+	return verdictOf(plays)
+}
+
+// verdictOf is the error that goes with the worst outcome.
+func verdictOf(plays []*report.Play) error {
+	worst := report.Kept
+	for _, p := range plays {
+		o, _ := p.Judge()
+		worst = max(worst, o)
+	}
+	switch worst {
+	case report.Kept:
+		return nil
+	case report.Void:
+		return errVoid
+	}
+	return errFindings
+}
+
+func (c *command) playOnce(ctx context.Context, m *morning.Morning, plan *morning.Plan, program string, o rehearsal, number int) (*report.Play, error) {
+	dir := o.report
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "quincegap-rehearsal-"); err != nil {
+			return nil, failure{err}
+		}
+		defer os.RemoveAll(dir)
+	}
+	dir = filepath.Join(dir, fmt.Sprintf("build-%d", number+1))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, failure{err}
+	}
+	options := rehearse.Options{Program: program, Dir: dir}
+	if !o.quiet {
+		fmt.Fprintf(c.errs, "playing %s on %s: %v\n", plan.Called(), program, plan.Length)
+		options.Progress = func(p rehearse.Progress) {
+			fmt.Fprintf(c.errs, "\r%4.0f s  asked %d  served %d  refused %d  failed %d  attempts %d ", p.At.Seconds(), p.Asked, p.Served, p.Refused, p.Failed, p.Attempts)
+		}
+	}
+	result, err := rehearse.Run(ctx, plan, options)
+	if !o.quiet {
+		fmt.Fprintln(c.errs)
+	}
+	if err != nil {
+		return nil, failure{err}
+	}
+	play := &report.Play{Build: program, Plan: plan, Verdict: result.Verdict, CPU: result.CPU, Memory: result.Memory}
+	if result.Hanging > 0 {
+		play.Notes = append(play.Notes, fmt.Sprintf("%d rude callers got neither an answer nor a close: %s", result.Hanging, strings.Join(result.HungOn, "; ")))
+	}
+	if result.Again > 0 {
+		play.Notes = append(play.Notes, fmt.Sprintf("%d effects beyond the first of a key; callers' own repeats are among them", result.Again))
+	}
+	return play, nil
+}
+
+func (c *command) writePage(path string, plays []*report.Play) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, rights)
+	if err != nil {
+		return err
+	}
+	if err := report.Page(f, time.Now(), plays...); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s\n", path)
+	return nil
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -36,12 +36,12 @@
 	root := &cobra.Command{
 		Use:           "quincegapctl",
 		Short:         "Write and check the configuration of quincegap's sidecars",
-		Long:          "quincegapctl writes a configuration file for each application from one apps.toml,\nchecks files before a sidecar sees them, and keeps track of edits by hand.\n\nExit codes: 0 fine, 1 findings, 2 wrong usage.",
+		Long:          "quincegapctl writes a configuration file for each application from one apps.toml,\nchecks files before a sidecar sees them, and keeps track of edits by hand.\n\nExit codes: 0 fine, 1 findings, 2 wrong usage, 3 a rehearsal that is void.",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
 	c := &command{out: out, errs: errs, disk: atomicfile.Disk{}}
-	root.AddCommand(c.init(), c.write(), c.check(), c.diff(), c.adopt(), c.sample(), c.reference(), c.demo(), c.members())
+	root.AddCommand(c.init(), c.write(), c.check(), c.diff(), c.adopt(), c.sample(), c.reference(), c.demo(), c.members(), c.rehearse())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
@@ -52,6 +52,8 @@
 		return Fine
 	case errors.Is(err, errFindings):
 		return Findings
+	case errors.Is(err, errVoid):
+		return Voided
 	case errors.As(err, &f):
 		fmt.Fprintln(errs, "quincegapctl: "+err.Error())
 		return Findings
