--- a/internal/audit/event.go
+++ b/internal/audit/event.go
@@ -4,6 +4,7 @@
 package audit
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -72,6 +73,8 @@
 
 // Log takes events from any goroutine. Its zero value is empty.
 type Log struct {
+	Most int // that it keeps; 0 for mostEvents
+
 	mu     sync.Mutex
 	events []Event
 	lost   int
@@ -80,7 +83,7 @@
 // Add adds an event.
 func (l *Log) Add(e Event) {
 	l.mu.Lock()
-	if len(l.events) < mostEvents {
+	if len(l.events) < cmp.Or(l.Most, mostEvents) {
 		l.events = append(l.events, e)
 	} else {
 		l.lost++
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -86,12 +86,12 @@
 // Second is what happened in one second. Requests count in the second in which callers first wanted them.
 type Second struct {
 	Offered  int
-	Served   int // in time
-	Late     int // served after the aim
-	Refused  int // for good
-	Failed   int // for good
-	Attempts int // at all tiers, in the second in which they came
-	Late2    bool
+	Served   int  // in time
+	Late     int  // served after the aim
+	Refused  int  // for good
+	Failed   int  // for good
+	Attempts int  // at all tiers, in the second in which they came
+	Doubtful bool // the emulator was late
 }
 
 // Line is a line of a request's story.
@@ -309,7 +309,7 @@
 	n := 0
 	for s := range seconds {
 		if j.late[s] {
-			j.v.Seconds[s].Late2 = true
+			j.v.Seconds[s].Doubtful = true
 			n++
 		}
 	}
--- a/internal/morning/grammar.go
+++ b/internal/morning/grammar.go
@@ -28,10 +28,10 @@
 	{Name: "Punct", Pattern: `[:,]`},
 })
 
-// statement is a line: an event, or a setting.
+// statement is a line: an event, or a setting. Which of them, its first word tells.
 type statement struct {
-	Event   *event   `parser:"'at' @@"`
-	Setting *setting `parser:"| @@"`
+	event   *event
+	setting *setting
 }
 
 // setting is a section with what stands behind it: a name or names of keys, and values.
@@ -60,7 +60,7 @@
 // event is what happens at a time.
 type event struct {
 	Pos lexer.Position
-	At  span `parser:"@Duration ':'"`
+	At  span `parser:"'at' @Duration ':'"`
 
 	New       *newBoxes     `parser:"( @@"`
 	Rude      *rude         `parser:"| @@"`
@@ -165,8 +165,11 @@
 // lookahead is how many words it takes to tell one event from another ("11% of the boxes", "11% of the sidecars").
 const lookahead = 6
 
-var grammar = participle.MustBuild[statement](participle.Lexer(words), participle.Elide("Comment", "Space"),
-	participle.Unquote("String"), participle.UseLookahead(lookahead))
+var (
+	options  = []participle.Option{participle.Lexer(words), participle.Elide("Comment", "Space"), participle.Unquote("String"), participle.UseLookahead(lookahead)}
+	events   = participle.MustBuild[event](options...)
+	settings = participle.MustBuild[setting](options...)
+)
 
 // examples are shown where an event cannot be read, by the word that its kind goes by.
 var examples = []struct{ word, example string }{
@@ -203,7 +206,7 @@
 			message = strconv.Quote(token.Unexpected.Value) + " does not fit here"
 		}
 	}
-	if strings.HasPrefix(strings.TrimSpace(line), "at") {
+	if strings.Fields(line)[0] == "at" {
 		for _, e := range examples {
 			if strings.Contains(line, e.word) {
 				return col, message + "; one that can be read: " + e.example
@@ -228,7 +231,13 @@
 			continue
 		}
 		// The lines before it stand empty, so that every position is that in the file.
-		s, err := grammar.ParseString("", strings.Repeat("\n", n-1)+line)
+		placed := strings.Repeat("\n", n-1) + line
+		s, err := &statement{}, error(nil)
+		if strings.Fields(line)[0] == "at" {
+			s.event, err = events.ParseString("", placed)
+		} else {
+			s.setting, err = settings.ParseString("", placed)
+		}
 		if err != nil {
 			col, message := unread(line, err)
 			add(finding.Pos{Line: n, Col: col}, "%s", message)
--- a/internal/morning/morning.go
+++ b/internal/morning/morning.go
@@ -162,11 +162,11 @@
 		return nil
 	}
 	for _, s := range parse(string(text), add) {
-		if s.Event != nil {
-			m.events = append(m.events, s.Event)
+		if s.event != nil {
+			m.events = append(m.events, s.event)
 			continue
 		}
-		m.set(s.Setting, add)
+		m.set(s.setting, add)
 	}
 	if found.Len() > before {
 		return nil
--- a/internal/rehearse/box.go
+++ b/internal/rehearse/box.go
@@ -57,7 +57,6 @@
 	origin  int
 	expires time.Duration
 	after   time.Duration // work that comes after its calls
-	done    int           // calls to the next tier that have been answered
 	second  bool          // it does the work after its calls
 	work    time.Duration // that it has had done
 	mute    bool          // it gets no answer: its machine is away, or loses it
--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -44,7 +44,6 @@
 	closed  chan struct{} // closed when it has ended
 	mu      sync.Mutex
 	out     *ask // that is out on it
-	used    bool // a request has been answered on it
 }
 
 const dialTimeout = time.Second
@@ -59,28 +58,44 @@
 	return l, nil
 }
 
-// take is an idle connection, or a new one.
-func (s *sidecar) take() (*line, error) {
-	s.mu.Lock()
-	for len(s.idle) > 0 {
-		l := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
+// pool is connections on which no request is out. Callers from outside share one over all sidecars of the first tier:
+// they go on using the connections that they have for as long as these stay open, whatever the front does with new ones.
+type pool struct {
+	mu    sync.Mutex
+	lines []*line
+}
+
+// take is an idle connection, drawn at random so that all sidecars are used alike; nil if there is none.
+func (p *pool) take() *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for n := len(p.lines); n > 0; n-- {
+		i := rand.IntN(n)
+		l := p.lines[i]
+		p.lines[i] = p.lines[n-1]
+		p.lines = p.lines[:n-1]
 		select {
 		case <-l.closed:
-			continue
 		default:
+			return l
 		}
-		s.mu.Unlock()
-		return l, nil
 	}
-	s.mu.Unlock()
-	return s.dial()
+	return nil
+}
+
+func (p *pool) give(l *line) {
+	p.mu.Lock()
+	p.lines = append(p.lines, l)
+	p.mu.Unlock()
 }
 
-func (s *sidecar) give(l *line) {
-	s.mu.Lock()
-	s.idle = append(s.idle, l)
-	s.mu.Unlock()
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.lines {
+		l.Close()
+	}
+	p.lines = nil
 }
 
 // read takes answers until the connection ends. What comes while nothing is owed is noted: nobody asked for it.
@@ -116,7 +131,7 @@
 		l.to.w.add(audit.Event{At: l.to.w.now(), Kind: audit.Answered, Request: out.request, Status: answer.StatusCode, Left: after, Good: good,
 			Sidecar: l.to.index, Box: -1, Origin: out.origin, Try: out.try})
 		l.mu.Lock()
-		l.out, l.used = nil, true
+		l.out = nil
 		l.mu.Unlock()
 		l.replies <- reply{answer.StatusCode, after, good}
 		if answer.Close {
@@ -126,39 +141,53 @@
 }
 
 // send asks, and waits for the answer until the request's time is up or nobody wants it any more. It is sent once more
-// where the connection, used before, ends with nothing said: the sidecar closed it between requests.
-func (s *sidecar) send(a ask, gone <-chan struct{}) reply {
-	w := s.w
+// on a new connection where the one before, used already, ends with nothing said: the sidecar closed it between
+// requests. pick is the sidecar for a new connection, nil where there is none.
+func (w *world) send(a ask, from *pool, pick func() *sidecar, gone <-chan struct{}) reply {
 	give := time.NewTimer(a.left + 2*w.plan.Rules.Slack)
 	defer give.Stop()
 	began := w.now()
-	for resent := false; ; resent = true {
-		l, err := s.take()
-		if err != nil {
-			return reply{}
+	for again := false; ; again = true {
+		var l *line
+		if !again {
+			l = from.take()
+		}
+		used := l != nil
+		if l == nil {
+			s := pick()
+			if s == nil {
+				return reply{}
+			}
+			var err error
+			if l, err = s.dial(); err != nil {
+				return reply{}
+			}
 		}
 		left := a.left - (w.now() - began)
 		if left <= 0 {
-			s.give(l)
+			from.give(l)
 			return reply{}
 		}
-		used := l.used
-		class := w.plan.Classes[a.class]
+		note := func(k audit.Kind) audit.Event {
+			return audit.Event{At: w.now(), Kind: k, Request: a.request, Sidecar: l.to.index, Box: -1, Origin: a.origin, Try: a.try, Class: a.class}
+		}
 		l.mu.Lock()
 		l.out = &a
 		l.mu.Unlock()
-		w.add(audit.Event{At: w.now(), Kind: audit.Asked, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin, Try: a.try, Class: a.class, Left: left})
-		l.Write(text(class, &a, left))
+		asked := note(audit.Asked)
+		asked.Left = left
+		w.add(asked)
+		l.Write(text(w.plan.Classes[a.class], &a, left))
 		select {
 		case r := <-l.replies:
-			s.give(l)
+			from.give(l)
 			return r
 		case <-give.C:
-			w.add(audit.Event{At: w.now(), Kind: audit.GaveUp, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin})
+			w.add(note(audit.GaveUp))
 			l.Close()
 			return reply{}
 		case <-gone:
-			w.add(audit.Event{At: w.now(), Kind: audit.GaveUp, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin})
+			w.add(note(audit.GaveUp))
 			l.Close()
 			return reply{}
 		case <-l.closed:
@@ -167,8 +196,8 @@
 				return r
 			default:
 			}
-			w.add(audit.Event{At: w.now(), Kind: audit.Closed, Request: a.request, Sidecar: s.index, Box: -1, Origin: a.origin})
-			if !used || resent {
+			w.add(note(audit.Closed))
+			if !used {
 				return reply{}
 			}
 		}
@@ -199,12 +228,13 @@
 	if s == nil {
 		return false
 	}
-	r := s.send(a, gone)
+	r := w.send(a, &s.idle, func() *sidecar { return s }, gone)
 	return r.status == http.StatusOK && r.good
 }
 
 // front deals callers out among the sidecars of the first tier. It notices only after a while that one has died.
 type front struct {
+	idle pool
 	mu   sync.Mutex
 	up   []*sidecar
 	next int
@@ -260,10 +290,7 @@
 		if left <= 0 {
 			break
 		}
-		var r reply
-		if s := w.front.pick(); s != nil {
-			r = s.send(ask{request: fmt.Sprintf("r%dt%d", n, try), class: at.Class, key: fmt.Sprint("k", n), left: left, origin: n, try: try}, w.ctx.Done())
-		}
+		r := w.send(ask{request: fmt.Sprintf("r%dt%d", n, try), class: at.Class, key: fmt.Sprint("k", n), left: left, origin: n, try: try}, &w.front.idle, w.front.pick, w.ctx.Done())
 		last = r.status
 		if r.status == http.StatusOK || try > w.plan.Callers.Retries {
 			break
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -322,11 +322,7 @@
 		if s.agent != nil {
 			s.agent.server.Close()
 		}
-		s.mu.Lock()
-		for _, l := range s.idle {
-			l.Close()
-		}
-		s.idle = nil
-		s.mu.Unlock()
+		s.idle.close()
 	}
+	w.front.idle.close()
 }
--- a/internal/rehearse/sidecar.go
+++ b/internal/rehearse/sidecar.go
@@ -31,9 +31,9 @@
 	of      int // how many these are
 	config  string
 	agent   *agent
+	idle    pool // of the box before it
 
 	mu       sync.Mutex
-	idle     []*line
 	process  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
 	told     bool          // it was told to end, so that its end is no crash
