Rehearsals: a lying sidecar for each breach, and the true one through short mornings

Change: the test binary is also the sidecars of its rehearsals: 15 liars, an honest proxy, three that crash, hang or do not end, and the true one in 11 mornings of two seconds. Silence is shown to be no reset. Sidecars are told to end only when callers have closed.

--- /dev/null
+++ b/internal/rehearse/liar_test.go
@@ -0,0 +1,280 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gingerlead/internal/product"
+	real "gingerlead/internal/sidecar"
+	"gingerlead/internal/standin/booking"
+)
+
+// The test binary is also the sidecars of its rehearsals: the true one, or a liar that breaks one rule in one way.
+const lieVariable = "REHEARSE_TEST_SIDECAR"
+
+func TestMain(m *testing.M) {
+	switch lie := os.Getenv(lieVariable); {
+	case lie == "" || os.Getenv("BALANCER_CONFIG") == "":
+		os.Exit(m.Run())
+	case lie == "true":
+		truth()
+	default:
+		if err := (&liar{lie: lie}).run(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
+
+// truth is cmd/quincegap's main.
+func truth() {
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
+	config, err := product.Sidecar("", os.Getenv)
+	if err == nil {
+		err = real.Run(config, stop, reload)
+	}
+	if err != nil {
+		log.Fatal(err)
+	}
+}
+
+// liar is a proxy that sends each request to one box at random, but for its lie.
+type liar struct {
+	lie    string
+	client http.Client
+	asked  atomic.Int64
+
+	mu    sync.Mutex
+	known map[string]booking.Target
+	order []string
+}
+
+func (l *liar) run() error {
+	var config struct{ Listen, Discovery string }
+	text, err := os.ReadFile(os.Getenv("BALANCER_CONFIG"))
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, &config); err != nil {
+		return err
+	}
+	l.known = map[string]booking.Target{}
+	l.client.Transport = &http.Transport{DisableKeepAlives: true}
+	first := make(chan bool)
+	go l.follow(config.Discovery, first)
+	<-first
+	listener, err := net.Listen("tcp", config.Listen)
+	if err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	go func() {
+		<-stop
+		if l.lie != "deaf" {
+			os.Exit(0)
+		}
+	}()
+	return http.Serve(listener, l)
+}
+
+// follow keeps the list; one that does not heed it keeps its first.
+func (l *liar) follow(address string, first chan bool) {
+	res, err := http.Get("http://" + address + "/v1/endpoints?follow=1&since=0")
+	if err != nil {
+		log.Fatal(err)
+	}
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		var m message
+		if json.Unmarshal(lines.Bytes(), &m) != nil {
+			continue
+		}
+		l.mu.Lock()
+		for _, t := range m.Targets {
+			if _, ok := l.known[t.UID]; !ok {
+				l.order = append(l.order, t.UID)
+			}
+			if l.lie != "drains" || t.State == "Ready" {
+				l.known[t.UID] = t
+			}
+		}
+		l.mu.Unlock()
+		if first != nil {
+			close(first)
+			first = nil
+		}
+	}
+}
+
+// ready are the boxes that may be sent to.
+func (l *liar) ready() (all []booking.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, uid := range l.order {
+		if t := l.known[uid]; t.State == "Ready" {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
+// attempt sends a request to a box, and returns what came.
+func (l *liar) attempt(ctx context.Context, r *http.Request, to booking.Target) (int, []byte) {
+	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+to.Address+r.RequestURI, nil)
+	if err != nil {
+		return 0, nil
+	}
+	if r.Method == http.MethodPost {
+		q.Body, q.ContentLength = io.NopCloser(strings.NewReader("trip=dialysis\n")), int64(len("trip=dialysis\n"))
+	}
+	q.Header = r.Header.Clone()
+	res, err := l.client.Do(q)
+	if err != nil {
+		return 0, nil
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, nil
+	}
+	if res.Header.Get("X-Turned-Away") != "" {
+		return 429, nil
+	}
+	return res.StatusCode, body
+}
+
+func (l *liar) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ready" {
+		if l.lie == "hang" && l.asked.Load() > 0 {
+			select {}
+		}
+		return
+	}
+	n := l.asked.Add(1)
+	io.Copy(io.Discard, r.Body)
+	ready := l.ready()
+	at := rand.IntN(len(ready))
+	to, other := ready[at], ready[(at+1)%len(ready)]
+	far := to
+	for _, t := range ready {
+		if t.Cell != to.Cell {
+			far = t
+		}
+	}
+	left, _ := remaining(r.Header.Get("X-Remaining"))
+	ctx := context.Background()
+	say := func(status int, body []byte) {
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		w.WriteHeader(status)
+		w.Write(body)
+	}
+	raw := func() net.Conn {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			log.Fatal(err)
+		}
+		return c
+	}
+	whole := func(body []byte) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	switch l.lie {
+	case "silent":
+		<-r.Context().Done()
+	case "hang":
+		select {}
+	case "late":
+		status, body := l.attempt(ctx, r, to)
+		time.Sleep(left + 65*time.Millisecond)
+		say(status, body)
+	case "closes":
+		l.attempt(ctx, r, to)
+		raw().Close()
+	case "invents":
+		say(200, []byte("your trip is booked\n"))
+	case "stale": // the answer to another request
+		_, body := l.attempt(ctx, r, to)
+		say(200, []byte(strings.Replace(string(body), "served r", "served r1", 1)))
+	case "doubles":
+		_, body := l.attempt(ctx, r, to)
+		c := raw()
+		io.WriteString(c, whole(body)+whole(body))
+		time.Sleep(100 * time.Millisecond)
+		c.Close()
+	case "twice":
+		go l.attempt(ctx, r, other)
+		say(l.attempt(ctx, r, to))
+	case "again": // an answer is thrown away
+		l.attempt(ctx, r, to)
+		time.Sleep(5 * time.Millisecond)
+		say(l.attempt(ctx, r, to))
+	case "withdraws": // and sends again at once
+		short, cancel := context.WithTimeout(ctx, 5*time.Millisecond)
+		status, _ := l.attempt(short, r, to)
+		cancel()
+		if status == 0 {
+			say(l.attempt(ctx, r, other))
+		} else {
+			say(502, nil)
+		}
+	case "far":
+		l.attempt(ctx, r, to)
+		say(l.attempt(ctx, r, far))
+	case "refuses":
+		l.attempt(ctx, r, to)
+		say(503, nil)
+	case "after":
+		status, body := l.attempt(ctx, r, to)
+		say(status, body)
+		w.(http.Flusher).Flush()
+		time.Sleep(120 * time.Millisecond)
+		l.attempt(ctx, r, to)
+	case "many":
+		for range 8 {
+			l.attempt(ctx, r, to)
+		}
+		say(l.attempt(ctx, r, to))
+	case "cold": // all to the newest
+		newest := ready[0]
+		for _, t := range ready {
+			if t.BootMS > newest.BootMS {
+				newest = t
+			}
+		}
+		status, body := l.attempt(ctx, r, newest)
+		say(max(status, 429), body)
+	case "crash":
+		if n == 10 {
+			panic(http.ErrAbortHandler)
+		}
+		if n == 20 {
+			fmt.Fprintln(os.Stderr, "cannot go on")
+			os.Exit(7)
+		}
+		say(l.attempt(ctx, r, to))
+	default: // honest, deaf, drains
+		status, body := l.attempt(ctx, r, to)
+		if status == 0 {
+			status = 502
+		}
+		say(status, body)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/rehearse_test.go
@@ -0,0 +1,347 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/finding"
+	"gingerlead/internal/morning"
+)
+
+// small is a morning for tests: two cells of two boxes, which are never busy. The slack is large, so that a slow
+// machine does not pass for a slow sidecar; who breaks a rule here does so by more.
+const small = `length 2s
+seed 3
+tier slot-keeper boxes 4 cells 2 cores 8 slots 40 queue 40 work 10ms shape fixed handshake 0ms conns 0
+sidecars count 1
+callers rate 40/s retries 0 patience 1
+discovery notice 100ms silent_notice 1s add 100ms
+rules slack 60ms attempts 3 tip_by 3 tip_window 1s
+`
+
+const (
+	safe   = "class ask effect safe aim 1s deadline 2s\n"
+	keyed  = "class ask effect keyed scope cell window 10s aim 1s deadline 2s\n"
+	unsafe = "class ask effect unsafe aim 1s deadline 2s\n"
+)
+
+func rehearse(t *testing.T, program, script string) (*Result, []audit.Event) {
+	t.Helper()
+	var found finding.List
+	m := morning.Read(t.Name(), []byte(script), &found)
+	if m == nil {
+		t.Fatal(found.Err())
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var events []audit.Event
+	r, err := Run(context.Background(), m.Plan(0), Options{Program: self, Env: []string{lieVariable + "=" + program}, Dir: t.TempDir(), Events: func(e []audit.Event) { events = e }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, pid := range r.Processes {
+		if syscall.Kill(pid, 0) == nil {
+			t.Errorf("process %d is left", pid)
+		}
+	}
+	return r, events
+}
+
+// Each way to break a rule is caught on sockets, by its rule and in its words; an honest proxy is not blamed.
+func TestLiars(t *testing.T) {
+	const fewSlots = "at 10ms: all boxes refuse 100% of calls for 5s\n"
+	for _, c := range []struct {
+		lie, script string
+		rule        audit.Rule
+		want        string
+	}{
+		{"honest", keyed, 0, ""},
+		{"silent", safe, audit.FinalAnswer, "no answer in"},
+		{"late", safe, audit.FinalAnswer, "after the request's time"},
+		{"closes", safe, audit.FinalAnswer, "closed without an answer"},
+		{"invents", safe, audit.FinalAnswer, "no box made"},
+		{"stale", safe, audit.FinalAnswer, "no box made"},
+		{"doubles", safe, audit.FinalAnswer, "nobody had asked for"},
+		{"after", safe, audit.FinalAnswer, "after its final answer"},
+		{"twice", keyed, audit.OnceOnly, "while another attempt was out"},
+		{"again", unsafe, audit.OnceOnly, "after an attempt that may have run"},
+		{"withdraws", unsafe, audit.OnceOnly, "after an attempt that may have run"},
+		{"far", keyed, audit.OnceOnly, "outside the group"},
+		{"refuses", unsafe, audit.OnceOnly, "trying again is harmless"},
+		{"many", safe + fewSlots, audit.OnceOnly, "3 are allowed"},
+		{"drains", safe + "at 400ms: 2 boxes drain for 1500ms\n", audit.Drains, "that it is Terminating"},
+		{"cold", safe + "at 300ms: 1 new boxes\n", audit.ColdBoxes, "fell over"},
+	} {
+		t.Run(c.lie, func(t *testing.T) {
+			t.Parallel()
+			script := small
+			if c.lie == "cold" {
+				script = strings.Replace(small, "cores 8 slots 40 queue 40 work 10ms", "cores 1 slots 40 queue 40 work 40ms cold 0.1 warm 30s", 1)
+			}
+			if c.lie == "twice" || c.lie == "withdraws" {
+				script = strings.Replace(small, "work 10ms", "work 150ms", 1)
+			}
+			r, _ := rehearse(t, c.lie, script+c.script)
+			v := r.Verdict
+			if v.Void != "" {
+				t.Skip(v.Void) // this machine is too busy to tell
+			}
+			if c.want == "" {
+				if len(v.Breaches) > 0 || len(v.Crashes) > 0 || v.Service < 0.99 {
+					t.Errorf("service %v, %v, %v", v.Service, v.Breaches, v.Crashes)
+				}
+				return
+			}
+			ok := slices.ContainsFunc(v.Breaches, func(b audit.Breach) bool { return b.Rule == c.rule && strings.Contains(b.Text, c.want) })
+			if !ok || v.Broken[c.rule] == 0 {
+				t.Errorf("not caught: %v", v.Breaches[:min(5, len(v.Breaches))])
+			}
+			for rule, n := range v.Broken {
+				// The second answer and what comes after an answer are seen by the next rule too, or not.
+				if audit.Rule(rule) != c.rule && n > 0 && c.lie != "after" {
+					t.Errorf("%s: %d times as well: %v", audit.Rule(rule), n, v.Breaches[:min(5, len(v.Breaches))])
+				}
+			}
+		})
+	}
+}
+
+// A sidecar that crashes, hangs, or does not end when it is told to is found and cleaned up.
+func TestCrashesAreFound(t *testing.T) {
+	for lie, want := range map[string]string{
+		"crash": "n1 ended by itself (exit status 7); its last line: cannot go on",
+		"hang":  "n1 hangs: GET /ready is not answered",
+		"deaf":  "n1 did not end after SIGTERM",
+	} {
+		t.Run(lie, func(t *testing.T) {
+			t.Parallel()
+			r, _ := rehearse(t, lie, small+safe+"rules kill 500ms\n")
+			if c := r.Verdict.Crashes; len(c) == 0 || !slices.ContainsFunc(c, func(s string) bool { return strings.Contains(s, want) }) {
+				t.Errorf("%q, want %q", c, want)
+			}
+		})
+	}
+	t.Run("cannot start", func(t *testing.T) {
+		var found finding.List
+		m := morning.Read("m", []byte(small+safe), &found)
+		_, err := Run(context.Background(), m.Plan(0), Options{Program: "/bin/false", Dir: t.TempDir()})
+		if err == nil || !strings.Contains(err.Error(), "ended before it served") {
+			t.Error(err)
+		}
+		if _, err = Run(context.Background(), m.Plan(0), Options{Program: "no-such-program", Dir: t.TempDir()}); err == nil {
+			t.Error("a program that is not there")
+		}
+	})
+}
+
+// The true sidecar keeps the rules through short mornings, and serves.
+func TestTrueSidecar(t *testing.T) {
+	// The rules' limits are longer here than in service by what a noisy machine needs; the verdicts on service are lax.
+	for name, c := range map[string]struct {
+		script string
+		least  float64
+	}{
+		"calm":                {safe, 0.98},
+		"silence":             {keyed + "at 500ms: 1 boxes go silent for 1500ms\n", 0.6},
+		"restarts":            {keyed + "at 500ms: 1 boxes restart taking 300ms\nat 1200ms: 1 boxes restart taking 300ms\n", 0.8},
+		"drains":              {unsafe + "at 300ms: 1 boxes drain for 900ms\nat 500ms: 1 boxes drain for 900ms\n", 0.95},
+		"takes over":          {keyed + "at 300ms: 2 boxes are replaced at their addresses\n", 0.6},
+		"killed":              {keyed + "at 700ms: all sidecars get SIGKILL and are back after 300ms\n", 0.3},
+		"reloads":             {keyed + "at 500ms: all sidecars get SIGHUP\nat 1s: all sidecars get SIGHUP\n", 0.98},
+		"lost, reset, failed": {unsafe + "at 300ms: 1 boxes lose 30% of calls for 1s\nat 300ms: 1 boxes reset 30% of calls for 1s\nat 300ms: 1 boxes fail 30% of calls for 1s\n", 0.6},
+		"garbled":             {keyed + "at 300ms: all boxes garble 20% of answers for 1s\n", 0.5},
+		"rude":                {keyed + "at 300ms: 20 rude callers for 1s\n", 0.9},
+		"pauses":              {keyed + "at 300ms: all boxes pause for 1500ms\n", 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, _ := rehearse(t, "true", strings.Replace(small, "slack 60ms", "slack 250ms", 1)+c.script)
+			v := r.Verdict
+			if v.Void != "" {
+				t.Skip(v.Void)
+			}
+			if len(v.Breaches) > 0 || len(v.Crashes) > 0 || v.Service < c.least {
+				t.Errorf("service %v, breaches %v, crashes %v", v.Service, v.Breaches, v.Crashes)
+			}
+			if r.Hanging > 0 {
+				t.Errorf("rude callers hang: %v", r.HungOn)
+			}
+		})
+	}
+}
+
+// Two tiers: each box of the first calls the second through a sidecar of its own, and the story of a request has both.
+func TestTwoTiers(t *testing.T) {
+	r, events := rehearse(t, "true", `length 2s
+tier booking-front boxes 2 cells 2 cores 4 slots 40 queue 9 work 10ms calls slot-keeper times 2 conns 0
+tier slot-keeper boxes 3 cells 2 cores 4 slots 40 queue 9 work 5ms conns 0
+class book-trip effect keyed scope cell window 10s aim 1s deadline 2s
+sidecars count 1
+callers rate 20/s patience 1
+rules slack 250ms
+at 800ms: box 1 of slot-keeper dies
+`)
+	v := r.Verdict
+	if v.Void != "" {
+		t.Skip(v.Void)
+	}
+	if len(v.Breaches) > 0 || v.Service < 0.9 || v.PerCall < 0.9 || v.PerCall > 1.3 || v.Attempts < 2*v.Requests {
+		t.Errorf("%+v", v)
+	}
+	tiers := map[int]int{}
+	for _, e := range events {
+		if e.Kind == audit.Sent {
+			tiers[r.Plan.Boxes[e.Box].Tier]++
+		}
+	}
+	if tiers[0] < v.InTime || tiers[1] < 2*v.InTime {
+		t.Errorf("attempts by tier: %v, %d requests", tiers, v.InTime)
+	}
+	if len(v.Stories) == 0 || !slices.ContainsFunc(v.Stories[0].Lines, func(l audit.Line) bool {
+		return strings.Contains(l.Text, "box") && strings.Contains(l.Text, "slot-keeper")
+	}) {
+		t.Errorf("%+v", v.Stories)
+	}
+}
+
+// A silent machine is no reset: open connections stay open, and new ones do not come up, until it is back. Its address
+// then is another life's.
+func TestSilence(t *testing.T) {
+	var found finding.List
+	m := morning.Read("m", []byte(small+safe), &found)
+	w := newWorld(context.Background(), m.Plan(0))
+	if err := w.claim(); err != nil {
+		t.Fatal(err)
+	}
+	defer w.guard.Close()
+	w.begins.Store(0)
+	b := newBox(w, 0)
+	if err := b.start(false); err != nil {
+		t.Fatal(err)
+	}
+	defer b.stop()
+	address := w.boxAddress(0)
+	open := dialBox(t, address)
+	open.ask(t, "r1t1")
+	if got := open.read(t, time.Second); !strings.Contains(got, "served r1t1 ") {
+		t.Fatalf("%q", got)
+	}
+	b.silence()
+	open.ask(t, "r2t1")
+	if got := open.read(t, 200*time.Millisecond); got != "nothing" {
+		t.Errorf("a silent machine says %q", got)
+	}
+	if c, err := dialFor(address, 200*time.Millisecond); err == nil {
+		c.Close()
+		t.Error("a connection to a silent machine comes up")
+	} else if !strings.Contains(err.Error(), "timeout") {
+		t.Errorf("a connection to a silent machine is refused: %v", err)
+	}
+	b.stop()
+	if err := b.start(true); err != nil {
+		t.Fatal(err)
+	}
+	if got := open.read(t, time.Second); !strings.Contains(got, "reset") {
+		t.Errorf("an old connection: %q", got)
+	}
+	again := dialBox(t, address)
+	again.ask(t, "r3t1")
+	if got := again.read(t, time.Second); !strings.Contains(got, "served r3t1 ") {
+		t.Errorf("%q", got)
+	}
+	events, _ := w.log.Events()
+	swallowed := slices.ContainsFunc(events, func(e audit.Event) bool { return e.Kind == audit.Sent && e.Request == "r2t1" })
+	answered := slices.ContainsFunc(events, func(e audit.Event) bool {
+		return e.Kind == audit.Ended && e.Request == "r2t1" && e.How != audit.Dropped
+	})
+	if !swallowed || answered {
+		t.Errorf("what a silent machine was sent: seen %v, answered %v", swallowed, answered)
+	}
+}
+
+// A box closes what is half sent, turns away beyond its connections, and tells of its load.
+func TestBoxOnItsSocket(t *testing.T) {
+	var found finding.List
+	m := morning.Read("m", []byte(strings.Replace(small, "conns 0", "conns 2 report 20ms", 1)+keyed), &found)
+	w := newWorld(context.Background(), m.Plan(0))
+	if err := w.claim(); err != nil {
+		t.Fatal(err)
+	}
+	defer w.guard.Close()
+	w.begins.Store(0)
+	b := newBox(w, 0)
+	if err := b.start(false); err != nil {
+		t.Fatal(err)
+	}
+	defer b.stop()
+	one, two := dialBox(t, w.boxAddress(0)), dialBox(t, w.boxAddress(0))
+	two.ask(t, "r7t1")
+	two.read(t, time.Second)
+	one.ask(t, "r8t1")
+	one.read(t, time.Second)
+	three := dialBox(t, w.boxAddress(0))
+	if got := three.read(t, time.Second); !strings.Contains(got, "reset") && !strings.Contains(got, "EOF") {
+		t.Errorf("a connection too many: %q", got)
+	}
+	time.Sleep(50 * time.Millisecond)
+	two.ask(t, "r9t1")
+	if got := two.read(t, time.Second); !strings.Contains(got, "X-Pressure: inflight=") {
+		t.Errorf("no load report: %q", got)
+	}
+	// Half a request, and the end: it never ran.
+	fmt.Fprint(one, "POST /trips HTTP/1.1\r\nHost: a\r\nX-Txn: r5t1\r\nX-Lane: ask\r\nContent-Length: 99\r\n\r\nhalf")
+	one.CloseWrite()
+	one.read(t, time.Second)
+	events, _ := w.log.Events()
+	if !slices.ContainsFunc(events, func(e audit.Event) bool { return e.Kind == audit.Ended && e.Request == "r5t1" && e.How == audit.Cut }) {
+		t.Error("half a request is not noted as cut off")
+	}
+	// A keyed repeat in its cell has no second effect.
+	if w.again != 0 || len(w.effects) != 1 {
+		t.Errorf("%d effects, %d beyond the first", len(w.effects), w.again)
+	}
+}
+
+// The watch on the emulator itself sees that it was late.
+func TestLateEmulatorIsSeen(t *testing.T) {
+	var found finding.List
+	m := morning.Read("m", []byte(small+safe), &found)
+	w := newWorld(context.Background(), m.Plan(0))
+	w.begins.Store(0)
+	b := newBox(w, 0)
+	if err := w.claim(); err != nil {
+		t.Fatal(err)
+	}
+	defer w.guard.Close()
+	if err := b.start(false); err != nil {
+		t.Fatal(err)
+	}
+	defer b.stop()
+	c := dialBox(t, w.boxAddress(0))
+	c.ask(t, "r1t1")
+	c.read(t, time.Second)
+	c.ask(t, "r2t1")
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		b.mu.Lock()
+		if len(b.calls) > 0 {
+			time.Sleep(150 * time.Millisecond) // the box cannot do its work meanwhile, as if it had no processor
+			b.mu.Unlock()
+			break
+		}
+		b.mu.Unlock()
+	}
+	c.read(t, time.Second)
+	events, _ := w.log.Events()
+	if !slices.ContainsFunc(events, func(e audit.Event) bool { return e.Kind == audit.Late && e.Left > 100*time.Millisecond }) {
+		t.Error("not seen")
+	}
+}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -10,13 +10,13 @@
 	"time"
 
 	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
 	"gingerlead/internal/morning"
 )
 
 // Options are how a rehearsal is run.
 type Options struct {
 	Program  string              // the sidecar
+	Env      []string            // for it, beside this process's own
 	Dir      string              // where its configurations and logs go; it must exist
 	Progress func(Progress)      // called once a second; nil for none
 	Events   func([]audit.Event) // gets all events in the end; nil for none
@@ -36,7 +36,9 @@
 	Memory  int64         // of the largest, in bytes
 	Hanging int64         // rude callers that got neither an answer nor a close in time
 	HungOn  []string
-	Again   int // effects of a key beyond its first, callers' own repeats included
+	// Processes are the sidecars' that were started; all have ended.
+	Processes []int
+	Again     int // effects of a key beyond its first, callers' own repeats included
 }
 
 // heard is when news count as told, whether or not they were written (the platform's protocol).
@@ -66,8 +68,7 @@
 func Run(ctx context.Context, plan *morning.Plan, o Options) (result *Result, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &world{plan: plan, made: time.Now(), ctx: ctx, tries: map[string]int{}, memories: map[[2]int]*emulator.Memory{}, effects: map[string]int{}, behind: map[int]*sidecar{}}
-	w.begins.Store(int64(unbegun))
+	w := newWorld(ctx, plan)
 	if plan.Boxes[len(plan.Boxes)-1].Slot >= mostBoxSlots {
 		return nil, fmt.Errorf("more addresses of boxes than %d", mostBoxSlots)
 	}
@@ -83,6 +84,7 @@
 		return nil, fmt.Errorf("the sidecar's program: %w (make builds it)", err)
 	}
 	program := newProgram(path, o.Dir)
+	program.env = o.Env
 	defer close(program.starter)
 	w.sidecarsOf(plan)
 	for i := range plan.Tiers {
@@ -124,6 +126,7 @@
 		}
 	}
 	for _, s := range w.sidecars {
+		result.Processes = append(result.Processes, s.pids...)
 		result.CPU += s.cpu
 		result.Memory = max(result.Memory, s.memory)
 	}
@@ -313,6 +316,11 @@
 
 // endAll ends all sidecars and their discovery.
 func (w *world) endAll(p *program) {
+	// A sidecar that was told to end waits for callers that are connected.
+	w.front.idle.close()
+	for _, s := range w.sidecars {
+		s.idle.close()
+	}
 	var wg sync.WaitGroup
 	for _, s := range w.sidecars {
 		wg.Go(func() { s.end(p) })
@@ -322,7 +330,5 @@
 		if s.agent != nil {
 			s.agent.server.Close()
 		}
-		s.idle.close()
 	}
-	w.front.idle.close()
 }
--- a/internal/rehearse/sidecar.go
+++ b/internal/rehearse/sidecar.go
@@ -39,6 +39,7 @@
 	told     bool          // it was told to end, so that its end is no crash
 	stopped  bool          // SIGSTOP: it stands still
 	starts   int
+	pids     []int
 	cpu      time.Duration // of processes that have ended
 	memory   int64         // largest, in bytes
 	lastLine string
@@ -48,6 +49,7 @@
 type program struct {
 	path string
 	dir  string
+	env  []string
 	// starter runs on one thread for all the time: a child is killed when the thread that started it ends, and so no
 	// sidecar outlives this process, however it ends.
 	starter chan func()
@@ -120,6 +122,7 @@
 	}
 	cmd := exec.Command(p.path)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.config, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
+	cmd.Env = append(cmd.Env, p.env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	r, pipe := io.Pipe()
 	cmd.Stdout, cmd.Stderr = pipe, pipe
@@ -133,6 +136,7 @@
 	ended := make(chan struct{})
 	s.mu.Lock()
 	s.process, s.ended, s.told, s.stopped = cmd, ended, false, false
+	s.pids = append(s.pids, cmd.Process.Pid)
 	s.mu.Unlock()
 	go func() {
 		defer logs.Close()
--- a/internal/rehearse/world.go
+++ b/internal/rehearse/world.go
@@ -51,6 +51,12 @@
 	counters counters
 }
 
+func newWorld(ctx context.Context, plan *morning.Plan) *world {
+	w := &world{plan: plan, made: time.Now(), ctx: ctx, tries: map[string]int{}, memories: map[[2]int]*emulator.Memory{}, effects: map[string]int{}, behind: map[int]*sidecar{}}
+	w.begins.Store(int64(unbegun))
+	return w
+}
+
 // counters are for the lines of progress.
 type counters struct{ asked, served, refused, failed, attempts atomic.Int64 }
 
