Rehearsals in virtual time: the decision module alone, the same events byte for byte

Drawn mornings are played at random: that found a sidecar that two lines signalled, whose second return went round in circles (and would have hung on sockets).

Pauses that end within 60 ms of the time at which the sidecar gives up, in steps of 2 ms: no breach in any class.

--- a/internal/audit/event.go
+++ b/internal/audit/event.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -97,3 +98,11 @@
 	defer l.mu.Unlock()
 	return l.events, l.lost
 }
+
+var kinds = [...]string{"?", "asked", "answered", "closed", "gave-up", "stray", "sent", "ended", "told", "up", "stopping", "killed", "died", "fell", "late"}
+
+// String is an event on one line, for traces that are compared.
+func (e Event) String() string {
+	return fmt.Sprintf("%d %s %s sidecar=%d box=%d origin=%d try=%d class=%d attempt=%d status=%d how=%d left=%d work=%d first=%d good=%t %q",
+		e.At, kinds[e.Kind], e.Request, e.Sidecar, e.Box, e.Origin, e.Try, e.Class, e.Attempt, e.Status, e.How, e.Left, e.Work, e.First, e.Good, e.Text)
+}
--- /dev/null
+++ b/internal/dryrun/box.go
@@ -0,0 +1,345 @@
+package dryrun
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gingerlead"
+	"gingerlead/internal/audit"
+	"gingerlead/internal/emulator"
+	"gingerlead/internal/morning"
+)
+
+func sortedIDs(m map[gingerlead.RequestID]*request) []gingerlead.RequestID {
+	return slices.Sorted(maps.Keys(m))
+}
+
+// box is one server.
+type box struct {
+	s      *sim
+	index  int
+	own    *instance // its sidecar for calls; nil if it makes none
+	life   int
+	model  *emulator.Box // nil while it is down or silent
+	silent bool
+	calls  map[uint64]*attempt // that it holds, whatever becomes of them
+	faults map[string]float64
+	random *rand.Rand
+	armed  time.Duration // when it is looked at next
+	told   string        // its state, as discovery knows it; empty if it does not
+	boot   time.Duration
+}
+
+func (b *box) plan() *morning.Box { return &b.s.plan.Boxes[b.index] }
+func (b *box) tier() int          { return b.plan().Tier }
+
+func (b *box) start(cold bool) {
+	b.life++
+	b.silent = false
+	b.calls = map[uint64]*attempt{}
+	b.model = emulator.NewBox(b.plan().Spec, b.s.now, cold)
+	if !cold {
+		b.told = "Ready"
+	}
+}
+
+// down ends the box; its connections break.
+func (b *box) down() {
+	held := b.calls
+	b.life++
+	b.model, b.silent, b.calls = nil, false, nil
+	for _, id := range slices.Sorted(maps.Keys(held)) {
+		a := held[id]
+		a.done(audit.Dropped)
+		b.s.after(toBox, func() { a.end(gingerlead.Reset) })
+	}
+}
+
+// arm has the box looked at when it wants to be.
+func (b *box) arm() {
+	if b.model == nil {
+		return
+	}
+	next, ok := b.model.Next()
+	if !ok || next == b.armed {
+		return
+	}
+	b.armed = next
+	life := b.life
+	b.s.at(next, func() {
+		if b.life != life || b.model == nil {
+			return
+		}
+		if b.armed == b.s.now {
+			b.armed = -1
+		}
+		b.advance()
+		b.arm()
+	})
+}
+
+func (b *box) advance() { b.settle(b.model.Advance(b.s.now)) }
+
+func (b *box) settle(done []emulator.Done) {
+	for _, d := range done {
+		a := b.calls[d.ID]
+		if a == nil || !a.job {
+			b.settle(b.model.Release(b.s.now, d.ID))
+			continue
+		}
+		if d.Expired {
+			a.back(audit.TurnedAway)
+			continue
+		}
+		a.work += b.model.Got(d.ID)
+		if b.s.plan.Tiers[b.tier()].Calls != "" && !a.second {
+			b.callOn(a, 0)
+			continue
+		}
+		more := b.model.Release(b.s.now, d.ID)
+		a.back(audit.Served)
+		b.settle(more)
+	}
+}
+
+// callOn makes the k-th call to the next tier, and then the others; after them comes the rest of the work.
+func (b *box) callOn(a *attempt, k int) {
+	s, life := b.s, b.life
+	here := func() bool { return b.life == life && b.model != nil && b.calls[a.id] == a }
+	left := a.r.deadline - s.now
+	if left <= 0 || b.own == nil {
+		b.failed(a)
+		return
+	}
+	q := &ask{request: fmt.Sprintf("%s.%d-%d", a.r.request, a.id, k), class: a.r.class, left: left, origin: a.r.origin}
+	b.own.ask(q, func(r reply) {
+		switch {
+		case !here():
+		case r.status != 200:
+			b.advance()
+			b.failed(a)
+			b.arm()
+		case k+1 < s.plan.Tiers[b.tier()].Times:
+			b.callOn(a, k+1)
+		default:
+			b.advance()
+			a.second = true
+			b.model.Resume(s.now, a.id, a.after)
+			b.arm()
+		}
+	})
+}
+
+func (b *box) failed(a *attempt) {
+	more := b.model.Release(b.s.now, a.id)
+	a.back(audit.Erred)
+	b.settle(more)
+}
+
+// come brings an attempt to its box.
+func (a *attempt) come() {
+	b, s, i := a.box, a.r.in.s, a.r.in
+	if a.over {
+		return // withdrawn on its way: it was never written
+	}
+	switch {
+	case b.silent && i.met[b.index] != b.life:
+		s.at(a.sent+s.plan.Rules.Connect, func() { a.end(gingerlead.ConnectFailed) })
+		return
+	case b.model == nil && !b.silent:
+		s.after(toBox, func() { a.end(gingerlead.ConnectFailed) })
+		return
+	}
+	a.life = b.life
+	b.calls[a.id] = a
+	s.add(audit.Event{Kind: audit.Sent, Request: a.r.request, First: s.now, Attempt: a.id, Box: b.index, Sidecar: -1, Origin: a.r.origin})
+	chance := func(what string) bool { return b.faults[what] > 0 && b.random.Float64() < b.faults[what] }
+	switch {
+	case b.silent || chance("lose"):
+		a.mute = true
+		return
+	case chance("reset"):
+		a.done(audit.Dropped)
+		s.after(toBox, func() { a.end(gingerlead.Reset) })
+		return
+	case chance("refuse"):
+		a.back(audit.TurnedAway)
+		return
+	case chance("fail"):
+		a.back(audit.Erred)
+		return
+	}
+	s.memory[a.r.request]++
+	before, after := s.plan.Works(a.r.request, b.tier(), s.memory[a.r.request])
+	a.after = after
+	b.advance()
+	switch b.model.Offer(s.now, a.id, before, a.r.deadline) {
+	case emulator.Taken:
+		a.job = true
+		b.arm()
+	case emulator.TurnedAway:
+		a.back(audit.TurnedAway)
+	case emulator.Fell:
+		s.add(audit.Event{Kind: audit.Fell, Box: b.index, Sidecar: -1, Origin: -1})
+		b.down()
+	}
+}
+
+// done notes the end of an attempt at its box.
+func (a *attempt) done(how audit.How) {
+	if a.ended || a.life == 0 {
+		return
+	}
+	a.ended = true
+	if a.box.life == a.life {
+		delete(a.box.calls, a.id)
+	}
+	a.r.in.s.add(audit.Event{Kind: audit.Ended, Request: a.r.request, Attempt: a.id, Box: a.box.index, Sidecar: -1, How: how, Work: a.work, Origin: a.r.origin})
+}
+
+// back sends the answer of the box.
+func (a *attempt) back(how audit.How) {
+	if a.mute {
+		return
+	}
+	b, s := a.box, a.r.in.s
+	if how == audit.Served && b.faults["garble"] > 0 && b.random.Float64() < b.faults["garble"] {
+		how = audit.Spoilt
+	}
+	a.done(how)
+	status := map[audit.How]gingerlead.Status{audit.Served: gingerlead.OK, audit.Erred: gingerlead.Error,
+		audit.TurnedAway: gingerlead.Full, audit.Spoilt: gingerlead.Spoilt}[how]
+	life := b.life
+	s.after(toBox, func() {
+		a.r.in.met[b.index] = life
+		a.end(status)
+	})
+}
+
+// withdraw takes an attempt back that its instance does not want any more.
+func (a *attempt) withdraw() {
+	b, s := a.box, a.r.in.s
+	s.after(toBox, func() {
+		if a.ended || a.life == 0 || b.life != a.life {
+			return
+		}
+		if a.job && b.model != nil {
+			b.advance()
+			if a.ended {
+				b.arm()
+				return
+			}
+			got := b.model.Got(a.id)
+			stopped, expired := b.model.Cancel(s.now, a.id)
+			if !stopped {
+				got = 0
+				a.work += a.after
+			}
+			a.work += got
+			a.done(audit.Withdrawn)
+			b.settle(expired)
+			b.arm()
+			return
+		}
+		a.done(audit.Withdrawn)
+	})
+}
+
+// end is the end of an attempt at its instance.
+func (a *attempt) end(status gingerlead.Status) {
+	r, i := a.r, a.r.in
+	if a.over || r.out != a || i.requests[gingerlead.RequestID(r.request)] != r {
+		return
+	}
+	a.over = true
+	r.out = nil
+	if status == gingerlead.Timeout || status == gingerlead.Cancelled {
+		a.withdraw()
+	}
+	final := r.answered
+	if status == gingerlead.OK && !r.answered {
+		final = true
+		r.answer(200, 0, true)
+	}
+	i.s.decisions++
+	i.b.Outcome(i.clock(), gingerlead.Outcome{ID: gingerlead.RequestID(r.request), Endpoint: gingerlead.EndpointID(a.box.index + 1),
+		Attempt: a.number, Final: final, Elapsed: i.s.now - a.sent, Status: status})
+	r.forget()
+}
+
+// step plays one step of the plan.
+func (s *sim) step(x morning.Step) {
+	switch x.Do {
+	case morning.Crash:
+		b := s.boxes[x.Box]
+		if b.own != nil {
+			b.own.kill()
+		}
+		b.down()
+	case morning.Silence:
+		b := s.boxes[x.Box]
+		if b.model == nil {
+			return
+		}
+		b.silent, b.model = true, nil
+		for _, a := range b.calls {
+			a.mute = true
+		}
+		if b.own != nil {
+			b.own.kill()
+		}
+	case morning.Start:
+		b := s.boxes[x.Box]
+		b.down()
+		b.start(true)
+		if b.own != nil {
+			b.own.kill()
+			s.revive(b.own)
+		}
+	case morning.Pause, morning.Slow:
+		b := s.boxes[x.Box]
+		if b.model == nil {
+			return
+		}
+		b.advance()
+		if x.Do == morning.Pause {
+			b.model.Pause(s.now, x.Until)
+		} else {
+			b.model.Slow(s.now, x.By)
+		}
+		b.arm()
+	case morning.Fault:
+		s.boxes[x.Box].faults[x.What] = x.By
+	case morning.Tell:
+		b := s.boxes[x.Box]
+		b.told, b.boot = x.State, x.Boot
+		for _, i := range s.instances {
+			i.hear(b)
+		}
+	case morning.Signal:
+		switch i := s.instances[x.Sidecar]; x.What {
+		case "SIGTERM":
+			i.stop()
+		case "SIGKILL", "SIGSTOP":
+			i.kill()
+		}
+	case morning.Revive:
+		s.revive(s.instances[x.Sidecar])
+	}
+}
+
+// revive starts an instance again, once it has ended.
+func (s *sim) revive(i *instance) {
+	if i.up {
+		if i.endsAt > 0 { // else it serves already
+			s.at(i.endsAt+200*time.Millisecond, func() { s.revive(i) })
+		}
+		return
+	}
+	if err := i.start(); err != nil && s.err == nil {
+		s.err = err
+	}
+}
--- /dev/null
+++ b/internal/dryrun/dryrun_test.go
@@ -0,0 +1,243 @@
+package dryrun
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/finding"
+	"gingerlead/internal/morning"
+)
+
+func read(t testing.TB, name, text string) *morning.Morning {
+	t.Helper()
+	var found finding.List
+	m := morning.Read(name, []byte(text), &found)
+	if m == nil {
+		t.Fatal(found.Err())
+	}
+	return m
+}
+
+func run(t testing.TB, plan *morning.Plan) *Result {
+	t.Helper()
+	r, err := Run(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func library(t testing.TB) map[string]*morning.Morning {
+	t.Helper()
+	names, err := filepath.Glob("../../rehearsals/*.morning")
+	if err != nil || len(names) == 0 {
+		t.Fatal("no rehearsals", err)
+	}
+	all := map[string]*morning.Morning{}
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all[strings.TrimSuffix(filepath.Base(name), ".morning")] = read(t, name, string(text))
+	}
+	return all
+}
+
+// The same seed gives the same events, byte for byte; another one does not.
+func TestSameSeedSameTrace(t *testing.T) {
+	m := library(t)["friday"]
+	trace := func(seed uint64) string {
+		var b strings.Builder
+		for _, e := range run(t, m.Plan(seed)).Events {
+			fmt.Fprintln(&b, e)
+		}
+		return b.String()
+	}
+	first := trace(5)
+	if len(first) < 1<<20 || first != trace(5) {
+		t.Error("the same seed gives two traces")
+	}
+	if first == trace(6) {
+		t.Error("two seeds give the same trace")
+	}
+}
+
+// The decision module keeps the rules through every morning of the library, and what each expects of it.
+func TestLibrary(t *testing.T) {
+	for name, m := range library(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			v := run(t, m.Plan(0)).Verdict
+			if len(v.Breaches) > 0 || v.Void != "" {
+				t.Errorf("%s %v", v.Void, v.Breaches[:min(5, len(v.Breaches))])
+			}
+			for _, e := range m.Expect {
+				got := map[string]float64{"service": v.Service, "worst": v.Worst, "attempts": v.PerCall}[e.What]
+				if e.Above == (got < e.Bound) {
+					t.Errorf("line %d: %s is %v, bound %v", e.At.Line, e.What, got, e.Bound)
+				}
+			}
+		})
+	}
+}
+
+const base = `length 6s
+seed 5
+tier slot-keeper boxes 6 cells 2 cores 2 slots 8 queue 20 work 20ms cold 0.2 warm 3s
+sidecars count 2
+callers rate 60/s retries 1 patience 0.5 backoff 100ms
+discovery notice 500ms silent_notice 2s add 200ms
+`
+
+// A pause that ends just as the sidecar gives up: whether the answer or the cancel wins, each request has one answer
+// and no class is sent where it may not be. The pauses end from 60 ms before to 60 ms after, in steps of 2 ms.
+func TestPauseThatEndsAsTheSidecarGivesUp(t *testing.T) {
+	for _, effect := range []string{"unsafe", "keyed scope cell window 10s", "safe"} {
+		crossed := 0
+		for ms := 940; ms <= 1060; ms += 2 {
+			m := read(t, "pause", base+"class ask aim 500ms deadline 2s effect "+effect+fmt.Sprintf("\nat 2s: all boxes pause for %dms\n", ms))
+			r := run(t, m.Plan(0))
+			if len(r.Verdict.Breaches) > 0 {
+				t.Errorf("%s, %d ms: %v", effect, ms, r.Verdict.Breaches)
+			}
+			withdrawn := map[string]time.Duration{}
+			for _, e := range r.Events {
+				if e.Kind == audit.GaveUp || e.Kind == audit.Ended && e.How == audit.Withdrawn {
+					withdrawn[e.Request] = e.At
+				}
+				if e.Kind == audit.Ended && e.How == audit.Served && e.At > 2900*time.Millisecond && e.At < 3100*time.Millisecond {
+					crossed++
+				}
+			}
+		}
+		if crossed == 0 {
+			t.Errorf("%s: no answer came near the time at which sidecars give up", effect)
+		}
+	}
+}
+
+// A freshly started box that is slow for its first minute is spared: it does not fall over, and while it is cold it
+// gets well below its share.
+func TestSlowFirstMinute(t *testing.T) {
+	m := read(t, "cold", strings.NewReplacer("length 6s", "length 90s", "cold 0.2 warm 3s", "cold 0.1 warm 60s", "rate 60/s", "rate 150/s").Replace(base)+
+		"class ask aim 500ms deadline 2s\nat 5s: 1 new boxes\n")
+	r := run(t, m.Plan(0))
+	if len(r.Verdict.Breaches) > 0 || r.Verdict.Service < 0.99 {
+		t.Fatalf("service %v, %v", r.Verdict.Service, r.Verdict.Breaches)
+	}
+	share := func(from, to int) float64 {
+		var fresh, all float64
+		for s := from; s < to; s++ {
+			for box := range r.Plan().Boxes {
+				n := float64(r.Verdict.Loads[box][s])
+				all += n
+				if box == 6 {
+					fresh += n
+				}
+			}
+		}
+		return fresh / all
+	}
+	if cold, warm := share(7, 15), share(70, 90); cold > 0.6*warm || warm < 0.10 || warm > 0.18 {
+		t.Errorf("cold it got %.3f of all, warm %.3f", cold, warm)
+	}
+}
+
+// Lost machines, dead sidecars and what else there is, drawn at random: no rule breaks, and every request comes to an end.
+func TestAnyMorning(t *testing.T) {
+	events := []string{"%d boxes go silent for 1s", "%d boxes restart taking 700ms", "%d boxes drain for 1s", "%d boxes pause for 600ms", "%d boxes die",
+		"%d boxes are replaced at their addresses", "%d boxes are replaced at new addresses", "%d boxes lose 40%% of calls for 1s", "%d boxes reset 40%% of calls for 1s",
+		"%d boxes fail 60%% of calls for 1s", "%d boxes garble 40%% of answers for 1s", "%d boxes refuse 70%% of calls for 1s", "%d boxes are 5 times slower for 1s"}
+	others := []string{"load is 4 times for 1s", "discovery is silent for 2s", "discovery is 1s behind for 2s", "sidecar 1 gets SIGTERM and is back after 3s",
+		"sidecar 2 gets SIGKILL and is back after 1s", "all sidecars get SIGKILL and are back after 500ms", "2 new boxes"}
+	effects := []string{"unsafe", "keyed scope cell window 10s", "keyed scope all window 10s", "safe"}
+	rapid.Check(t, func(t *rapid.T) {
+		text := base + "class ask aim 500ms deadline 2s effect " + rapid.SampledFrom(effects).Draw(t, "effect") + "\n"
+		for i := range rapid.IntRange(1, 5).Draw(t, "events") {
+			e := rapid.SampledFrom(others).Draw(t, "other")
+			if rapid.Bool().Draw(t, "boxes") {
+				e = fmt.Sprintf(rapid.SampledFrom(events).Draw(t, "event"), rapid.IntRange(1, 2).Draw(t, "how many"))
+			}
+			text += fmt.Sprintf("at %dms: %s\n", 500+900*i+rapid.IntRange(0, 800).Draw(t, "when"), e)
+		}
+		var found finding.List
+		m := morning.Read("any", []byte(text), &found)
+		if m == nil {
+			return // it asks for the impossible
+		}
+		r, err := Run(m.Plan(rapid.Uint64Range(1, 1000).Draw(t, "seed")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := r.Verdict
+		if len(v.Breaches) > 0 {
+			t.Fatalf("%s%v", text, v.Breaches)
+		}
+		if n := v.InTime + v.Late + v.Refused + v.Failed; n != v.Requests || v.Requests != len(r.Plan().Arrivals) {
+			t.Fatalf("%d of %d requests are counted", n, v.Requests)
+		}
+	})
+}
+
+// Against a formula: one box with a core that serves in order, behind one sidecar, has the mean time of M/M/1 plus the
+// network. The module holds calls back when a box is busy, so the load is light.
+func TestAgainstMM1(t *testing.T) {
+	m := read(t, "mm1", `length 500s
+seed 9
+tier one boxes 1 cores 1 slots 1 queue 1000 work 20ms shape exponential
+class ask aim 5s deadline 10s
+sidecars count 1
+callers rate 10/s patience 1
+`)
+	r := run(t, m.Plan(0))
+	var sum time.Duration
+	sent, n := map[uint64]time.Duration{}, 0
+	for _, e := range r.Events {
+		switch e.Kind {
+		case audit.Sent:
+			sent[e.Attempt] = e.At
+		case audit.Ended:
+			sum += e.At - sent[e.Attempt]
+			n++
+		}
+	}
+	// Work 20 ms at 10 a second: 1/(50-10) s.
+	if got, want := sum.Seconds()/float64(n), 1.0/40; math.Abs(got/want-1) > 0.06 {
+		t.Errorf("%d calls took %.5f s at the box, want %.5f", n, got, want)
+	}
+}
+
+// An auditor that is shown a wrong module would say so: the same run with a rule made stricter has breaches.
+func TestAuditorSeesTheModule(t *testing.T) {
+	m := library(t)["errors"]
+	p := m.Plan(0)
+	r := run(t, p)
+	rules := p.AuditRules()
+	rules.Attempts = 1
+	v := audit.Judge(rules, r.Events, 0)
+	if v.Broken[audit.OnceOnly] == 0 || !slices.ContainsFunc(v.Breaches, func(b audit.Breach) bool { return strings.Contains(b.Text, "attempt 2; 1 are allowed") }) {
+		t.Error("no second attempt was seen in a morning of errors")
+	}
+}
+
+func BenchmarkRun(b *testing.B) {
+	for _, name := range []string{"calm", "friday", "large-fleet"} {
+		b.Run(name, func(b *testing.B) {
+			p := library(b)[name].Plan(0)
+			for b.Loop() {
+				run(b, p)
+			}
+			b.ReportMetric(float64(len(p.Arrivals))*float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
--- a/internal/morning/plan.go
+++ b/internal/morning/plan.go
@@ -112,19 +112,23 @@
 	lives  []*life
 	counts []int // boxes of each tier, ever
 	slots  int
-	random *rand.Rand // of who is hit
-	boxes  *rand.Rand // of what boxes are like
-	blind  []Window   // discovery is silent
+	random *rand.Rand            // of who is hit
+	boxes  *rand.Rand            // of what boxes are like
+	blind  []Window              // discovery is silent
+	down   map[int]time.Duration // until when a sidecar is not to be signalled again
 	behind []lag
 }
 
+// never is later than any morning.
+const never = time.Duration(math.MaxInt64)
+
 type lag struct {
 	from, to time.Duration
 	by       time.Duration
 }
 
 func draw(m *Morning, seed uint64, add finding.Reporter) *Plan {
-	d := &drawing{Plan: &Plan{Morning: m, Seed: seed}, add: add, counts: make([]int, len(m.Tiers)),
+	d := &drawing{Plan: &Plan{Morning: m, Seed: seed}, add: add, counts: make([]int, len(m.Tiers)), down: map[int]time.Duration{},
 		random: rand.New(emulator.Source(seed, "who")), boxes: rand.New(emulator.Source(seed, "boxes"))}
 	for i, t := range m.Tiers {
 		for range t.Boxes {
@@ -470,6 +474,10 @@
 			return
 		}
 		all = []int{*s.One - 1}
+		if d.down[*s.One-1] > time.Duration(e.At) {
+			d.add(pos(s.Pos), "sidecar %d is down until %v, by another line", *s.One, d.down[*s.One-1])
+			return
+		}
 	case s.Share != nil:
 		if *s.Share > 1 {
 			d.add(pos(s.Pos), "%v%% of the sidecars is more than there are", float64(*s.Share)*100)
@@ -489,6 +497,15 @@
 	}
 	at := time.Duration(e.At)
 	for _, i := range all {
+		if d.down[i] > at {
+			continue // by another line; "all" are those that are up
+		}
+		if s.Signal != "SIGHUP" {
+			d.down[i] = never
+			if s.Back != nil {
+				d.down[i] = at + time.Duration(*s.Back)
+			}
+		}
 		d.step(Step{At: at, Do: Signal, Sidecar: i, What: s.Signal, Line: e.Pos.Line})
 		var length time.Duration
 		if s.Back != nil {
--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -276,34 +276,21 @@
 	return f.up[f.next%len(f.up)]
 }
 
-// arrive plays one arrival: its tries, with waits between them, until it is served or its time is up.
+// arrive plays one arrival: its tries, with waits between them, until it is served or gives up.
 func (w *world) arrive(n int) {
-	at := &w.plan.Arrivals[n]
-	class := w.plan.Classes[at.Class]
-	random := rand.New(emulator.Source(w.plan.Seed, fmt.Sprint("caller ", n)))
-	began := w.now()
-	end := began + class.Deadline
+	caller := w.plan.Caller(n, w.now())
+	class := w.plan.Arrivals[n].Class
 	w.counters.asked.Add(1)
 	last := 0
-	for try := 1; ; try++ {
-		left := min(time.Duration(at.Patience*float64(class.Deadline)), end-w.now())
-		if left <= 0 {
+	for {
+		try, left, ok := caller.Try(w.now())
+		if !ok {
 			break
 		}
-		r := w.send(ask{request: fmt.Sprintf("r%dt%d", n, try), class: at.Class, key: fmt.Sprint("k", n), left: left, origin: n, try: try}, &w.front.idle, w.front.pick, w.ctx.Done())
+		r := w.send(ask{request: morning.Request(n, try), class: class, key: morning.Key(n), left: left, origin: n, try: try}, &w.front.idle, w.front.pick, w.ctx.Done())
 		last = r.status
-		if r.status == http.StatusOK || try > w.plan.Callers.Retries {
-			break
-		}
-		refused := r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
-		if class.Effect == gingerlead.Unsafe && !refused {
-			break // it may have run
-		}
-		wait := time.Duration((0.5 + random.Float64()) * float64(w.plan.Callers.Backoff) * float64(int(1)<<(try-1)))
-		if refused && at.Honours {
-			wait = max(wait, r.after)
-		}
-		if w.now()+wait >= end {
+		wait, ok := caller.Again(w.now(), r.status, r.after)
+		if !ok {
 			break
 		}
 		select {
@@ -312,10 +299,10 @@
 			return
 		}
 	}
-	switch last {
-	case http.StatusOK:
+	switch {
+	case last == http.StatusOK:
 		w.counters.served.Add(1)
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case morning.Refused(last):
 		w.counters.refused.Add(1)
 	default:
 		w.counters.failed.Add(1)
--- a/internal/rehearse/discovery.go
+++ b/internal/rehearse/discovery.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gingerlead/internal/audit"
+	"gingerlead/internal/morning"
 	"gingerlead/internal/standin/booking"
 )
 
@@ -87,7 +88,7 @@
 			continue
 		}
 		b := &n.w.plan.Boxes[i]
-		t := booking.Target{UID: b.UID, Address: n.w.boxAddress(b.Slot), Zone: zone, Model: n.w.plan.Tiers[b.Tier].Name, Cell: b.Cell, State: e.state, Weight: 1}
+		t := booking.Target{UID: b.UID, Address: n.w.boxAddress(b.Slot), Zone: morning.Zone, Model: n.w.plan.Tiers[b.Tier].Name, Cell: b.Cell, State: e.state, Weight: 1}
 		if e.boot > 0 {
 			t.BootMS = n.w.wall(e.boot).UnixMilli()
 		}
@@ -96,10 +97,8 @@
 	return m, told
 }
 
-const (
-	zone  = "loopback"
-	still = 2 * time.Second // how often a watch says that nothing has changed
-)
+// still is how often a watch says that nothing has changed.
+const still = 2 * time.Second
 
 // agent is discovery as one sidecar has it.
 type agent struct {
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -41,29 +41,6 @@
 	Again     int // effects of a key beyond its first, callers' own repeats included
 }
 
-// heard is when news count as told, whether or not they were written (the platform's protocol).
-const heard = 6 * time.Second
-
-// Rules are what a plan is judged by.
-func Rules(p *morning.Plan) audit.Rules {
-	r := audit.Rules{Length: p.Length, Slack: p.Rules.Slack, Drain: p.Rules.Drain, Heard: heard, Attempts: p.Rules.Attempts, Copies: p.Rules.Copies}
-	for _, c := range p.Classes {
-		r.Classes = append(r.Classes, audit.Class{Name: c.Name, Effect: string(c.Effect), Scope: string(c.Scope), Window: c.Window, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth})
-	}
-	for i, b := range p.Boxes {
-		r.Boxes = append(r.Boxes, audit.Box{Name: p.Name(i), Tier: b.Tier, Cell: b.Cell})
-	}
-	for _, s := range p.Steps {
-		if s.Do == morning.Tell {
-			r.News = append(r.News, audit.News{At: s.At, Box: s.Box, State: s.State})
-		}
-	}
-	for _, a := range p.Arrivals {
-		r.Asks = append(r.Asks, audit.Asks{At: a.At, Class: a.Class})
-	}
-	return r
-}
-
 // Run plays a plan. It returns an error where it could not be played; a sidecar that does wrong is in the verdict.
 func Run(ctx context.Context, plan *morning.Plan, o Options) (result *Result, err error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -114,7 +91,7 @@
 	if o.Events != nil {
 		o.Events(events)
 	}
-	rules := Rules(plan)
+	rules := plan.AuditRules()
 	for _, s := range w.sidecars {
 		rules.Sidecars = append(rules.Sidecars, s.name)
 	}
--- a/internal/rehearse/sidecar.go
+++ b/internal/rehearse/sidecar.go
@@ -66,33 +66,6 @@
 	return p
 }
 
-// settings is the platform's settings object for a sidecar.
-func (s *sidecar) settings() map[string]any {
-	p := s.w.plan
-	us := func(d time.Duration) int64 { return d.Microseconds() }
-	tier := p.Tiers[s.tier]
-	var services []map[string]any
-	for _, c := range p.Classes {
-		services = append(services, map[string]any{"name": c.Name, "aim": us(c.Aim), "deadline": us(c.Deadline), "gain": c.Worth, "lateValue": 0,
-			"effect":   map[string]string{"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}[string(c.Effect)],
-			"keyScope": string(c.Scope), "window": us(c.Window), "streamed": false})
-	}
-	var tiers, models []string
-	for _, t := range p.Tiers {
-		tiers, models = append(tiers, t.Name), append(models, t.Name)
-	}
-	return map[string]any{
-		"instances": s.of, "ordinal": s.number, "stage": s.tier, "quantum": 5000, "discovery": "push", "worthBy": "request", "overShareWorth": 0.1,
-		"zones": []string{zone}, "models": models, "tiers": tiers, "services": services, "tenants": []any{},
-		"goal":       map[string]any{"whole": 0.9, "worstClass": 0},
-		"familyInfo": map[string]any{"passesDeadline": true}, "clientHabits": map[string]any{"marksRetry": false},
-		"allowed": map[string]any{"cancel": true, "connIdle": us(30 * time.Second), "connectTimeout": us(p.Rules.Connect), "maxRetryAfter": us(2 * time.Second),
-			"mayProbe": true, "openCap": 20000, "peers": false, "retryAfter": true, "secondCopies": p.Rules.Copies, "sendCap": p.Rules.Attempts},
-		"rules": map[string]any{"askEvery": 0, "cold": us(tier.Warm), "coldFrom": tier.ColdFrom(), "fall": us(p.Rules.TipWindow),
-			"tipMultiple": p.Rules.TipBy, "graceToAnswer": 0},
-	}
-}
-
 // start starts the process, and returns when it serves.
 func (s *sidecar) start(ctx context.Context, p *program) error {
 	s.mu.Lock()
@@ -101,7 +74,7 @@
 	s.mu.Unlock()
 	config := map[string]any{"name": s.name, "listen": s.address, "discovery": s.w.discoveryAddress(s.index), "seed": fmt.Sprintf("%016x", seed+uint64(starts)),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": s.w.plan.Sidecars.MemoryMB, "sockets": s.w.plan.Sidecars.Sockets},
-		"settings": s.settings()}
+		"settings": s.w.plan.Settings(s.tier, s.number, s.of)}
 	if starts > 1 {
 		n := s.w.news[s.tier]
 		n.mu.Lock()
@@ -284,8 +257,15 @@
 // revive starts a sidecar that has ended again, or lets one that stands still go on. One that has not ended yet is waited for.
 func (s *sidecar) revive(ctx context.Context, p *program) error {
 	s.mu.Lock()
-	process, ended, stopped := s.process, s.ended, s.stopped
+	process, ended, stopped, told := s.process, s.ended, s.stopped, s.told
 	s.mu.Unlock()
+	if process != nil && !told {
+		select {
+		case <-ended: // it has died by itself, which is noted
+		default:
+			return nil // it serves already
+		}
+	}
 	if stopped {
 		process.Process.Signal(syscall.SIGCONT)
 		s.mu.Lock()
@@ -333,19 +313,13 @@
 	}
 }
 
-// sidecarsOf makes the sidecars of a plan: those for callers, and one for each box that calls.
+// sidecarsOf makes the sidecars of a plan.
 func (w *world) sidecarsOf(plan *morning.Plan) {
-	for i := range plan.Sidecars.Count {
-		w.sidecars = append(w.sidecars, &sidecar{w: w, index: i, name: fmt.Sprintf("n%d", i+1), address: w.sidecarAddress(i), number: i, of: plan.Sidecars.Count})
-	}
-	for i, b := range plan.Boxes {
-		t := plan.Tiers[b.Tier]
-		if t.Calls == "" {
-			continue
-		}
-		n := len(w.sidecars)
-		s := &sidecar{w: w, index: n, name: fmt.Sprintf("%s-%d", t.Name, b.Number), address: w.sidecarAddress(n), tier: b.Tier + 1, number: (b.Number - 1) % t.Boxes, of: t.Boxes}
+	for i, x := range plan.Senders() {
+		s := &sidecar{w: w, index: i, name: x.Name, address: w.sidecarAddress(i), tier: x.Tier, number: x.Number, of: x.Of}
 		w.sidecars = append(w.sidecars, s)
-		w.behind[i] = s
+		if x.Box >= 0 {
+			w.behind[x.Box] = s
+		}
 	}
 }
--- a/internal/tool/rehearse.go
+++ b/internal/tool/rehearse.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"gingerlead/internal/dryrun"
 	"gingerlead/internal/finding"
 	"gingerlead/internal/morning"
 	"gingerlead/internal/product"
@@ -30,6 +31,7 @@
 	report  string
 	sidecar string
 	compare string
+	virtual bool
 	plan    bool
 	check   bool
 	quiet   bool
@@ -54,6 +56,7 @@
 	f.StringVar(&o.report, "report", "", "a directory for the page, the plan and the sidecars' logs")
 	f.StringVar(&o.sidecar, "sidecar", "", "the sidecar's program (quincegap beside this one)")
 	f.StringVar(&o.compare, "compare", "", "another build, which plays the same morning after the first")
+	f.BoolVar(&o.virtual, "virtual", false, "in virtual time, with the decision module alone and no socket: the same seed gives the same run")
 	f.BoolVar(&o.plan, "plan", false, "print what will happen when, and play nothing")
 	f.BoolVar(&o.check, "check", false, "check the script, and play nothing")
 	f.BoolVar(&o.quiet, "quiet", false, "no progress")
@@ -98,6 +101,13 @@
 		o.sidecar = filepath.Join(filepath.Dir(self), "quincegap")
 	}
 	var plays []*report.Play
+	if o.virtual {
+		play, err := playVirtual(plan)
+		if err != nil {
+			return err
+		}
+		return c.show([]*report.Play{play}, o)
+	}
 	for i, program := range []string{o.sidecar, o.compare} {
 		if program == "" {
 			continue
@@ -108,10 +118,30 @@
 		}
 		plays = append(plays, play)
 	}
+	return c.show(plays, o)
+}
+
+// playVirtual plays a plan without sockets.
+func playVirtual(plan *morning.Plan) (*report.Play, error) {
+	began := time.Now()
+	r, err := dryrun.Run(plan)
+	if err != nil {
+		return nil, failure{err}
+	}
+	took := time.Since(began)
+	return &report.Play{Plan: plan, Verdict: r.Verdict, Virtual: true,
+		Notes: []string{fmt.Sprintf("in virtual time, the decision module alone; played in %v", took.Round(time.Millisecond))}}, nil
+}
+
+// show prints the verdict, and writes the page where one is asked for.
+func (c *command) show(plays []*report.Play, o rehearsal) error {
 	if err := report.Screen(c.out, plays...); err != nil {
 		return failure{err}
 	}
 	if o.report != "" {
+		if err := os.MkdirAll(o.report, 0o700); err != nil {
+			return failure{err}
+		}
 		if err := c.writePage(filepath.Join(o.report, "report.html"), plays); err != nil {
 			return failure{err}
 		}
