quincegapctl experiment: mornings with many seeds and loads, as tables and charts

Need: one play says little; a change is judged by how service spreads over seeds, and an installation by the load at which its service bends.

Change: internal/experiment plays a design in virtual time on all cores (the result does not depend on how many) and sums up with Student's t; quincegapctl experiment prints the table and keeps experiment.csv and a page. Reports have one window an event, shades that do not add up, and seconds.csv.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -27,6 +27,7 @@
 	{"certificates", false, []string{"internal/certfile"}},
 	{"files", false, []string{"internal/atomicfile", "internal/secretfile"}},
 	{"pages", false, []string{"internal/report"}},
+	{"experiments", false, []string{"internal/experiment"}},
 	{"virtual time", false, []string{"internal/dryrun"}},
 	{"mornings", false, []string{"internal/morning"}},
 	{"modules without I/O", false, []string{"internal/apps", "internal/membership", "internal/reach", "internal/emulator", "internal/audit"}},
@@ -38,7 +39,7 @@
 // pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
 var (
 	pure = []string{"", "internal/odds", "internal/due", "internal/apps", "internal/membership", "internal/reach", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
-		"internal/emulator", "internal/audit", "internal/morning", "internal/dryrun", "internal/report"}
+		"internal/emulator", "internal/audit", "internal/morning", "internal/dryrun", "internal/experiment", "internal/report"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
--- a/internal/morning/plan.go
+++ b/internal/morning/plan.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"gingerlead/internal/emulator"
@@ -89,6 +90,13 @@
 	return draw(m, seed, func(finding.Pos, string, ...any) {})
 }
 
+// AtLoad is the same morning with its rate multiplied.
+func (m *Morning) AtLoad(by float64) *Morning {
+	other := *m
+	other.Callers.Rate *= by
+	return &other
+}
+
 // replaceGap is how long the address of a box stands empty before the one that replaces it has it, and drainFor how
 // long one that is replaced by a box elsewhere drains.
 const (
@@ -150,6 +158,7 @@
 		d.Steps[i].order = i
 	}
 	slices.SortFunc(d.Steps, func(a, b Step) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.order, b.order)) })
+	slices.SortStableFunc(d.Windows, func(a, b Window) int { return cmp.Compare(a.From, b.From) })
 	d.arrive(events)
 	return d.Plan
 }
@@ -236,9 +245,12 @@
 	case e.New != nil:
 		d.arriving(e, e.New)
 	case e.Boxes != nil:
-		for i, box := range d.who(e, e.Boxes.Who) {
+		from := len(d.Windows)
+		hit := d.who(e, e.Boxes.Who)
+		for i, box := range hit {
 			d.hit(e, e.Boxes, i, box)
 		}
+		d.gather(from, hit)
 	case e.Sidecars != nil:
 		d.signals(e, e.Sidecars)
 	case e.Load != nil:
@@ -256,6 +268,32 @@
 	}
 }
 
+// mostNamed is how many boxes are named; of more, their number is told.
+const mostNamed = 4
+
+// gather makes one window of those that an event's boxes have had each.
+func (d *drawing) gather(from int, hit []int) {
+	if len(d.Windows) == from {
+		return
+	}
+	all := d.Windows[from:]
+	one := all[0]
+	for _, w := range all {
+		one.From, one.To = min(one.From, w.From), max(one.To, w.To)
+	}
+	tier := d.Tiers[d.Boxes[hit[0]].Tier].Name
+	who := fmt.Sprintf("%d boxes of %s", len(hit), tier)
+	if len(hit) <= mostNamed {
+		var numbers []string
+		for _, i := range hit {
+			numbers = append(numbers, fmt.Sprint(d.Boxes[i].Number))
+		}
+		who = fmt.Sprintf("%s %s", tier, strings.Join(numbers, ", "))
+	}
+	one.Text = who + ": " + one.Text
+	d.Windows = append(d.Windows[:from], one)
+}
+
 // arriving adds boxes.
 func (d *drawing) arriving(e *event, n *newBoxes) {
 	t := d.Tier(n.Tier)
@@ -369,7 +407,6 @@
 	}
 	busy := func(until time.Duration) { l.away, l.awayBy = until, line }
 	ends := func(when time.Duration) { l.gone, l.goneBy = when, line }
-	name := d.Name(box)
 	switch {
 	case b.Silent != nil:
 		back := at + time.Duration(*b.Silent)
@@ -379,7 +416,7 @@
 			d.tell(missed, box, "Gone", l.started, line)
 		}
 		d.begin(back, box, line)
-		d.window(e, time.Duration(*b.Silent), "%s is silent", name)
+		d.window(e, time.Duration(*b.Silent), "silent")
 	case b.Restart != nil:
 		back := at + time.Duration(*b.Restart)
 		busy(back)
@@ -388,15 +425,15 @@
 			d.tell(noticed, box, "Gone", l.started, line)
 		}
 		d.begin(back, box, line)
-		d.window(e, time.Duration(*b.Restart), "%s restarts", name)
+		d.window(e, time.Duration(*b.Restart), "restart")
 	case b.Die:
 		ends(at)
 		step(Step{At: at, Do: Crash})
 		d.tell(at+d.Discovery.Notice, box, "Gone", l.started, line)
-		d.window(e, 0, "%s dies", name)
+		d.window(e, 0, "gone for good")
 	case b.Drain != nil:
 		d.drain(at, at+time.Duration(*b.Drain), box, line)
-		d.window(e, time.Duration(*b.Drain), "%s drains", name)
+		d.window(e, time.Duration(*b.Drain), "drain")
 	case b.Replace != nil:
 		tier := d.Boxes[box].Tier
 		if len(d.Boxes) >= MostBoxes || d.Tiers[tier].Calls != "" && d.callers() >= MostSidecars {
@@ -416,12 +453,12 @@
 			d.begin(when, d.newBox(tier, -1, when), line)
 			d.drain(when, when+drainFor, box, line)
 		}
-		d.window(e, when-at+replaceGap, "%s is replaced", name)
+		d.window(e, when-at+replaceGap, "replaced")
 	case b.Pause != nil:
 		until := at + time.Duration(*b.Pause)
 		busy(until)
 		step(Step{At: at, Do: Pause, Until: until})
-		d.window(e, time.Duration(*b.Pause), "%s stands still", name)
+		d.window(e, time.Duration(*b.Pause), "stand still")
 	case b.Slow != nil:
 		if b.Slow.By < 1 || b.Slow.By > 1000 {
 			d.add(pos(e.Pos), "%v times slower: 1 to 1000 can be played", b.Slow.By)
@@ -430,7 +467,7 @@
 		busy(until)
 		step(Step{At: at, Do: Slow, By: b.Slow.By})
 		step(Step{At: until, Do: Slow, By: 1})
-		d.window(e, time.Duration(b.Slow.For), "%s is %v times slower", name, b.Slow.By)
+		d.window(e, time.Duration(b.Slow.For), "%v times slower", b.Slow.By)
 	case b.Fault != nil:
 		f := b.Fault
 		what := map[byte]string{'l': "lose", 'f': "fail", 'g': "garble"}[f.What[0]]
@@ -447,7 +484,7 @@
 		busy(until)
 		step(Step{At: at, Do: Fault, What: what, By: float64(*f.Of)})
 		step(Step{At: until, Do: Fault, What: what})
-		d.window(e, time.Duration(f.For), "%s: %s %v%%", name, what, float64(*f.Of)*100)
+		d.window(e, time.Duration(f.For), "%s %v%% of calls", what, float64(*f.Of)*100)
 	}
 }
 
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -27,7 +27,7 @@
 	red    = color.RGBA{213, 94, 0, 255}
 	purple = color.RGBA{204, 121, 167, 255}
 	grey   = color.RGBA{120, 120, 120, 255}
-	shade  = color.RGBA{0, 0, 0, 18}
+	shade  = color.RGBA{20, 20, 20, 20}
 )
 
 const (
@@ -51,7 +51,10 @@
 	c.Y.Min = 0
 	c.Legend.Top, c.Legend.Left = true, true
 	c.Add(plotter.NewGrid())
+	c.Legend.Padding = vg.Points(1.5)
+	c.Legend.TextStyle.Font.Size = vg.Points(9)
 	top := 0.0
+	var drawn []plot.Plotter
 	for _, l := range lines {
 		points := make(plotter.XYs, len(p.Verdict.Seconds))
 		for i, s := range p.Verdict.Seconds {
@@ -66,24 +69,32 @@
 		if l.dash {
 			line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 		}
-		c.Add(line)
+		drawn = append(drawn, line)
 		c.Legend.Add(l.name, line)
 	}
-	c.Y.Max = max(1, top*1.25)
+	c.Y.Max = max(1, top*1.45) // the legend stands above the lines
 	if err := p.shadeWindows(c); err != nil {
 		return "", err
 	}
+	for _, l := range drawn {
+		c.Add(l)
+	}
 	return svg(c)
 }
 
-// shadeWindows puts a shade where the script has something going on.
+// shadeWindows puts a shade where the script has something going on; where windows overlap, one.
 func (p *Play) shadeWindows(c *plot.Plot) error {
-	for _, w := range p.Plan.Windows {
-		from, to := w.From.Seconds(), max(w.To.Seconds(), w.From.Seconds()+0.1)
-		to = min(to, c.X.Max)
-		if from >= to {
-			continue
+	var merged [][2]float64
+	for _, w := range p.Plan.Windows { // in the order of their beginnings
+		from, to := w.From.Seconds(), min(max(w.To.Seconds(), w.From.Seconds()+0.1), c.X.Max)
+		if n := len(merged); n > 0 && from <= merged[n-1][1] {
+			merged[n-1][1] = max(merged[n-1][1], to)
+		} else if from < to {
+			merged = append(merged, [2]float64{from, to})
 		}
+	}
+	for _, m := range merged {
+		from, to := m[0], m[1]
 		box, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: 0}, {X: to, Y: 0}, {X: to, Y: c.Y.Max}, {X: from, Y: c.Y.Max}})
 		if err != nil {
 			return err
@@ -249,7 +260,7 @@
 	"seconds": seconds,
 	"lower":   func(o Outcome) string { return strings.ToLower(o.String()) },
 }).Parse(`<!doctype html>
-<html lang="en"><head><meta charset="utf-8"><meta name="viewport" content="width=device-width"><title>{{.Title}}: rehearsal</title>
+<html lang="en"><head><meta charset="utf-8"/><meta name="viewport" content="width=device-width"/><title>{{.Title}}: rehearsal</title>
 <style>
 body{font:15px/1.45 system-ui,sans-serif;max-width:64rem;margin:2rem auto;padding:0 1rem;color:#222;background:#fff}
 h1{margin-bottom:.2rem}h2{margin-top:2.2rem;border-bottom:1px solid #ddd}h3{margin:1.4rem 0 .3rem;font-size:1rem}
--- /dev/null
+++ b/internal/tool/experiment.go
@@ -0,0 +1,160 @@
+package tool
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gingerlead/internal/experiment"
+	"gingerlead/internal/morning"
+	"gingerlead/internal/report"
+)
+
+// loadSteps is at how many loads a range is played.
+const loadSteps = 7
+
+func (c *command) experiment() *cobra.Command {
+	var seeds, workers int
+	var load, dir string
+	cmd := &cobra.Command{
+		Use: "experiment SCRIPT...", Short: "Play mornings in virtual time, with many seeds and loads", Args: cobra.MinimumNArgs(1),
+		Long: "experiment plays scripts of rehearsals in virtual time, with the decision module alone, and prints mean and\n" +
+			"95% interval over the seeds. With --report it keeps a table (experiment.csv) and a page with charts.\n\n" +
+			"Exit codes: 0 no rule broken, 1 a rule was broken or a script has findings, 2 wrong usage.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			loads, err := parseLoads(load)
+			if err != nil {
+				return err
+			}
+			d := experiment.Design{Loads: loads, Seeds: seeds, Workers: workers}
+			for _, path := range args {
+				m, err := c.readMorning(path)
+				if err != nil {
+					return err
+				}
+				d.Mornings = append(d.Mornings, m)
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			return c.runExperiment(ctx, &d, dir)
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&seeds, "seeds", 10, "how many seeds, from 1 on")
+	f.IntVar(&workers, "workers", runtime.NumCPU(), "how many run at once")
+	f.StringVar(&load, "load", "1", "multiples of the script's rate: 1.2, or 0.5,1,2, or a range like 0.5..2")
+	f.StringVar(&dir, "report", "", "a directory for the table and the page")
+	return cmd
+}
+
+// parseLoads reads loads: a number, some with commas between, or a range, which is played in even ratios.
+func parseLoads(text string) (loads []float64, err error) {
+	number := func(s string) (float64, error) {
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(f > 0) || f > 1000 {
+			return 0, fmt.Errorf("--load: %q is not a number above 0", s)
+		}
+		return f, nil
+	}
+	if from, to, ok := strings.Cut(text, ".."); ok {
+		low, err := number(from)
+		if err != nil {
+			return nil, err
+		}
+		high, err := number(to)
+		if err != nil {
+			return nil, err
+		}
+		if low >= high {
+			return nil, fmt.Errorf("--load: %s does not rise", text)
+		}
+		for i := range loadSteps {
+			f := low * math.Pow(high/low, float64(i)/(loadSteps-1))
+			loads = append(loads, math.Round(f*1000)/1000)
+		}
+		return loads, nil
+	}
+	for s := range strings.SplitSeq(text, ",") {
+		f, err := number(s)
+		if err != nil {
+			return nil, err
+		}
+		loads = append(loads, f)
+	}
+	return loads, nil
+}
+
+func (c *command) runExperiment(ctx context.Context, d *experiment.Design, dir string) error {
+	if err := d.Check(); err != nil {
+		return err
+	}
+	runs, err := d.Play(ctx, func(done, of int) {
+		if done == of || done%max(1, of/50) == 0 {
+			fmt.Fprintf(c.errs, "\r%d of %d runs", done, of)
+		}
+	})
+	fmt.Fprintln(c.errs)
+	if err != nil {
+		return failure{err}
+	}
+	points := experiment.Sum(runs)
+	if err := report.Table(c.out, d.Mornings, points); err != nil {
+		return failure{err}
+	}
+	if dir != "" {
+		if err := c.keepExperiment(dir, d.Mornings, runs, points); err != nil {
+			return failure{err}
+		}
+	}
+	for _, p := range points {
+		if p.Breaches > 0 {
+			return errFindings
+		}
+	}
+	return nil
+}
+
+// keepExperiment writes every run as a line of a table, and a page.
+func (c *command) keepExperiment(dir string, mornings []*morning.Morning, runs []experiment.Run, points []experiment.Point) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	table := filepath.Join(dir, "experiment.csv")
+	f, err := os.OpenFile(table, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, rights)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	w := csv.NewWriter(f)
+	w.Write([]string{"morning", "load", "seed", "requests", "service", "worst_10s", "refused", "failed", "attempts_a_call", "waste", "p50_s", "p99_s", "breaches"})
+	for _, r := range runs {
+		n := func(x float64) string { return strconv.FormatFloat(x, 'f', 5, 64) }
+		w.Write([]string{mornings[r.Morning].Name, strconv.FormatFloat(r.Load, 'f', -1, 64), strconv.FormatUint(r.Seed, 10), strconv.Itoa(r.Requests), n(r.Service), n(r.Worst),
+			n(r.Refused), n(r.Failed), n(r.PerCall), n(r.Waste), n(r.P50.Seconds()), n(r.P99.Seconds()), strconv.Itoa(r.Breaches)})
+	}
+	if w.Flush(); w.Error() != nil {
+		return w.Error()
+	}
+	page := filepath.Join(dir, "experiment.html")
+	p, err := os.OpenFile(page, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, rights)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	if err := report.ExperimentPage(p, time.Now(), mornings, points); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "%s\n%s\n", table, page)
+	return nil
+}
--- a/internal/tool/rehearse.go
+++ b/internal/tool/rehearse.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/csv"
 	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -142,6 +144,9 @@
 		if err := os.MkdirAll(o.report, 0o700); err != nil {
 			return failure{err}
 		}
+		if err := writeSeconds(filepath.Join(o.report, "seconds.csv"), plays); err != nil {
+			return failure{err}
+		}
 		if err := c.writePage(filepath.Join(o.report, "report.html"), plays); err != nil {
 			return failure{err}
 		}
@@ -149,6 +154,28 @@
 	return verdictOf(plays)
 }
 
+// writeSeconds keeps what happened in each second as a table, a row for each second of each play.
+func writeSeconds(path string, plays []*report.Play) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, rights)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	w := csv.NewWriter(f)
+	w.Write([]string{"build", "second", "offered", "in_time", "late", "refused", "failed", "attempts", "emulator_late"})
+	for _, p := range plays {
+		for i, s := range p.Verdict.Seconds {
+			row := []string{p.Build}
+			for _, n := range []int{i, s.Offered, s.Served, s.Late, s.Refused, s.Failed, s.Attempts} {
+				row = append(row, strconv.Itoa(n))
+			}
+			w.Write(append(row, strconv.FormatBool(s.Doubtful)))
+		}
+	}
+	w.Flush()
+	return w.Error()
+}
+
 // verdictOf is the error that goes with the worst outcome.
 func verdictOf(plays []*report.Play) error {
 	worst := report.Kept
--- /dev/null
+++ b/internal/tool/rehearse_test.go
@@ -0,0 +1,125 @@
+package tool
+
+import (
+	"encoding/csv"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const shortMorning = `title "A short morning"
+length 2s
+tier keeper boxes 3 cells 2 cores 2 slots 20 queue 5 work 10ms
+class ask effect keyed scope cell window 10s aim 500ms deadline 2s
+sidecars count 1
+callers rate 20/s patience 1
+rules slack 250ms
+at 500ms: 1 boxes pause for 200ms
+`
+
+func script(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "short.morning")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A script is checked, its plan shown, and played in virtual time; what it expects and does not get is exit code 1.
+func TestRehearseVirtual(t *testing.T) {
+	path := script(t, shortMorning)
+	if out := must(t, "rehearse", path, "--check"); out != path+": can be played\n" {
+		t.Errorf("%q", out)
+	}
+	if out := must(t, "rehearse", path, "--plan"); !strings.Contains(out, "0.500 s  box ") || !strings.Contains(out, "stands still until 0.700 s") {
+		t.Error(out)
+	}
+	first := must(t, "rehearse", path, "--virtual")
+	if !strings.Contains(first, "KEPT") || !strings.Contains(first, "A short morning (seed 1, 2s)") {
+		t.Error(first)
+	}
+	if second := must(t, "rehearse", path, "--virtual", "--seed", "2"); second == first {
+		t.Error("two seeds, one result")
+	}
+	code, out, _ := run("rehearse", script(t, shortMorning+"expect service above 1\nexpect attempts above 3\n"), "--virtual")
+	if code != Findings || !strings.Contains(out, "MISSED") || !strings.Contains(out, "line 10: attempts is") {
+		t.Error(code, out)
+	}
+	code, out, _ = run("rehearse", script(t, shortMorning+"at 1s: 4 boxes die\n"), "--virtual")
+	if code != Findings || !strings.Contains(out, "short.morning:9:8: 4 boxes of keeper are to be hit, and 3 are up") {
+		t.Error(code, out)
+	}
+	if code, _, errs := run("rehearse", "no-such.morning"); code != Findings || !strings.Contains(errs, "no-such.morning") {
+		t.Error(code, errs)
+	}
+	if code, _, _ := run("rehearse"); code != Usage {
+		t.Error(code)
+	}
+	if code, _, errs := run("rehearse", path, "--quiet", "--sidecar", filepath.Join(t.TempDir(), "none")); code != Findings || !strings.Contains(errs, "none") {
+		t.Error(code, errs)
+	}
+}
+
+// The real program, twice, side by side: one screen, and a directory with page, table, configuration and logs.
+func TestRehearseOnSockets(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "quincegap")
+	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", program, "gingerlead/cmd/quincegap").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	dir := filepath.Join(t.TempDir(), "out")
+	code, out, errs := run("rehearse", script(t, shortMorning), "--sidecar", program, "--compare", program, "--report", dir)
+	if code == Voided {
+		t.Skip(out)
+	}
+	if code != Fine || strings.Count(out, "KEPT") != 2 || !strings.Contains(errs, "asked ") {
+		t.Fatal(code, out, errs)
+	}
+	for _, name := range []string{"report.html", "build-1/n1.json", "build-1/n1.log", "build-2/n1.log"} {
+		if info, err := os.Stat(filepath.Join(dir, name)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	f, err := os.Open(filepath.Join(dir, "seconds.csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if rows, err := csv.NewReader(f).ReadAll(); err != nil || len(rows) != 1+2*2 {
+		t.Errorf("%d rows, %v", len(rows), err)
+	}
+}
+
+// An experiment prints a table, and keeps every run; the same design gives the same table.
+func TestExperiment(t *testing.T) {
+	path, dir := script(t, shortMorning), t.TempDir()
+	first := must(t, "experiment", path, "--seeds", "3", "--load", "0.5,1", "--report", dir)
+	if strings.Count(first, "short ") != 2 {
+		t.Error(first)
+	}
+	f, err := os.Open(filepath.Join(dir, "experiment.csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if rows, err := csv.NewReader(f).ReadAll(); err != nil || len(rows) != 1+6 || len(rows[3]) != 13 || rows[6][1] != "1" || rows[6][2] != "3" {
+		t.Errorf("%v, %v", rows, err)
+	}
+	if second := must(t, "experiment", path, "--seeds", "3", "--load", "0.5,1", "--report", dir, "--workers", "1"); second != first {
+		t.Errorf("\n%s\n%s", first, second)
+	}
+	for _, load := range []string{"0", "x", "2..1", "1,,2", "-1"} {
+		if code, _, errs := run("experiment", path, "--load="+load); code != Usage || !strings.Contains(errs, "--load") {
+			t.Errorf("--load=%s: %d %s", load, code, errs)
+		}
+	}
+	if code, _, _ := run("experiment", path, "--seeds", "0"); code != Usage {
+		t.Error(code)
+	}
+	loads, err := parseLoads("0.5..2")
+	if err != nil || len(loads) != loadSteps || loads[0] != 0.5 || loads[3] != 1 || loads[6] != 2 {
+		t.Error(loads, err)
+	}
+}
