Rehearsals with Consul telling of the boxes, and with boxes over HTTP/3

Change: 'discovery by consul' gives each sidecar an agent of its own (the stand-in), whose answers count as told by their index; 'protocol http3' has boxes serve HTTP/3 beside HTTP/1.1, on the same models, muted when their machine is silent.

--- a/internal/morning/morning.go
+++ b/internal/morning/morning.go
@@ -75,6 +75,7 @@
 	Conns     int
 	Handshake time.Duration
 	Report    time.Duration // every; 0 for none
+	HTTP3     bool          // beside HTTP/1.1
 }
 
 // Class is a class of request.
@@ -109,6 +110,7 @@
 
 // Discovery is how late the list is.
 type Discovery struct {
+	Consul       bool          // Consul tells, not the platform
 	Notice       time.Duration // until it tells of what ends or drains
 	SilentNotice time.Duration // until it misses a silent box
 	Add          time.Duration // until it tells of a new one
@@ -139,7 +141,7 @@
 		Length: 30 * time.Second, Seed: 1, places: map[string]finding.Pos{},
 		Sidecars:  Sidecars{Count: 2, MemoryMB: 192, Sockets: 1024},
 		Callers:   Callers{Rate: 50, Shape: "steady", Swing: 0.3, Retries: 2, Patience: Range{0.6, 0.6}, Backoff: 300 * time.Millisecond, Honour: 1},
-		Discovery: Discovery{2 * time.Second, 8 * time.Second, time.Second},
+		Discovery: Discovery{Notice: 2 * time.Second, SilentNotice: 8 * time.Second, Add: time.Second},
 		Rules: Rules{Drain: 250 * time.Millisecond, TipBy: 3, TipWindow: time.Second, Attempts: 5, Connect: 250 * time.Millisecond,
 			Slack: 50 * time.Millisecond, Kill: 3700 * time.Millisecond},
 	}
--- a/internal/morning/settings.go
+++ b/internal/morning/settings.go
@@ -115,6 +115,7 @@
 	"before":     figure(func(t *Tier) *float64 { return &t.Before }, 0, 1),
 	"cancel":     word(func(t *Tier, w string) { t.Cancel = w == "all" }, "queued", "all"),
 	"expired":    word(func(t *Tier, w string) { t.Expired = w == "dropped" }, "dropped", "served"),
+	"protocol":   word(func(t *Tier, w string) { t.HTTP3 = w == "http3" }, "http1", "http3"),
 	"conns":      count(func(t *Tier) *int { return &t.Conns }, 0, 100_000),
 	"handshake":  duration(func(t *Tier) *time.Duration { return &t.Handshake }, 0, time.Second),
 	"report":     duration(func(t *Tier) *time.Duration { return &t.Report }, 0, 10*time.Second),
@@ -161,6 +162,7 @@
 }
 
 var discoveryKeys = map[string]key[Morning]{
+	"by":            word(func(m *Morning, w string) { m.Discovery.Consul = w == "consul" }, "platform", "consul"),
 	"notice":        duration(func(m *Morning) *time.Duration { return &m.Discovery.Notice }, 0, time.Minute),
 	"silent_notice": duration(func(m *Morning) *time.Duration { return &m.Discovery.SilentNotice }, 0, time.Minute),
 	"add":           duration(func(m *Morning) *time.Duration { return &m.Discovery.Add }, 0, time.Minute),
--- a/internal/rehearse/box.go
+++ b/internal/rehearse/box.go
@@ -11,12 +11,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"gingerlead/internal/audit"
 	"gingerlead/internal/emulator"
 	"gingerlead/internal/morning"
+	"gingerlead/internal/standin/h3"
 )
 
 // box is one server on a socket, on top of its model.
@@ -37,6 +39,11 @@
 	stuffing []net.Conn    // connections that fill the backlog of a silent machine
 	faults   map[string]float64
 	random   *rand.Rand
+
+	http3   *h3.Endpoint      // nil where its tier speaks HTTP/1.1 alone
+	streams map[*stream]*call // that are open on it
+	dying   chan struct{}     // closed when an earlier life has let go of its UDP socket
+	muted   atomic.Bool       // nothing comes to its UDP socket, and nothing leaves it
 }
 
 // conn is a connection from a sidecar.
@@ -47,10 +54,20 @@
 	call *call // that is out on it; box.mu guards it
 }
 
+// wire is what an attempt came on: a connection of HTTP/1.1, or a stream of HTTP/3. Its methods are called with
+// box.mu held, and do not wait.
+type wire interface {
+	answer(status int, turnedAway bool, load, body string)
+	spoil()     // an answer that cannot be used
+	reset()     // an end without an answer
+	over(*call) // the call on it has ended
+}
+
 // call is an attempt that a box works on.
 type call struct {
 	id      uint64 // of the attempt, and in the model
-	conn    *conn
+	wire    wire
+	life    int // of the box, when its connection began
 	request string
 	key     string
 	class   int
@@ -64,7 +81,7 @@
 }
 
 func newBox(w *world, index int) *box {
-	b := &box{w: w, index: index, plan: &w.plan.Boxes[index], conns: map[*conn]bool{}, calls: map[uint64]*call{}, faults: map[string]float64{},
+	b := &box{w: w, index: index, plan: &w.plan.Boxes[index], conns: map[*conn]bool{}, streams: map[*stream]*call{}, calls: map[uint64]*call{}, faults: map[string]float64{},
 		random: rand.New(emulator.Source(w.plan.Seed, fmt.Sprint("faults ", index)))}
 	b.timer = time.AfterFunc(time.Hour, b.due)
 	b.timer.Stop()
@@ -73,6 +90,7 @@
 
 // start brings the box up.
 func (b *box) start(cold bool) error {
+	b.gone(b.w.ctx)
 	address, err := net.ResolveTCPAddr("tcp", b.w.boxAddress(b.plan.Slot))
 	if err != nil {
 		return err
@@ -89,7 +107,7 @@
 	life := b.life
 	b.mu.Unlock()
 	go b.accept(l, life)
-	return nil
+	return b.http3Up(life)
 }
 
 func (b *box) accept(l *net.TCPListener, life int) {
@@ -157,6 +175,7 @@
 		reset(c.Conn)
 		delete(b.conns, c)
 	}
+	b.http3Down()
 	clear(b.calls)
 }
 
@@ -178,6 +197,10 @@
 			c.call.mute = true
 		}
 	}
+	for _, k := range b.streams {
+		k.mute = true
+	}
+	b.muted.Store(true)
 	l, life := b.listener, b.life
 	l.SetDeadline(time.Unix(1, 0)) // accept returns, and takes no more
 	if raw, err := l.SyscallConn(); err == nil {
@@ -320,9 +343,7 @@
 	close(c.over)
 	b.w.add(audit.Event{At: b.w.now(), Kind: audit.Ended, Request: c.request, Attempt: c.id, Box: b.index, Sidecar: -1, How: how, Work: c.work, Origin: c.origin})
 	delete(b.calls, c.id)
-	if c.conn.call == c {
-		c.conn.call = nil
-	}
+	c.wire.over(c)
 }
 
 // answer ends a call with its answer.
@@ -335,29 +356,48 @@
 		how = audit.Spoilt
 	}
 	b.ended(c, how)
-	status, extra, body := "200 OK", b.report(), fmt.Sprintf("served %s by %s\n", c.request, b.plan.UID)
-	switch how {
+	switch body := fmt.Sprintf("served %s by %s\n", c.request, b.plan.UID); how {
 	case audit.Erred:
-		status, body = "500 Internal Server Error", "failed\n"
+		c.wire.answer(http.StatusInternalServerError, false, b.report(), "failed\n")
 	case audit.TurnedAway:
-		status, body = "503 Service Unavailable", "no room\n"
-		extra += "X-Turned-Away: 1\r\n"
+		c.wire.answer(http.StatusServiceUnavailable, true, b.report(), "no room\n")
 	case audit.Spoilt:
-		// A head that cannot be read, and nothing behind it.
-		io.WriteString(c.conn, "HTTP/1.1 2oo \x00\x01 fine\r\nContent-Length: -7\r\n\r\n")
-		return
+		c.wire.spoil()
+	default:
+		c.wire.answer(http.StatusOK, false, b.report(), body)
+	}
+}
+
+func (c *conn) over(k *call) {
+	if c.call == k {
+		c.call = nil
 	}
-	c.conn.SetWriteDeadline(time.Now().Add(time.Second))
-	fmt.Fprintf(c.conn, "HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), extra, body)
 }
 
-// report is the header with the load of the box, where it tells of it.
+func (c *conn) answer(status int, turnedAway bool, load, body string) {
+	extra := ""
+	if load != "" {
+		extra = "X-Pressure: " + load + "\r\n"
+	}
+	if turnedAway {
+		extra += "X-Turned-Away: 1\r\n"
+	}
+	c.SetWriteDeadline(time.Now().Add(time.Second))
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s\r\n%s", status, http.StatusText(status), len(body), extra, body)
+}
+
+// spoil is a head that cannot be read, and nothing behind it.
+func (c *conn) spoil() { io.WriteString(c, "HTTP/1.1 2oo \x00\x01 fine\r\nContent-Length: -7\r\n\r\n") }
+
+func (c *conn) reset() { reset(c.Conn) }
+
+// report is the load of the box, where it tells of it.
 func (b *box) report() string {
 	if b.model == nil || b.plan.Spec.ReportEvery == 0 {
 		return ""
 	}
 	if r, ok := b.model.Seen(); ok {
-		return fmt.Sprintf("X-Pressure: inflight=%d,queue=%d,util=%.3f\r\n", r.InFlight, r.Queue, r.Util)
+		return fmt.Sprintf("inflight=%d,queue=%d,util=%.3f", r.InFlight, r.Queue, r.Util)
 	}
 	return ""
 }
@@ -373,7 +413,7 @@
 		defer b.mu.Unlock()
 		delete(b.conns, c)
 		if c.call != nil {
-			c.withdrawn()
+			b.withdrawn(c.call)
 		}
 	}()
 	r := bufio.NewReader(c.Conn)
@@ -415,9 +455,8 @@
 	b.w.add(e)
 }
 
-// withdrawn ends the call on a connection that its sidecar has closed.
-func (c *conn) withdrawn() {
-	b, k := c.box, c.call
+// withdrawn ends a call that its sidecar has given up.
+func (b *box) withdrawn(k *call) {
 	if b.model != nil && b.calls[k.id] == k {
 		b.advance()
 		if b.calls[k.id] != k { // it ended just now
@@ -452,32 +491,40 @@
 	if c.call != nil {
 		return false // two at once on one connection: no sidecar does that
 	}
-	h := req.Header
-	k := &call{id: b.w.attempts.Add(1), conn: c, request: h.Get("X-Txn"), key: h.Get("Idempotency-Key"), over: make(chan struct{}), origin: originOf(h.Get("X-Txn"))}
-	var class *morning.Class
-	k.class, class = b.w.class(h.Get("X-Lane"))
-	now := b.w.now()
+	k := b.newCall(c, c.life, req.Header)
+	c.call = k
+	return b.begin(k, first, req.Header)
+}
+
+// newCall is an attempt that has come whole.
+func (b *box) newCall(by wire, life int, h http.Header) *call {
+	k := &call{id: b.w.attempts.Add(1), wire: by, life: life, request: h.Get("X-Txn"), key: h.Get("Idempotency-Key"), over: make(chan struct{}), origin: originOf(h.Get("X-Txn"))}
+	k.class, _ = b.w.class(h.Get("X-Lane"))
 	if left, err := remaining(h.Get("X-Remaining")); err == nil {
-		k.expires = now + left
+		k.expires = b.w.now() + left
 	}
+	return k
+}
+
+// begin notes an attempt, and has it served or not; false if its connection is to end. b.mu is held.
+func (b *box) begin(k *call, first time.Duration, h http.Header) bool {
+	now := b.w.now()
 	b.w.counters.attempts.Add(1)
 	b.w.add(audit.Event{At: now, First: first, Kind: audit.Sent, Request: k.request, Attempt: k.id, Box: b.index, Sidecar: -1, Origin: k.origin})
-	c.call = k
 	chance := func(what string) bool { return b.faults[what] > 0 && b.random.Float64() < b.faults[what] }
 	switch {
-	case b.silent || c.life != b.life || b.model == nil:
+	case b.silent || k.life != b.life || b.model == nil:
 		k.mute = true
 		return true
 	case k.class < 0:
-		b.ended(k, audit.Erred)
-		io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+		b.answer(k, audit.Erred)
 		return true
 	case chance("lose"):
 		k.mute = true
 		return true
 	case chance("reset"):
 		b.ended(k, audit.Dropped)
-		reset(c.Conn)
+		k.wire.reset()
 		return false
 	case chance("refuse"):
 		b.answer(k, audit.TurnedAway)
@@ -492,7 +539,7 @@
 	switch b.model.Offer(now, k.id, before, k.expires) {
 	case emulator.Taken:
 		b.calls[k.id] = k
-		b.w.run(b, k.key, class)
+		b.w.run(b, k.key, b.w.plan.Classes[k.class])
 		b.arm()
 	case emulator.TurnedAway:
 		b.answer(k, audit.TurnedAway)
--- /dev/null
+++ b/internal/rehearse/consul.go
@@ -0,0 +1,134 @@
+package rehearse
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/morning"
+	"gingerlead/internal/standin/consul"
+)
+
+// agency is a stand-in Consul agent on the machine of one sidecar. What an answer told is noted when it has been
+// written.
+type agency struct {
+	news    *news
+	sidecar int
+	server  *consul.Server
+	http    http.Server
+
+	mu   sync.Mutex
+	owed []owed // changes that no answer has told of yet, in the order of their indexes
+}
+
+// owed is a change, and the index from which on answers have it.
+type owed struct {
+	index uint64
+	box   int
+	state string
+}
+
+// startAgency serves at the address that the sidecar's discovery has otherwise.
+func startAgency(n *news, sidecar int) (*agency, error) {
+	a := &agency{news: n, sidecar: sidecar}
+	var all []consul.Instance
+	n.mu.Lock()
+	for _, i := range n.order {
+		all = append(all, a.instance(i, n.entries[i]))
+		a.owed = append(a.owed, owed{0, i, n.entries[i].state})
+	}
+	n.mu.Unlock()
+	var err error
+	if a.server, err = consul.Start("", all...); err != nil {
+		return nil, err
+	}
+	l, err := listen(n.w.consulAddress(sidecar))
+	if err != nil {
+		a.server.Close()
+		return nil, err
+	}
+	a.http.Handler = a
+	go a.http.Serve(l)
+	return a, nil
+}
+
+func (a *agency) close() {
+	a.http.Close()
+	a.server.Close()
+}
+
+// instance is a box as Consul has it: passing, critical while it drains, and not there at all once it has gone.
+func (a *agency) instance(box int, e entry) consul.Instance {
+	w := a.news.w
+	b := &w.plan.Boxes[box]
+	status := "passing"
+	if e.state != "Ready" {
+		status = "critical"
+	}
+	i := consul.Instance{Service: w.plan.Tiers[b.Tier].Name, Node: fmt.Sprint("m", b.Slot), ID: b.UID, Passing: 1, Warning: 1,
+		Checks: []consul.Check{{CheckID: "up", Name: "up", Status: status}},
+		Meta:   map[string]string{"zone": morning.Zone, "model": w.plan.Tiers[b.Tier].Name, "cell": strconv.Itoa(b.Cell), "uid": b.UID}}
+	if e.boot > 0 {
+		i.Meta["started_ms"] = strconv.FormatInt(w.wall(e.boot).UnixMilli(), 10)
+	}
+	return i.At(w.boxAddress(b.Slot))
+}
+
+// tell changes what Consul knows of a box.
+func (a *agency) tell(box int, e entry) {
+	uid := a.news.w.plan.Boxes[box].UID
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	index := a.server.Update(func(all []consul.Instance) []consul.Instance {
+		all = slices.DeleteFunc(slices.Clone(all), func(i consul.Instance) bool { return i.ID == uid })
+		if e.state != "Gone" {
+			all = append(all, a.instance(box, e))
+		}
+		return all
+	})
+	a.owed = append(a.owed, owed{index, box, e.state})
+}
+
+// silent makes Consul answer nothing, or answer again.
+func (a *agency) silent(on bool) { a.server.Set(consul.Fault{Hang: on}) }
+
+// ServeHTTP answers as the stand-in does. A whole list of health tells all changes up to its index.
+func (a *agency) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.server.ServeHTTP(w, r)
+	if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+		return
+	}
+	index, err := strconv.ParseUint(w.Header().Get("X-Consul-Index"), 10, 64)
+	if err != nil {
+		return
+	}
+	now := a.news.w.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for n < len(a.owed) && a.owed[n].index <= index {
+		o := a.owed[n]
+		a.news.w.add(audit.Event{At: now, Kind: audit.Told, Sidecar: a.sidecar, Box: o.box, Text: o.state, Origin: -1})
+		n++
+	}
+	a.owed = a.owed[n:]
+}
+
+// consulFile is the product's file of a sidecar that follows Consul alone.
+const consulFile = `[membership]
+source = "consul"
+
+[consul]
+agents = %q
+service = %q
+cell_meta = "cell"
+model_meta = "model"
+zone_meta = "zone"
+start_meta = "started_ms"
+uid_meta = "uid"
+pace = "50ms"
+wait = "5s"
+`
--- a/internal/rehearse/discovery.go
+++ b/internal/rehearse/discovery.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -19,12 +18,13 @@
 	w    *world
 	tier int
 
-	mu      sync.Mutex
-	rev     uint64
-	entries map[int]entry // by box
-	order   []int
-	quiet   bool
-	changed chan struct{} // closed at the next change
+	mu       sync.Mutex
+	rev      uint64
+	entries  map[int]entry // by box
+	order    []int
+	quiet    bool
+	agencies []*agency     // that tell of it, where Consul does
+	changed  chan struct{} // closed at the next change
 }
 
 type entry struct {
@@ -53,6 +53,9 @@
 		n.order = append(n.order, box)
 	}
 	n.entries[box] = entry{state, boot, n.rev}
+	for _, a := range n.agencies {
+		a.tell(box, n.entries[box])
+	}
 	n.wake()
 }
 
@@ -66,6 +69,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.quiet = on
+	for _, a := range n.agencies {
+		a.silent(on)
+	}
 	n.wake()
 }
 
@@ -108,7 +114,7 @@
 }
 
 func startAgent(n *news, sidecar int) (*agent, error) {
-	l, err := net.Listen("tcp", n.w.discoveryAddress(sidecar))
+	l, err := listen(n.w.discoveryAddress(sidecar))
 	if err != nil {
 		return nil, err
 	}
@@ -143,6 +149,9 @@
 				return
 			}
 			now := n.w.now()
+			if n.w.plan.Discovery.Consul {
+				told = nil // what the platform says does not count
+			}
 			for box, state := range told {
 				n.w.add(audit.Event{At: now, Kind: audit.Told, Sidecar: a.sidecar, Box: box, Text: state, Origin: -1})
 			}
--- /dev/null
+++ b/internal/rehearse/http3.go
@@ -0,0 +1,175 @@
+package rehearse
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	qh3 "github.com/quic-go/quic-go/http3"
+
+	"gingerlead/internal/audit"
+	"gingerlead/internal/standin/authority"
+	"gingerlead/internal/standin/h3"
+)
+
+// boxName is in the certificates of boxes that speak HTTP/3.
+const boxName = "boxes.rehearsal.example.org"
+
+// stream is an attempt that came over HTTP/3. Its handler waits for what is to be said.
+type stream struct {
+	say chan func(http.ResponseWriter) // holds one
+}
+
+func (s *stream) put(f func(http.ResponseWriter)) {
+	select {
+	case s.say <- f:
+	default: // something has been said
+	}
+}
+
+func (s *stream) over(*call) {}
+
+func (s *stream) answer(status int, turnedAway bool, load, body string) {
+	s.put(func(w http.ResponseWriter) {
+		if load != "" {
+			w.Header().Set("X-Pressure", load)
+		}
+		if turnedAway {
+			w.Header().Set("X-Turned-Away", "1")
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	})
+}
+
+// spoil says that more comes than does.
+func (s *stream) spoil() {
+	s.put(func(w http.ResponseWriter) {
+		w.Header().Set("Content-Length", "500")
+		io.WriteString(w, "served")
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func (s *stream) reset() {
+	s.put(func(w http.ResponseWriter) { h3.Reset(w, qh3.ErrCodeInternalError) })
+}
+
+// http3Up has the box speak HTTP/3 beside HTTP/1.1, where its tier does.
+func (b *box) http3Up(life int) error {
+	if !b.w.plan.Tiers[b.plan.Tier].HTTP3 {
+		return nil
+	}
+	b.muted.Store(false)
+	e, err := h3.Start(b.w.boxAddress(b.plan.Slot), b.w.certificate, h3.Options{Muted: &b.muted}, func(w http.ResponseWriter, r *http.Request) { b.stream(w, r, life) })
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	b.http3 = e
+	b.mu.Unlock()
+	return nil
+}
+
+// http3Down ends it without a word. b.mu is held.
+func (b *box) http3Down() {
+	for s, k := range b.streams {
+		b.ended(k, audit.Dropped)
+		s.put(func(w http.ResponseWriter) { panic(http.ErrAbortHandler) })
+		delete(b.streams, s)
+	}
+	if e := b.http3; e != nil {
+		b.http3 = nil
+		b.muted.Store(true) // no word of its end gets out
+		done := make(chan struct{})
+		go func() {
+			e.Die()
+			close(done)
+		}()
+		b.dying = done
+	}
+}
+
+// stream serves one request over HTTP/3.
+func (b *box) stream(w http.ResponseWriter, r *http.Request, life int) {
+	first := b.w.now()
+	body, err := io.ReadAll(io.LimitReader(r.Body, mostBody+1))
+	if err != nil || len(body) > mostBody {
+		return
+	}
+	s := &stream{say: make(chan func(http.ResponseWriter), 1)}
+	b.w.counters.http3.Add(1)
+	b.mu.Lock()
+	k := b.newCall(s, life, r.Header)
+	if b.life == life {
+		b.streams[s] = k
+	}
+	b.begin(k, first, r.Header)
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		delete(b.streams, s)
+		b.mu.Unlock()
+	}()
+	select {
+	case f := <-s.say:
+		f(w)
+	case <-r.Context().Done():
+		b.mu.Lock()
+		b.withdrawn(k)
+		b.mu.Unlock()
+	}
+}
+
+// certify makes the certificate of all boxes, and a file with its authority for sidecars; the file's name is returned.
+func (w *world) certify(dir string) (string, error) {
+	a, err := authority.New()
+	if err != nil {
+		return "", err
+	}
+	if w.certificate, err = a.Pair(boxName); err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "boxes-ca.pem")
+	return path, os.WriteFile(path, a.PEM(), 0o600)
+}
+
+// speaksHTTP3 tells whether a tier does.
+func (w *world) speaksHTTP3() bool {
+	for _, t := range w.plan.Tiers {
+		if t.HTTP3 {
+			return true
+		}
+	}
+	return false
+}
+
+// http3File is what the product's file of a sidecar says whose boxes speak HTTP/3.
+const http3File = `[http3-endpoints]
+http3_to_endpoints = "prefer"
+http3_ca_file = %q
+http3_server_name = %q
+http3_silence = "2s"
+
+`
+
+// gone waits until an earlier life of the box has let go of its UDP socket.
+func (b *box) gone(ctx context.Context) {
+	b.mu.Lock()
+	dying := b.dying
+	b.mu.Unlock()
+	if dying == nil {
+		return
+	}
+	select {
+	case <-dying:
+	case <-ctx.Done():
+	case <-time.After(2 * time.Second):
+	}
+}
--- a/internal/rehearse/liar_test.go
+++ b/internal/rehearse/liar_test.go
@@ -46,7 +46,11 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
-	config, err := product.Sidecar("", os.Getenv)
+	file := ""
+	if len(os.Args) == 3 && os.Args[1] == "-config" {
+		file = os.Args[2]
+	}
+	config, err := product.Sidecar(file, os.Getenv)
 	if err == nil {
 		err = real.Run(config, stop, reload)
 	}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -159,6 +159,9 @@
 		"reloads":             {keyed + "at 500ms: all sidecars get SIGHUP\nat 1s: all sidecars get SIGHUP\n", 0.98},
 		"lost, reset, failed": {unsafe + "at 300ms: 1 boxes lose 30% of calls for 1s\nat 300ms: 1 boxes reset 30% of calls for 1s\nat 300ms: 1 boxes fail 30% of calls for 1s\n", 0.6},
 		"garbled":             {keyed + "at 300ms: all boxes garble 20% of answers for 1s\n", 0.5},
+		"by Consul":           {keyed + "discovery by consul\nat 300ms: 1 boxes drain for 900ms\nat 700ms: 1 new boxes\nat 900ms: 1 boxes die\nat 1s: discovery is silent for 500ms\n", 0.9},
+		"over HTTP/3":         {keyed + "tier slot-keeper protocol http3\nat 300ms: 1 boxes drain for 900ms\nat 700ms: 1 boxes restart taking 300ms\nat 900ms: 1 boxes reset 30% of calls for 1s\n", 0.7},
+		"silent over HTTP/3":  {unsafe + "tier slot-keeper protocol http3\nat 500ms: 1 boxes go silent for 1500ms\n", 0.5},
 		"rude":                {keyed + "at 300ms: 20 rude callers for 1s\n", 0.9},
 		"pauses":              {keyed + "at 300ms: all boxes pause for 1500ms\n", 0.2},
 	} {
@@ -172,6 +175,9 @@
 			if len(v.Breaches) > 0 || len(v.Crashes) > 0 || v.Service < c.least {
 				t.Errorf("service %v, breaches %v, crashes %v", v.Service, v.Breaches, v.Crashes)
 			}
+			if over := strings.Contains(name, "HTTP/3"); over != (r.HTTP3 > int64(v.Attempts)/2) {
+				t.Errorf("%d of %d attempts came over HTTP/3", r.HTTP3, v.Attempts)
+			}
 			if r.Hanging > 0 {
 				t.Errorf("rude callers hang: %v", r.HungOn)
 			}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -36,6 +36,7 @@
 	Memory  int64         // of the largest, in bytes
 	Hanging int64         // rude callers that got neither an answer nor a close in time
 	HungOn  []string
+	HTTP3   int64 // attempts that came over HTTP/3
 	// Processes are the sidecars' that were started; all have ended.
 	Processes []int
 	Again     int // effects of a key beyond its first, callers' own repeats included
@@ -75,6 +76,11 @@
 			b.stop()
 		}
 	}()
+	if w.speaksHTTP3() {
+		if w.authority, err = w.certify(o.Dir); err != nil {
+			return nil, err
+		}
+	}
 	defer func() { w.endAll(program) }() // also where it could not all be started: no process is left
 	if err := w.open(ctx, program); err != nil {
 		return nil, err
@@ -95,7 +101,7 @@
 	for _, s := range w.sidecars {
 		rules.Sidecars = append(rules.Sidecars, s.name)
 	}
-	result = &Result{Plan: plan, Verdict: audit.Judge(rules, events, lost), Again: w.again}
+	result = &Result{Plan: plan, Verdict: audit.Judge(rules, events, lost), Again: w.again, HTTP3: w.counters.http3.Load()}
 	for i := range w.hanging {
 		if n := w.hanging[i].Load(); n > 0 {
 			result.Hanging += n
@@ -124,6 +130,16 @@
 		if s.agent, err = startAgent(w.news[s.tier], i); err != nil {
 			return err
 		}
+		if !w.plan.Discovery.Consul {
+			continue
+		}
+		n := w.news[s.tier]
+		if s.agency, err = startAgency(n, i); err != nil {
+			return err
+		}
+		n.mu.Lock()
+		n.agencies = append(n.agencies, s.agency)
+		n.mu.Unlock()
 	}
 	var wg sync.WaitGroup
 	errs := make([]error, len(w.sidecars))
@@ -307,5 +323,8 @@
 		if s.agent != nil {
 			s.agent.server.Close()
 		}
+		if s.agency != nil {
+			s.agency.close()
+		}
 	}
 }
--- a/internal/rehearse/sidecar.go
+++ b/internal/rehearse/sidecar.go
@@ -31,7 +31,8 @@
 	of      int // how many these are
 	config  string
 	agent   *agent
-	idle    pool // of the box before it
+	agency  *agency // nil where the platform tells of boxes
+	idle    pool    // of the box before it
 
 	mu       sync.Mutex
 	process  *exec.Cmd
@@ -89,11 +90,15 @@
 	if err := os.WriteFile(s.config, text, 0o600); err != nil {
 		return err
 	}
+	args, err := s.file(p.dir)
+	if err != nil {
+		return err
+	}
 	logs, err := os.OpenFile(filepath.Join(p.dir, s.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.path)
+	cmd := exec.Command(p.path, args...)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+s.config, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
 	cmd.Env = append(cmd.Env, p.env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -145,6 +150,22 @@
 	return s.ready(ctx, ended)
 }
 
+// file writes the product's file where the morning needs one, and returns the arguments that name it.
+func (s *sidecar) file(dir string) (args []string, err error) {
+	text, tier := "", s.w.plan.Tiers[s.tier]
+	if tier.HTTP3 {
+		text += fmt.Sprintf(http3File, s.w.authority, boxName)
+	}
+	if s.w.plan.Discovery.Consul {
+		text += fmt.Sprintf(consulFile, s.w.consulAddress(s.index), tier.Name)
+	}
+	if text == "" {
+		return nil, nil
+	}
+	path := filepath.Join(dir, s.name+".toml")
+	return []string{"-config", path}, os.WriteFile(path, []byte(text), 0o600)
+}
+
 func errorOf(err error) string {
 	if err == nil {
 		return "exit code 0"
--- a/internal/rehearse/world.go
+++ b/internal/rehearse/world.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"sync"
@@ -33,6 +34,9 @@
 	net    int // the A of 127.A.0.0/16
 	guard  net.Listener
 
+	certificate *tls.Certificate // of boxes that speak HTTP/3; nil where none does
+	authority   string           // the file with who signed it
+
 	attempts atomic.Uint64 // numbers them
 	mu       sync.Mutex
 	tries    map[string]int // attempts seen, by X-Txn
@@ -58,7 +62,7 @@
 }
 
 // counters are for the lines of progress.
-type counters struct{ asked, served, refused, failed, attempts atomic.Int64 }
+type counters struct{ http3, asked, served, refused, failed, attempts atomic.Int64 }
 
 // unbegun is when the clock begins as long as that is not known.
 const unbegun = time.Hour
@@ -92,6 +96,7 @@
 const (
 	sidecarsAt   = 200
 	discoveryAt  = 201
+	consulAt     = 202
 	hostsInRow   = 250
 	firstHost    = 1
 	mostBoxSlots = sidecarsAt * hostsInRow
@@ -109,6 +114,12 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", w.net, discoveryAt, i+firstHost, port)
 }
 
+func (w *world) consulAddress(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", w.net, consulAt, i+firstHost, port)
+}
+
+func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
 // try numbers the attempts of one request, from 1.
 func (w *world) try(request string) int {
 	w.mu.Lock()
--- a/internal/standin/h3/h3.go
+++ b/internal/standin/h3/h3.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
@@ -31,9 +32,35 @@
 
 // Options are what an endpoint may have beside a handler.
 type Options struct {
-	Secret  [32]byte // for stateless resets and session tickets, the same after a restart; none if zero
-	Early   bool     // early data is accepted
-	Streams int64    // requests at once on one connection; 100 if 0
+	Secret  [32]byte     // for stateless resets and session tickets, the same after a restart; none if zero
+	Early   bool         // early data is accepted
+	Streams int64        // requests at once on one connection; 100 if 0
+	Muted   *atomic.Bool // while it is true nothing is heard and nothing is said; nil for never
+}
+
+// muffled is a socket that can be muted, as that of a machine that is away.
+type muffled struct {
+	net.PacketConn
+	muted *atomic.Bool
+}
+
+// SetReadBuffer and SetWriteBuffer are asked for by the library, which does with less if it must.
+func (m muffled) SetReadBuffer(n int) error  { return m.PacketConn.(*net.UDPConn).SetReadBuffer(n) }
+func (m muffled) SetWriteBuffer(n int) error { return m.PacketConn.(*net.UDPConn).SetWriteBuffer(n) }
+
+func (m muffled) ReadFrom(b []byte) (n int, from net.Addr, err error) {
+	for {
+		if n, from, err = m.PacketConn.ReadFrom(b); err != nil || !m.muted.Load() {
+			return n, from, err
+		}
+	}
+}
+
+func (m muffled) WriteTo(b []byte, to net.Addr) (int, error) {
+	if m.muted.Load() {
+		return len(b), nil
+	}
+	return m.PacketConn.WriteTo(b, to)
 }
 
 // Start serves at an address, a free one if it is empty.
@@ -50,6 +77,9 @@
 		return nil, err
 	}
 	e.transport = &quic.Transport{Conn: e.socket}
+	if o.Muted != nil {
+		e.transport.Conn = muffled{e.socket, o.Muted}
+	}
 	conf := &tls.Config{Certificates: []tls.Certificate{*cert}, NextProtos: []string{http3.NextProtoH3}}
 	if o.Secret != [32]byte{} {
 		key := quic.StatelessResetKey(o.Secret)
--- a/internal/tool/rehearse.go
+++ b/internal/tool/rehearse.go
@@ -223,6 +223,9 @@
 	if result.Hanging > 0 {
 		play.Notes = append(play.Notes, fmt.Sprintf("%d rude callers got neither an answer nor a close: %s", result.Hanging, strings.Join(result.HungOn, "; ")))
 	}
+	if result.HTTP3 > 0 {
+		play.Notes = append(play.Notes, fmt.Sprintf("%d attempts came over HTTP/3", result.HTTP3))
+	}
 	if result.Again > 0 {
 		play.Notes = append(play.Notes, fmt.Sprintf("%d effects beyond the first of a key; callers' own repeats are among them", result.Again))
 	}
