--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -72,15 +72,19 @@
 		rule Rule
 		want string // in the one breach; none if there is to be none
 	}{
-		"served":                          {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).end(1100, Served).answer(1101, "a", 200), 0, none},
-		"no answer":                       {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(1000, Up), FinalAnswer, "no answer in 3s"},
-		"the caller gave up in the end":   {begin().ask(1000, "a", 0, 3000).add(Event{At: 4100 * ms, Kind: GaveUp, Request: "a"}), FinalAnswer, "no answer in 3s"},
-		"the caller went away early":      {begin().ask(1000, "a", 0, 3000).add(Event{At: 2000 * ms, Kind: GaveUp, Request: "a"}), 0, none},
-		"the sidecar was killed":          {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(2000, Killed).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), 0, none},
-		"it was killed long before":       {begin().of(200, Killed).of(500, Up).ask(1000, "a", 0, 3000).sent(1001, "a", 0).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), FinalAnswer, "closed without an answer"},
-		"it died by itself":               {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(2000, Died).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), FinalAnswer, "closed without an answer"},
-		"it was told to end":              {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(1500, Stopping).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), FinalAnswer, "closed without an answer"},
-		"closed between requests":         {begin().ask(1000, "a", 0, 3000).add(Event{At: 1001 * ms, Kind: Closed, Request: "a"}).ask(1002, "a", 0, 2998).sent(1003, "a", 0).end(1100, Served).answer(1101, "a", 200), 0, none},
+		"served":                        {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).end(1100, Served).answer(1101, "a", 200), 0, none},
+		"no answer":                     {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(1000, Up), FinalAnswer, "no answer in 3s"},
+		"the caller gave up in the end": {begin().ask(1000, "a", 0, 3000).add(Event{At: 4100 * ms, Kind: GaveUp, Request: "a"}), FinalAnswer, "no answer in 3s"},
+		"the caller went away early":    {begin().ask(1000, "a", 0, 3000).add(Event{At: 2000 * ms, Kind: GaveUp, Request: "a"}), 0, none},
+		"the sidecar was killed":        {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(2000, Killed).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), 0, none},
+		"it was killed long before":     {begin().of(200, Killed).of(500, Up).ask(1000, "a", 0, 3000).sent(1001, "a", 0).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), FinalAnswer, "closed without an answer"},
+		"it died by itself":             {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(2000, Died).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), FinalAnswer, "closed without an answer"},
+		"it was told to end":            {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).of(1500, Stopping).add(Event{At: 2001 * ms, Kind: Closed, Request: "a"}), FinalAnswer, "closed without an answer"},
+		"closed between requests":       {begin().ask(1000, "a", 0, 3000).add(Event{At: 1001 * ms, Kind: Closed, Request: "a"}).ask(1002, "a", 0, 2998).sent(1003, "a", 0).end(1100, Served).answer(1101, "a", 200), 0, none},
+		"asked again of another after a kill": {begin().ask(1000, "a", 1, 3000).sent(1001, "a", 0).of(1100, Killed).end(1100, Withdrawn).add(Event{At: 1100 * ms, Kind: Closed, Request: "a"}).
+			add(Event{At: 1101 * ms, Kind: Asked, Request: "a", Class: 1, Sidecar: 1, Try: 1, Left: time.Second}).sent(1102, "a", 2).end(1200, Served).answer(1201, "a", 200), 0, none},
+		"closed with an attempt out, and asked again": {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).end(1100, Withdrawn).add(Event{At: 1100 * ms, Kind: Closed, Request: "a"}).
+			ask(1101, "a", 0, 2900).sent(1102, "a", 0).end(1200, Served).answer(1201, "a", 200), FinalAnswer, "closed without an answer"},
 		"closed with nothing sent on":     {begin().ask(1000, "a", 0, 3000).add(Event{At: 1001 * ms, Kind: Closed, Request: "a"}), 0, none},
 		"late":                            {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).end(4051, Served).answer(4060, "a", 200), FinalAnswer, "60ms after the request's time"},
 		"late within the slack":           {begin().ask(1000, "a", 0, 3000).sent(1001, "a", 0).end(4000, Served).answer(4049, "a", 200), 0, none},
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -219,19 +219,18 @@
 func (j *judge) take(e *Event) {
 	switch e.Kind {
 	case Asked:
-		q := j.requests[e.Request]
-		if q == nil {
-			q = &request{name: e.Request}
-			j.requests[e.Request] = q
-			j.order = append(j.order, q)
-			if e.Origin >= 0 && e.Origin < len(j.origins) {
-				j.origins[e.Origin] = append(j.origins[e.Origin], q)
-			}
-			if e.Try > 0 {
-				j.v.Tries++
-			}
+		// Asked again on another connection, where the first was closed: it is a request of its own, perhaps to another
+		// sidecar, which knows nothing of what the one before has sent.
+		again := j.requests[e.Request] != nil
+		q := &request{name: e.Request, asked: *e}
+		j.requests[e.Request] = q
+		j.order = append(j.order, q)
+		if e.Origin >= 0 && e.Origin < len(j.origins) {
+			j.origins[e.Origin] = append(j.origins[e.Origin], q)
+		}
+		if e.Try > 0 && !again {
+			j.v.Tries++
 		}
-		q.asked, q.ended = *e, nil // asked again on another connection, where the first was closed between requests
 	case Answered:
 		if q := j.requests[e.Request]; q != nil {
 			q.answers = append(q.answers, *e)
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -27,7 +27,7 @@
 	red    = color.RGBA{213, 94, 0, 255}
 	purple = color.RGBA{204, 121, 167, 255}
 	grey   = color.RGBA{120, 120, 120, 255}
-	shade  = color.RGBA{20, 20, 20, 20}
+	shade  = color.RGBA{0, 0, 0, 24}
 )
 
 const (
