--- a/internal/morning/morning.go
+++ b/internal/morning/morning.go
@@ -277,9 +277,6 @@
 	return s
 }
 
-// ColdFrom is the least share that a box of a tier starts with.
-func (t *Tier) ColdFrom() float64 { return t.Cold.Low }
-
 // String is a range as scripts write it.
 func (r Range) String() string {
 	if r.Low == r.High {
