How paces and speeds are smoothed moves from balancer.go to state.go, unchanged

Moves only: learn, notePace, report, speed, slow and weight smooth figures or look them up, and decide nothing; state.go is where such things live.

--- a/balancer.go
+++ b/balancer.go
@@ -600,15 +600,6 @@
 	b.assigned(now)
 }
 
-// weight is an endpoint's listed weight, where the list's weights tell endpoints apart, else the speed that
-// its kind reports.
-func (b *Balancer) weight(e *endpoint) float64 {
-	if b.weighted {
-		return e.weight
-	}
-	return b.speed(e)
-}
-
 // permitted tells whether the rules let a request go to an endpoint.
 func (b *Balancer) permitted(now time.Duration, r *request, e *endpoint) bool {
 	if !r.mayRun || r.class.Effect == Safe {
@@ -869,53 +860,6 @@
 	b.strainAt = now
 }
 
-// learn takes an answer's latency into the class's figures and the rates.
-func (b *Balancer) learn(now time.Duration, r *request, e *endpoint, took time.Duration) {
-	c, s := r.class, took.Seconds()
-	c.note(now, b.window, s)
-	b.rate.add(now, b.window, c.base)
-	b.spare.add(now, b.window, aimShare*max(c.Aim.Seconds()-c.base, 0))
-	b.notePace(now, e, s/c.mean)
-	b.fit(now, e)
-	b.served.add(now, b.window, 1)
-}
-
-// notePace takes an answer's latency, over the mean of its class, into the pace of its endpoint and of all
-// endpoints of its kind: an endpoint that is seldom called is judged by its kind.
-func (b *Balancer) notePace(now time.Duration, e *endpoint, slow float64) {
-	if e.kind >= len(b.kinds) {
-		b.kinds = append(b.kinds, make([]pace, e.kind+1-len(b.kinds))...)
-	}
-	b.kinds[e.kind].add(slow, kindWeight)
-	e.pace.add(slow, paceWeight)
-	b.drift(now, e.kind)
-	b.settle(now, e)
-}
-
-// report takes the service time that an endpoint reports. It tells how fast a machine is within an answer or
-// two; the latency of calls does not, as it holds the time of the tiers below.
-func (b *Balancer) report(now time.Duration, e *endpoint, l *Load) {
-	if l == nil || l.Service <= 0 {
-		return
-	}
-	b.speeds.note(e.kind, l.Service.Seconds())
-	e.service.add(l.Service.Seconds(), reportWeight)
-	b.drift(now, e.kind)
-	b.settle(now, e)
-	if now-b.countAt > b.window {
-		b.reweigh(now)
-		b.countAt = now
-	}
-}
-
-// speed is what the service times that endpoints of its kind report say of an endpoint, beside other kinds.
-func (b *Balancer) speed(e *endpoint) float64 {
-	if e.kind >= len(b.speeds.kinds) || b.speeds.kinds[e.kind].n == 0 {
-		return 1
-	}
-	return float64(b.speeds.n) / b.speeds.sum.mean / b.speeds.kinds[e.kind].mean
-}
-
 // fit moves the queue that endpoints may hold. What one bears before it chokes is told nowhere: the queue
 // grows while calls are held here, and shrinks when an endpoint turns far slower than its kind.
 func (b *Balancer) fit(now time.Duration, e *endpoint) {
@@ -932,15 +876,6 @@
 	}
 }
 
-// slow is an endpoint's latency over the fleet's, drawn towards its kind's while its own answers are few.
-func (b *Balancer) slow(e *endpoint) float64 {
-	kind := 1.0
-	if e.kind < len(b.kinds) && b.kinds[e.kind].n >= paceTrust {
-		kind = b.kinds[e.kind].mean
-	}
-	return (paceTrust*kind + e.pace.n*e.pace.mean) / (paceTrust + e.pace.n)
-}
-
 // odds is an endpoint's chance in a draw: by the part of its weight in the subset, or by its whole size for
 // a further attempt that has left the subset. At full size an instance has so few calls in flight that the
 // draw, not the comparison, keeps small machines from getting what large ones get.
--- a/state.go
+++ b/state.go
@@ -317,3 +317,68 @@
 	r.held = true
 	b.held = append(b.held, r)
 }
+
+// learn takes an answer's latency into the class's figures and the rates.
+func (b *Balancer) learn(now time.Duration, r *request, e *endpoint, took time.Duration) {
+	c, s := r.class, took.Seconds()
+	c.note(now, b.window, s)
+	b.rate.add(now, b.window, c.base)
+	b.spare.add(now, b.window, aimShare*max(c.Aim.Seconds()-c.base, 0))
+	b.notePace(now, e, s/c.mean)
+	b.fit(now, e)
+	b.served.add(now, b.window, 1)
+}
+
+// notePace takes an answer's latency, over the mean of its class, into the pace of its endpoint and of all
+// endpoints of its kind: an endpoint that is seldom called is judged by its kind.
+func (b *Balancer) notePace(now time.Duration, e *endpoint, slow float64) {
+	if e.kind >= len(b.kinds) {
+		b.kinds = append(b.kinds, make([]pace, e.kind+1-len(b.kinds))...)
+	}
+	b.kinds[e.kind].add(slow, kindWeight)
+	e.pace.add(slow, paceWeight)
+	b.drift(now, e.kind)
+	b.settle(now, e)
+}
+
+// report takes the service time that an endpoint reports. It tells how fast a machine is within an answer or
+// two; the latency of calls does not, as it holds the time of the tiers below.
+func (b *Balancer) report(now time.Duration, e *endpoint, l *Load) {
+	if l == nil || l.Service <= 0 {
+		return
+	}
+	b.speeds.note(e.kind, l.Service.Seconds())
+	e.service.add(l.Service.Seconds(), reportWeight)
+	b.drift(now, e.kind)
+	b.settle(now, e)
+	if now-b.countAt > b.window {
+		b.reweigh(now)
+		b.countAt = now
+	}
+}
+
+// speed is what the service times that endpoints of its kind report say of an endpoint, beside other kinds.
+func (b *Balancer) speed(e *endpoint) float64 {
+	if e.kind >= len(b.speeds.kinds) || b.speeds.kinds[e.kind].n == 0 {
+		return 1
+	}
+	return float64(b.speeds.n) / b.speeds.sum.mean / b.speeds.kinds[e.kind].mean
+}
+
+// slow is an endpoint's latency over the fleet's, drawn towards its kind's while its own answers are few.
+func (b *Balancer) slow(e *endpoint) float64 {
+	kind := 1.0
+	if e.kind < len(b.kinds) && b.kinds[e.kind].n >= paceTrust {
+		kind = b.kinds[e.kind].mean
+	}
+	return (paceTrust*kind + e.pace.n*e.pace.mean) / (paceTrust + e.pace.n)
+}
+
+// weight is an endpoint's listed weight, where the list's weights tell endpoints apart, else the speed that
+// its kind reports.
+func (b *Balancer) weight(e *endpoint) float64 {
+	if b.weighted {
+		return e.weight
+	}
+	return b.speed(e)
+}
