Attempts that never run are bounded by what is answered, whatever the number of sidecars

From 9.2 to 9.3 s the fleet sends 190 first attempts and 481 further ones.

Ruled out: trials and isolations (none before the first fall); ramps and subsets (the list still says that all boxes are of long ago, 1 s late, so none ramps); the first window of a sidecar (the calls in flight are bounded, 275 in the first 0.1 s, 4 a box).

At fault: Outcome goes on with again for what never ran (Full, ConnectFailed) without any budget, on to the next endpoint at once, up to MaxAttempts; fullUntil is one sidecar's, so with more of them each full box is asked by more, and requests use up all attempts.

Now an attempt that never ran is paid for by answers: one a served call, as many as may be in flight at first, and one a listed endpoint and second over all sidecars (internal/throttle). Without room requests are held and shed as ever.

--- a/balancer.go
+++ b/balancer.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"gingerlead/internal/throttle"
 )
 
 // Tunables. Times are ratios of settings or of what is observed.
@@ -101,6 +103,9 @@
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
 	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
+	vainMost      = 1.0  // attempts that may end without having run, for each answered call,
+	vainReserve   = 1.0  // beyond the limit on calls while none is answered,
+	vainKnocks    = 1.0  // and all instances', for each endpoint and time that cold ones are judged over
 	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held
 	waitsLeast    = 0.2  // of a rate window in which calls were held, until it is known how many are worked off
 	repeatWeight  = 0.05 // of one repeat in the mean time that repeats have spent
@@ -155,11 +160,12 @@
 	strainAt time.Duration
 	credit   float64
 	creditAt time.Duration
-	warm     flow    // sends a second to warm endpoints, for their odds
-	errors   float64 // smoothed share of answers that are errors
-	strays   float64 // and of overdue calls that stay away for longer
-	budget   float64 // further attempts that may be made
-	quits    int     // attempts withdrawn whose end is still to come
+	warm     flow              // sends a second to warm endpoints, for their odds
+	errors   float64           // smoothed share of answers that are errors
+	strays   float64           // and of overdue calls that stay away for longer
+	budget   float64           // further attempts that may be made
+	vain     throttle.Throttle // attempts that may end without having run
+	quits    int               // attempts withdrawn whose end is still to come
 
 	repeatSpent float64 // mean time, in seconds, that repeats had spent where they show it
 
@@ -290,7 +296,7 @@
 		b.rateClasses()
 	}
 	for len(b.held) > 0 {
-		if float64(b.out-b.lost) >= b.limit || b.paced && b.credit < 1 {
+		if float64(b.out-b.lost) >= b.limit || b.paced && b.credit < 1 || !b.vain.Open() {
 			break
 		}
 		i := b.next(now)
@@ -445,6 +451,13 @@
 
 // refit sets the limit on calls in flight: those answered at base latency at the best rate of late, and a
 // queue. It has a floor, for calls that got stuck would else lower rate and limit in turn, without end.
+//
+// It also bounds the attempts that never run. Those that are turned away or refused go on to the next
+// endpoint at once, so the sum of all instances' was the requests times MaxAttempts where all were full, and
+// each learns by an attempt of its own which are: cold ones fell over under calls that they had turned away.
+// What answers earn adds up to the answers, and what is allowed without them is a part of the list's length
+// for each instance. It goes by cold endpoints' bound whether or not the list calls them cold: lists come
+// late, and know little at first.
 func (b *Balancer) refit(now time.Duration) {
 	b.credit = min(b.credit+b.pace*(now-b.creditAt).Seconds(), max(paceBurst, b.pace/2))
 	b.creditAt = now
@@ -456,6 +469,8 @@
 	queue := b.queue * float64(len(b.listed)*max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, b.spare.peak(now, b.window))
 	b.limit = max(base+queue+limitSlack, least)
+	knocks := vainKnocks * float64(len(b.listed)) / float64(b.set.Instances)
+	b.vain.Bound(now, knocks/b.window.Seconds(), b.limit+vainReserve)
 }
 
 // perInstance is a number of calls for each listed endpoint, divided among the tier's instances.
@@ -711,6 +726,7 @@
 	r.overtaken, r.lost, r.stray = 0, false, false
 	r.attempts++
 	b.credit--
+	b.vain.Sent()
 	if e.mark != isolated {
 		b.out++
 	}
@@ -763,6 +779,11 @@
 	if e.mark == isolated {
 		b.settle(now, e)
 	}
+	if o.Status == OK {
+		b.vain.Ran(min(vainMost, max(rampHeadroom*b.set.TipMultiple-1, retryShare)))
+	} else if !o.Status.NeverRan() {
+		b.vain.Ran(0)
+	}
 	b.report(now, e, o.Load)
 	b.judge(now, r, e, o)
 	if o.Final || r.done || r.stream {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1453,3 +1453,46 @@
 		t.Errorf("%v were refused, %v failed", d.refusals, d.fails)
 	}
 }
+
+// Endpoints that turn all away, or are not there, get no more from many instances than from few: each learns that
+// for itself, and each goes on with the next at once.
+func TestAttemptsInVainDoNotGrowWithTheInstances(t *testing.T) {
+	const endpoints, perSecond, length = 16, 400, 4 * time.Second
+	for _, status := range []Status{Full, ConnectFailed} {
+		for _, instances := range []int{2, 8, 40, 200} {
+			var all []*bed
+			for i := range instances {
+				s := settings()
+				s.Instances, s.Ordinal = instances, i
+				d := start(t, s, endpoints)
+				d.b.rng = rand.New(rand.NewPCG(uint64(i), 1)) // else all draw the same
+				all = append(all, d)
+			}
+			sums := map[EndpointID]int{}
+			for n := range int(length.Seconds() * perSecond) {
+				all[n%instances].ask(read)
+				for _, d := range all {
+					for len(d.sent) > 0 {
+						s := d.sent[0]
+						d.sent = d.sent[1:]
+						sums[s.to]++
+						d.end(s, status, ms)
+					}
+					d.pass(time.Second / perSecond)
+				}
+			}
+			most := 0
+			for _, n := range sums {
+				most = max(most, n)
+			}
+			// A call for each second, what is allowed in flight at first (startHolds, and the slack of each instance),
+			// and chance: they are drawn.
+			if mean := length.Seconds() + startHolds + float64(instances)*(limitSlack+vainReserve)/endpoints; float64(most) > 2*mean+6 {
+				t.Errorf("%v, %d instances: %d attempts at one endpoint in %v, %.0f on average allowed", status, instances, most, length, mean)
+			}
+			if len(sums) == 0 {
+				t.Errorf("%v, %d instances: no attempts", status, instances)
+			}
+		}
+	}
+}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -35,12 +35,12 @@
 	{"modules without I/O", false, []string{"internal/apps", "internal/membership", "internal/reach", "internal/emulator", "internal/audit", "internal/recall", "internal/route"}},
 	{"data", true, []string{"internal/appfile", "internal/schema", "internal/doc", "internal/finding", "internal/settings"}},
 	{"decisions", false, []string{""}},
-	{"structures", false, []string{"internal/odds", "internal/due", "internal/ring", "internal/arcs"}},
+	{"structures", false, []string{"internal/odds", "internal/due", "internal/ring", "internal/arcs", "internal/throttle"}},
 }
 
 // pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
 var (
-	pure = []string{"", "internal/odds", "internal/due", "internal/ring", "internal/arcs", "internal/fleet", "internal/apps", "internal/membership", "internal/reach", "internal/recall", "internal/route", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
+	pure = []string{"", "internal/odds", "internal/due", "internal/ring", "internal/arcs", "internal/throttle", "internal/fleet", "internal/apps", "internal/membership", "internal/reach", "internal/recall", "internal/route", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
 		"internal/emulator", "internal/audit", "internal/morning", "internal/dryrun", "internal/experiment", "internal/report"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
--- /dev/null
+++ b/internal/throttle/throttle.go
@@ -0,0 +1,43 @@
+// Package throttle bounds the attempts that come to nothing by those that do not:
+// client-side throttling, as in Site Reliability Engineering (Beyer, Jones, Petoff,
+// Murphy 2016), chapter 21, kept as a count of attempts that may yet come to nothing.
+// It decides nothing and reads no clock.
+//
+// What it is for: clients that each go on at once with the next server when one turns
+// them away are harmless alone. Many of them before servers that are full send these
+// several times what they were asked for, the more the more clients there are, for each
+// finds out for itself which servers are full. Counts that are earned by answers add up
+// to the answers, whatever the number of clients.
+package throttle
+
+import "time"
+
+// Throttle is one client's. The zero value is ready for use: its first Bound fills it.
+type Throttle struct {
+	level, most, rate float64
+	at                time.Duration
+	filled            bool
+}
+
+// Bound brings the throttle up to a time and sets what it goes by from then on: how many
+// attempts may come to nothing without an answer in between (most), and how many more each second
+// allows by itself (rate), without which a client that has no answers would never ask again.
+// Both are 0 or above; the time must not go back.
+func (t *Throttle) Bound(now time.Duration, rate, most float64) {
+	if !t.filled {
+		t.level, t.filled = most, true
+	} else {
+		t.level += t.rate * (now - t.at).Seconds()
+	}
+	t.at, t.rate, t.most = now, rate, most
+	t.level = min(t.level, most)
+}
+
+// Open tells whether an attempt may be made.
+func (t *Throttle) Open() bool { return t.level >= 1 }
+
+// Sent notes an attempt, which may come to nothing.
+func (t *Throttle) Sent() { t.level-- }
+
+// Ran notes that an attempt came to something, and how many more that allows besides itself.
+func (t *Throttle) Ran(more float64) { t.level = min(t.level+1+more, t.most) }
