Sums over all sidecars, waves of restarts with a table, and keepers in the rehearsal language

A morning may now say: boxes that fell are started again (fallen_for), what number of instances sidecars are told (told), that a share of callers comes to the first sidecar (at_first), that some hear of boxes late (late, late_share), that starts are not listed or lie ahead of the clock (boot). On sockets and in virtual time.

--- a/balancer.go
+++ b/balancer.go
@@ -103,7 +103,7 @@
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
 	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
-	vainMost      = 1.0  // attempts that may end without having run, for each answered call,
+	vainMost      = 0.5 // attempts that may end without having run, for each answered call,
 	vainReserve   = 1.0  // beyond the limit on calls while none is answered,
 	vainKnocks    = 1.0  // and all instances', for each endpoint and time that cold ones are judged over
 	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held
@@ -469,8 +469,9 @@
 	queue := b.queue * float64(len(b.listed)*max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, b.spare.peak(now, b.window))
 	b.limit = max(base+queue+limitSlack, least)
-	knocks := vainKnocks * float64(len(b.listed)) / float64(b.set.Instances)
-	b.vain.Bound(now, knocks/b.window.Seconds(), b.limit+vainReserve)
+	if each := float64(len(b.listed)) / float64(b.set.Instances); each > 0 {
+		b.vain.Bound(now, vainKnocks*each/b.window.Seconds(), vainReserve+startHolds*each, b.limit+vainReserve)
+	}
 }
 
 // perInstance is a number of calls for each listed endpoint, divided among the tier's instances.
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -16,7 +16,7 @@
 			{Name: "once", Effect: "unsafe", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
 			{Name: "find", Effect: "safe", Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1},
 		},
-		Boxes:    []Box{{"box 1", 0, 0}, {"box 2", 0, 0}, {"box 3", 0, 1}},
+		Boxes:    []Box{{Name: "box 1", Tier: 0, Cell: 0}, {Name: "box 2", Tier: 0, Cell: 0}, {Name: "box 3", Tier: 0, Cell: 1}},
 		Sidecars: []string{"n1", "n2"},
 		Asks:     []Asks{{At: time.Second, Class: 0}, {At: time.Second, Class: 1}, {At: time.Second, Class: 2}},
 	}
--- a/internal/audit/event.go
+++ b/internal/audit/event.go
@@ -29,6 +29,10 @@
 	Died                     // it ended by itself, or hangs
 	Fell                     // a cold box fell over
 	Late                     // the emulator itself was late by Left
+	Began                    // a box started, cold
+	Opened                   // a sidecar opened a connection to a box
+	Knocked                  // an attempt found no box there, or one that says nothing
+	Listed                   // a sidecar asked for a list
 )
 
 // How an attempt ended, as its box saw it.
@@ -99,7 +103,7 @@
 	return l.events, l.lost
 }
 
-var kinds = [...]string{"?", "asked", "answered", "closed", "gave-up", "stray", "sent", "ended", "told", "up", "stopping", "killed", "died", "fell", "late"}
+var kinds = [...]string{"?", "asked", "answered", "closed", "gave-up", "stray", "sent", "ended", "told", "up", "stopping", "killed", "died", "fell", "late", "began", "opened", "knocked", "listed"}
 
 // String is an event on one line, for traces that are compared.
 func (e Event) String() string {
--- a/internal/audit/judge.go
+++ b/internal/audit/judge.go
@@ -26,6 +26,12 @@
 	Name string
 	Tier int
 	Cell int
+
+	// For Sum: what one does a second once it is warm, in the time that a core needs for it, and how it starts.
+	Capacity float64
+	ColdFrom float64
+	Warm     time.Duration
+	Work     time.Duration // of an attempt, on average; of a box that calls others, its part before that
 }
 
 // News is what discovery could tell from a time on.
@@ -49,11 +55,14 @@
 	Heard    time.Duration // news count as told after this time at the latest
 	Attempts int           // of one request
 	Copies   bool          // two may be out at once
-	Classes  []Class
-	Boxes    []Box
-	Sidecars []string // names; calls of boxes go through those behind the first tier's
-	News     []News
-	Asks     []Asks
+	// A cold box falls over under more than TipBy times its present capacity within TipWindow; 0 for never.
+	TipBy     float64
+	TipWindow time.Duration
+	Classes   []Class
+	Boxes     []Box
+	Sidecars  []string // names; calls of boxes go through those behind the first tier's
+	News      []News
+	Asks      []Asks
 }
 
 // Rule is one of the four.
--- a/internal/dryrun/box.go
+++ b/internal/dryrun/box.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,11 +30,40 @@
 	faults map[string]float64
 	random *rand.Rand
 	armed  time.Duration // when it is looked at next
-	weight float64       // as discovery knows it
-	told   string        // its state, as discovery knows it; empty if it does not
+	news                 // what discovery knows
+	before []news        // what it knew, oldest first, where some hear of it late
+}
+
+// news is what discovery knows of a box from a time on.
+type news struct {
+	at     time.Duration
+	weight float64
+	told   string // its state; empty if it does not know the box
 	boot   time.Duration
 }
 
+// as is what discovery knew at a time.
+func (b *box) as(at time.Duration) news {
+	if b.news.at <= at || b.s.plan.Discovery.Late == 0 {
+		return b.news
+	}
+	for _, n := range slices.Backward(b.before) {
+		if n.at <= at {
+			return n
+		}
+	}
+	return news{}
+}
+
+// learn has discovery know something else of a box.
+func (b *box) learn(n news) {
+	if b.s.plan.Discovery.Late > 0 {
+		b.before = append(b.before, b.news)
+	}
+	n.at = b.s.now
+	b.news = n
+}
+
 func (b *box) plan() *morning.Box { return &b.s.plan.Boxes[b.index] }
 func (b *box) tier() int          { return b.plan().Tier }
 
@@ -42,11 +72,39 @@
 	b.silent = false
 	b.calls = map[uint64]*attempt{}
 	b.model = emulator.NewBox(b.plan().Spec, b.s.now, cold)
+	if cold {
+		b.s.add(audit.Event{Kind: audit.Began, Box: b.index, Sidecar: -1, Origin: -1})
+	}
 	if !cold {
-		b.told = "Ready"
+		b.told, b.news.at = "Ready", math.MinInt64
+	}
+}
+
+// begin starts the box anew, with its sidecar.
+func (b *box) begin() {
+	b.down()
+	b.start(true)
+	if b.own != nil {
+		b.own.kill()
+		b.s.revive(b.own)
 	}
 }
 
+// kept has the box's keeper start it again after a fall, if nothing has happened to it since.
+func (b *box) kept(life int) {
+	if b.life != life {
+		return
+	}
+	b.begin()
+	boot := b.s.now
+	b.s.after(b.s.plan.Discovery.Add, func() {
+		if b.life == life+2 && b.told == "Ready" { // down and start count
+			b.learn(news{weight: b.weight, told: "Ready", boot: boot})
+			b.s.tell(b)
+		}
+	})
+}
+
 // down ends the box; its connections break.
 func (b *box) down() {
 	held := b.calls
@@ -146,6 +204,9 @@
 	if a.over {
 		return // withdrawn on its way: it was never written
 	}
+	if b.model == nil {
+		s.add(audit.Event{Kind: audit.Knocked, Request: a.r.request, Sidecar: i.index, Box: b.index, Origin: a.r.origin})
+	}
 	switch {
 	case b.silent && i.met[b.index] != b.life:
 		s.at(a.sent+s.plan.Rules.Connect, func() { a.end(gingerlead.ConnectFailed) })
@@ -155,6 +216,7 @@
 		return
 	}
 	a.life = b.life
+	a.connect()
 	b.calls[a.id] = a
 	s.add(audit.Event{Kind: audit.Sent, Request: a.r.request, First: s.now, Attempt: a.id, Box: b.index, Sidecar: -1, Origin: a.r.origin})
 	chance := func(what string) bool { return b.faults[what] > 0 && b.random.Float64() < b.faults[what] }
@@ -186,6 +248,9 @@
 	case emulator.Fell:
 		s.add(audit.Event{Kind: audit.Fell, Box: b.index, Sidecar: -1, Origin: -1})
 		b.down()
+		if life, keeper := b.life, s.plan.Tiers[b.tier()].Keeper; keeper > 0 {
+			s.after(keeper, func() { b.kept(life) })
+		}
 	}
 }
 
@@ -256,6 +321,7 @@
 		return
 	}
 	a.over = true
+	a.part(status == gingerlead.OK || status == gingerlead.Error || status == gingerlead.Full)
 	r.out = nil
 	if status == gingerlead.Timeout || status == gingerlead.Cancelled {
 		a.withdraw()
@@ -293,13 +359,7 @@
 			b.own.kill()
 		}
 	case morning.Start:
-		b := s.boxes[x.Box]
-		b.down()
-		b.start(true)
-		if b.own != nil {
-			b.own.kill()
-			s.revive(b.own)
-		}
+		s.boxes[x.Box].begin()
 	case morning.Pause, morning.Slow:
 		b := s.boxes[x.Box]
 		if b.model == nil {
@@ -316,11 +376,11 @@
 		s.boxes[x.Box].faults[x.What] = x.By
 	case morning.Tell:
 		b := s.boxes[x.Box]
-		b.told, b.boot = x.State, x.Boot
+		b.learn(news{weight: b.weight, told: x.State, boot: x.Boot})
 		s.tell(b)
 	case morning.Weigh:
 		b := s.boxes[x.Box]
-		if b.weight = x.By; b.told != "" && b.told != "Gone" {
+		if b.learn(news{weight: x.By, told: b.told, boot: b.boot}); b.told != "" && b.told != "Gone" {
 			s.tell(b)
 		}
 	case morning.Again:
--- a/internal/dryrun/dryrun.go
+++ b/internal/dryrun/dryrun.go
@@ -52,7 +52,7 @@
 func Run(plan *morning.Plan) (*Result, error) {
 	s := &sim{plan: plan, memory: map[string]int{}, callers: rand.New(emulator.Source(plan.Seed, "connections"))}
 	for i := range plan.Boxes {
-		b := &box{s: s, index: i, weight: 1, faults: map[string]float64{}, random: rand.New(emulator.Source(plan.Seed, fmt.Sprint("faults ", i)))}
+		b := &box{s: s, index: i, news: news{weight: 1}, faults: map[string]float64{}, random: rand.New(emulator.Source(plan.Seed, fmt.Sprint("faults ", i)))}
 		s.boxes = append(s.boxes, b)
 		if plan.Boxes[i].From == 0 {
 			b.start(false)
@@ -152,7 +152,7 @@
 
 // arrive plays one arrival.
 func (s *sim) arrive(n int) {
-	caller := s.plan.Caller(n, s.now)
+	caller, toFirst := s.plan.Caller(n, s.now), s.plan.AtFirst(n)
 	var try func()
 	try = func() {
 		number, left, ok := caller.Try(s.now)
@@ -164,7 +164,7 @@
 				s.after(wait, try)
 			}
 		}
-		to := s.front()
+		to := s.front(toFirst)
 		if to == nil {
 			again(reply{})
 			return
@@ -176,8 +176,11 @@
 
 // front is where a caller from outside sends its request: on a connection that stands idle, drawn at random, whatever
 // the front does with new ones; or on a new one, to one of the sidecars that are in the front in turn.
-func (s *sim) front() *instance {
+func (s *sim) front(toFirst bool) *instance {
 	outside := s.instances[:s.plan.Sidecars.Count]
+	if toFirst && outside[0].fronted {
+		return outside[0]
+	}
 	idle := 0
 	for _, i := range outside {
 		idle += i.idle()
@@ -240,6 +243,7 @@
 	b        *gingerlead.Balancer
 	requests map[gingerlead.RequestID]*request
 	met      map[int]int // lives of boxes that have answered it: a connection stands
+	conns    map[int]*conns
 	byID     map[gingerlead.EndpointID]int
 }
 
@@ -262,6 +266,7 @@
 	r      *request
 	box    *box
 	life   int // of the box, when it came there; 0 before
+	conns  *conns
 	sent   time.Duration
 	over   bool // at the instance
 	ended  bool // at the box
@@ -272,6 +277,34 @@
 	work   time.Duration
 }
 
+// conns are an instance's connections to one life of a box.
+type conns struct{ life, open, busy int }
+
+// connect has an attempt that comes to its box use a connection that stands idle, or a new one.
+func (a *attempt) connect() {
+	i := a.r.in
+	c := i.conns[a.box.index]
+	if c == nil || c.life != a.box.life {
+		c = &conns{life: a.box.life}
+		i.conns[a.box.index] = c
+	}
+	if a.conns, c.busy = c, c.busy+1; c.busy > c.open {
+		c.open = c.busy
+		i.s.add(audit.Event{Kind: audit.Opened, Sidecar: i.index, Box: a.box.index, Origin: -1})
+	}
+}
+
+// part ends an attempt's use of its connection, which stands on after an answer.
+func (a *attempt) part(answered bool) {
+	if a.conns == nil {
+		return
+	}
+	if a.conns.busy--; !answered {
+		a.conns.open--
+	}
+	a.conns = nil
+}
+
 func (i *instance) clock() time.Duration { return clockStart + i.s.now }
 
 // start starts the instance with the list as discovery has it.
@@ -279,6 +312,7 @@
 	i.life++
 	i.up, i.fronted, i.endsAt, i.open, i.busy = true, i.Box < 0, 0, 0, 0
 	i.requests, i.met, i.byID = map[gingerlead.RequestID]*request{}, map[int]int{}, map[gingerlead.EndpointID]int{}
+	i.conns = map[int]*conns{}
 	text, err := json.Marshal(i.s.plan.Settings(i.Tier, i.Number, i.Of))
 	if err != nil {
 		return err
@@ -293,36 +327,55 @@
 	i.s.add(audit.Event{Kind: audit.Up, Sidecar: i.index, Box: -1, Origin: -1})
 	list := gingerlead.List{Kind: gingerlead.Whole, Version: 1}
 	for _, b := range i.s.boxes {
-		if b.tier() == i.Tier && b.told != "" && b.told != "Gone" {
-			list.Entries = append(list.Entries, i.entry(b))
-			i.s.add(audit.Event{Kind: audit.Told, Sidecar: i.index, Box: b.index, Text: b.told, Origin: -1})
+		if n := b.as(i.s.now - i.late()); b.tier() == i.Tier && n.told != "" && n.told != "Gone" {
+			list.Entries = append(list.Entries, i.entry(b, n))
+			i.s.add(audit.Event{Kind: audit.Told, Sidecar: i.index, Box: b.index, Text: n.told, Origin: -1})
 		}
 	}
 	i.b.Targets(i.clock(), list)
 	return nil
 }
 
-// entry is a box in the module's list, as discovery knows it.
-func (i *instance) entry(b *box) gingerlead.Entry {
+func (i *instance) late() time.Duration { return i.s.plan.LateFor(i.Sender) }
+
+// entry is a box in the module's list, as discovery has it at a time.
+func (i *instance) entry(b *box, n news) gingerlead.Entry {
 	id := gingerlead.EndpointID(b.index + 1)
 	i.byID[id] = b.index
 	p := b.plan()
-	e := gingerlead.Entry{Endpoint: id, Kind: p.Tier, Cell: p.Cell, Weight: b.weight,
-		State: map[string]gingerlead.State{"Ready": gingerlead.Ready, "Terminating": gingerlead.Draining, "Gone": gingerlead.Gone}[b.told]}
-	if b.boot > 0 {
-		e.Started = clockStart + b.boot
+	e := gingerlead.Entry{Endpoint: id, Kind: p.Tier, Cell: p.Cell, Weight: n.weight,
+		State: map[string]gingerlead.State{"Ready": gingerlead.Ready, "Terminating": gingerlead.Draining, "Gone": gingerlead.Gone}[n.told]}
+	switch {
+	case n.boot == 0, i.s.plan.Discovery.Boot == morning.BootNone:
+	case i.s.plan.Discovery.Boot == morning.BootAhead:
+		e.Started = clockStart + n.boot + morning.Ahead
+	default:
+		e.Started = clockStart + n.boot
 	}
 	return e
 }
 
-// hear takes news of one box.
+// hear takes news of one box, late or at once.
 func (i *instance) hear(b *box) {
-	if !i.up || b.tier() != i.Tier {
+	if late := i.late(); late > 0 {
+		n, life := b.news, i.life
+		i.s.after(late, func() {
+			if i.life == life { // a later one has a list of its own
+				i.take(b, n)
+			}
+		})
 		return
 	}
-	i.s.add(audit.Event{Kind: audit.Told, Sidecar: i.index, Box: b.index, Text: b.told, Origin: -1})
+	i.take(b, b.news)
+}
+
+func (i *instance) take(b *box, n news) {
+	if !i.up || b.tier() != i.Tier || n.told == "" {
+		return
+	}
+	i.s.add(audit.Event{Kind: audit.Told, Sidecar: i.index, Box: b.index, Text: n.told, Origin: -1})
 	i.s.decisions++
-	i.b.Targets(i.clock(), gingerlead.List{Kind: gingerlead.Delta, Version: i.s.seq, Entries: []gingerlead.Entry{i.entry(b)}})
+	i.b.Targets(i.clock(), gingerlead.List{Kind: gingerlead.Delta, Version: i.s.seq, Entries: []gingerlead.Entry{i.entry(b, n)}})
 }
 
 // kill ends the instance at once: what it had is lost.
@@ -527,9 +580,14 @@
 	})
 }
 
+// listed notes that the instance asks for a list. It has them pushed.
+func (i *instance) listed() {
+	i.s.add(audit.Event{Kind: audit.Listed, Sidecar: i.index, Box: -1, Origin: -1})
+}
+
 func (i *instance) Probe(gingerlead.EndpointID)     {}
 func (i *instance) Tell(int, []byte)                {}
-func (i *instance) Watch(bool)                      {}
-func (i *instance) Fetch()                          {}
+func (i *instance) Watch(bool)                      { i.listed() }
+func (i *instance) Fetch()                          { i.listed() }
 func (i *instance) CloseIdle(gingerlead.EndpointID) {}
 func (i *instance) Log(string)                      {}
--- a/internal/morning/morning.go
+++ b/internal/morning/morning.go
@@ -76,6 +76,7 @@
 	Handshake time.Duration
 	Report    time.Duration // every; 0 for none
 	HTTP3     bool          // beside HTTP/1.1
+	Keeper    time.Duration // after which a box that fell over is started again; 0 for never
 }
 
 // Class is a class of request.
@@ -95,6 +96,7 @@
 	Count    int
 	MemoryMB int
 	Sockets  int
+	Told     int // how many each is told there are; 0 for the truth
 }
 
 // Callers are clients from outside.
@@ -106,6 +108,7 @@
 	Patience Range // the share of the deadline after which a try is given up
 	Backoff  time.Duration
 	Honour   float64 // the share that waits as long as Retry-After says
+	AtFirst  float64 // the share that comes to the first sidecar, while it is there; the others are dealt out as ever
 }
 
 // Discovery is how late the list is.
@@ -114,6 +117,30 @@
 	Notice       time.Duration // until it tells of what ends or drains
 	SilentNotice time.Duration // until it misses a silent box
 	Add          time.Duration // until it tells of a new one
+	Late         time.Duration // how much later still a part of the sidecars of the first tier hears of it all
+	LateShare    float64       // that part; the last ones
+	Boot         Boot
+}
+
+// Boot is what discovery says of when a box started.
+type Boot string
+
+// What it may say.
+const (
+	BootTrue  Boot = "true"  // when it did
+	BootNone  Boot = "none"  // nothing: long ago, of each
+	BootAhead Boot = "ahead" // a minute later than it did, which is still to come: its clock is wrong
+)
+
+// Ahead is how far the clock of BootAhead is.
+const Ahead = time.Minute
+
+// LateFor is how much later than others a sidecar hears of boxes.
+func (p *Plan) LateFor(s Sender) time.Duration {
+	if s.Box >= 0 || float64(s.Number) < float64(s.Of)*(1-p.Discovery.LateShare) {
+		return 0
+	}
+	return p.Discovery.Late
 }
 
 // Rules are the platform's figures.
@@ -141,7 +168,7 @@
 		Length: 30 * time.Second, Seed: 1, places: map[string]finding.Pos{},
 		Sidecars:  Sidecars{Count: 2, MemoryMB: 192, Sockets: 1024},
 		Callers:   Callers{Rate: 50, Shape: "steady", Swing: 0.3, Retries: 2, Patience: Range{0.6, 0.6}, Backoff: 300 * time.Millisecond, Honour: 1},
-		Discovery: Discovery{Notice: 2 * time.Second, SilentNotice: 8 * time.Second, Add: time.Second},
+		Discovery: Discovery{Notice: 2 * time.Second, SilentNotice: 8 * time.Second, Add: time.Second, LateShare: 1.0 / 3, Boot: BootTrue},
 		Rules: Rules{Drain: 250 * time.Millisecond, TipBy: 3, TipWindow: time.Second, Attempts: 5, Connect: 250 * time.Millisecond,
 			Slack: 50 * time.Millisecond, Kill: 3700 * time.Millisecond},
 	}
--- a/internal/morning/parts.go
+++ b/internal/morning/parts.go
@@ -1,6 +1,7 @@
 package morning
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -15,12 +16,18 @@
 
 // AuditRules are what a plan is judged by; the names of the sidecars are to be added.
 func (p *Plan) AuditRules() audit.Rules {
-	r := audit.Rules{Length: p.Length, Slack: p.Rules.Slack, Drain: p.Rules.Drain, Heard: heard, Attempts: p.Rules.Attempts, Copies: p.Rules.Copies}
+	r := audit.Rules{Length: p.Length, Slack: p.Rules.Slack, Drain: p.Rules.Drain, Heard: heard, Attempts: p.Rules.Attempts, Copies: p.Rules.Copies,
+		TipBy: p.Rules.TipBy, TipWindow: p.Rules.TipWindow}
 	for _, c := range p.Classes {
 		r.Classes = append(r.Classes, audit.Class{Name: c.Name, Effect: string(c.Effect), Scope: string(c.Scope), Window: c.Window, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth})
 	}
 	for i, b := range p.Boxes {
-		r.Boxes = append(r.Boxes, audit.Box{Name: p.Name(i), Tier: b.Tier, Cell: b.Cell})
+		x := audit.Box{Name: p.Name(i), Tier: b.Tier, Cell: b.Cell,
+			Capacity: float64(b.Spec.Cores) * b.Spec.Speed, ColdFrom: b.Spec.ColdFrom, Warm: b.Spec.Warm, Work: p.Tiers[b.Tier].Work.Mean}
+		if t := p.Tiers[b.Tier]; t.Calls != "" {
+			x.Work = time.Duration(t.Before * float64(x.Work))
+		}
+		r.Boxes = append(r.Boxes, x)
 	}
 	for _, s := range p.Steps {
 		if s.Do == Tell {
@@ -93,7 +100,8 @@
 // Senders are all sidecars: those for callers first, then one for each box that calls.
 func (p *Plan) Senders() (all []Sender) {
 	for i := range p.Sidecars.Count {
-		all = append(all, Sender{fmt.Sprintf("n%d", i+1), 0, i, p.Sidecars.Count, -1})
+		of := cmp.Or(p.Sidecars.Told, p.Sidecars.Count)
+		all = append(all, Sender{fmt.Sprintf("n%d", i+1), 0, i % of, of, -1})
 	}
 	for i, b := range p.Boxes {
 		if t := p.Tiers[b.Tier]; t.Calls != "" {
@@ -120,6 +128,12 @@
 	return &Caller{arrival: a, class: c, callers: &p.Callers, random: rand.New(emulator.Source(p.Seed, fmt.Sprint("caller ", n))), end: began + c.Deadline}
 }
 
+// AtFirst tells whether an arrival comes to the first sidecar, while that is there.
+func (p *Plan) AtFirst(n int) bool {
+	share := p.Callers.AtFirst
+	return share > 0 && rand.New(emulator.Source(p.Seed, fmt.Sprint("at first ", n))).Float64() < share
+}
+
 // Try begins the next try: its number from 1, and how long the caller waits; false if its time is up.
 func (c *Caller) Try(now time.Duration) (try int, left time.Duration, ok bool) {
 	c.tries++
--- a/internal/morning/settings.go
+++ b/internal/morning/settings.go
@@ -118,6 +118,7 @@
 	"protocol":   word(func(t *Tier, w string) { t.HTTP3 = w == "http3" }, "http1", "http3"),
 	"conns":      count(func(t *Tier) *int { return &t.Conns }, 0, 100_000),
 	"handshake":  duration(func(t *Tier) *time.Duration { return &t.Handshake }, 0, time.Second),
+	"fallen_for": duration(func(t *Tier) *time.Duration { return &t.Keeper }, 0, time.Minute),
 	"report":     duration(func(t *Tier) *time.Duration { return &t.Report }, 0, 10*time.Second),
 }
 
@@ -133,6 +134,7 @@
 
 var sidecarKeys = map[string]key[Morning]{
 	"count":   count(func(m *Morning) *int { return &m.Sidecars.Count }, 1, MostSidecars),
+	"told":    count(func(m *Morning) *int { return &m.Sidecars.Told }, 0, 10*MostSidecars),
 	"sockets": count(func(m *Morning) *int { return &m.Sidecars.Sockets }, 64, 65536),
 	"memory": {"a size like 192MiB", func(m *Morning, v *value) bool {
 		if v.High != nil || v.Low.Size == nil {
@@ -158,6 +160,7 @@
 	"retries":  count(func(m *Morning) *int { return &m.Callers.Retries }, 0, 10),
 	"patience": span2(func(m *Morning) *Range { return &m.Callers.Patience }, 0.01, 1),
 	"backoff":  duration(func(m *Morning) *time.Duration { return &m.Callers.Backoff }, 0, time.Minute),
+	"at_first": figure(func(m *Morning) *float64 { return &m.Callers.AtFirst }, 0, 1),
 	"honour":   figure(func(m *Morning) *float64 { return &m.Callers.Honour }, 0, 1),
 }
 
@@ -165,6 +168,9 @@
 	"by":            word(func(m *Morning, w string) { m.Discovery.Consul = w == "consul" }, "platform", "consul"),
 	"notice":        duration(func(m *Morning) *time.Duration { return &m.Discovery.Notice }, 0, time.Minute),
 	"silent_notice": duration(func(m *Morning) *time.Duration { return &m.Discovery.SilentNotice }, 0, time.Minute),
+	"late":          duration(func(m *Morning) *time.Duration { return &m.Discovery.Late }, 0, 5*time.Second),
+	"late_share":    figure(func(m *Morning) *float64 { return &m.Discovery.LateShare }, 0, 1),
+	"boot":          word(func(m *Morning, w string) { m.Discovery.Boot = Boot(w) }, string(BootTrue), string(BootNone), string(BootAhead)),
 	"add":           duration(func(m *Morning) *time.Duration { return &m.Discovery.Add }, 0, time.Minute),
 }
 
--- a/internal/rehearse/box.go
+++ b/internal/rehearse/box.go
@@ -251,6 +251,29 @@
 func (b *box) fell() {
 	b.w.add(audit.Event{At: b.w.now(), Kind: audit.Fell, Box: b.index, Sidecar: -1, Origin: -1})
 	b.down()
+	if life, keeper := b.life, b.w.plan.Tiers[b.plan.Tier].Keeper; keeper > 0 {
+		time.AfterFunc(keeper, func() { b.kept(life) })
+	}
+}
+
+// kept has the box's keeper start it again after a fall, if nothing has happened to it since. Discovery hears of it as
+// of any start.
+func (b *box) kept(life int) {
+	b.mu.Lock()
+	same := b.life == life
+	b.mu.Unlock()
+	if !same || b.w.ctx.Err() != nil || b.start(true) != nil {
+		return
+	}
+	boot := b.w.now()
+	time.AfterFunc(b.w.plan.Discovery.Add, func() {
+		b.mu.Lock()
+		same := b.life == life+1
+		b.mu.Unlock()
+		if same {
+			b.w.news[b.plan.Tier].tell(b.index, "Ready", boot)
+		}
+	})
 }
 
 // arm sets the timer to when the model wants to be looked at.
--- a/internal/rehearse/caller.go
+++ b/internal/rehearse/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -276,18 +277,32 @@
 	return f.up[f.next%len(f.up)]
 }
 
+// first is the first sidecar, if it is in the front.
+func (f *front) first(of *sidecar) *sidecar {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Contains(f.up, of) {
+		return nil
+	}
+	return of
+}
+
 // arrive plays one arrival: its tries, with waits between them, until it is served or gives up.
 func (w *world) arrive(n int) {
 	caller := w.plan.Caller(n, w.now())
 	class := w.plan.Arrivals[n].Class
 	w.counters.asked.Add(1)
-	last := 0
+	last, toFirst := 0, w.plan.AtFirst(n)
 	for {
 		try, left, ok := caller.Try(w.now())
 		if !ok {
 			break
 		}
-		r := w.send(ask{request: morning.Request(n, try), class: class, key: morning.Key(n), left: left, origin: n, try: try}, &w.front.idle, w.front.pick, w.ctx.Done())
+		idle, pick := &w.front.idle, w.front.pick
+		if to := w.sidecars[0]; toFirst && w.front.first(to) != nil {
+			idle, pick = &to.idle, func() *sidecar { return w.front.first(to) }
+		}
+		r := w.send(ask{request: morning.Request(n, try), class: class, key: morning.Key(n), left: left, origin: n, try: try}, idle, pick, w.ctx.Done())
 		last = r.status
 		wait, ok := caller.Again(w.now(), r.status, r.after)
 		if !ok {
--- a/internal/rehearse/discovery.go
+++ b/internal/rehearse/discovery.go
@@ -118,7 +118,11 @@
 		}
 		b := &n.w.plan.Boxes[i]
 		t := booking.Target{UID: b.UID, Address: n.w.boxAddress(b.Slot), Zone: morning.Zone, Model: n.w.plan.Tiers[b.Tier].Name, Cell: b.Cell, State: e.state, Weight: 1 - e.light}
-		if e.boot > 0 {
+		switch boot := n.w.plan.Discovery.Boot; {
+		case e.boot == 0, boot == morning.BootNone:
+		case boot == morning.BootAhead:
+			t.BootMS = n.w.wall(e.boot + morning.Ahead).UnixMilli()
+		default:
 			t.BootMS = n.w.wall(e.boot).UnixMilli()
 		}
 		m.Targets = append(m.Targets, t)
@@ -133,15 +137,16 @@
 type agent struct {
 	news    *news
 	sidecar int
+	late    time.Duration
 	server  http.Server
 }
 
-func startAgent(n *news, sidecar int) (*agent, error) {
+func startAgent(n *news, sidecar int, late time.Duration) (*agent, error) {
 	l, err := listen(n.w.discoveryAddress(sidecar))
 	if err != nil {
 		return nil, err
 	}
-	a := &agent{news: n, sidecar: sidecar}
+	a := &agent{news: n, sidecar: sidecar, late: late}
 	a.server.Handler = a
 	go a.server.Serve(l)
 	return a, nil
@@ -189,6 +194,9 @@
 		}
 		select {
 		case <-changed:
+			if a.late > 0 {
+				time.Sleep(a.late) // what changes meanwhile is told with it, less late
+			}
 		case <-tick.C:
 			if !quiet {
 				io.WriteString(w, "\n")
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -141,7 +141,7 @@
 	}
 	for i, s := range w.sidecars {
 		var err error
-		if s.agent, err = startAgent(w.news[s.tier], i); err != nil {
+		if s.agent, err = startAgent(w.news[s.tier], i, s.late); err != nil {
 			return err
 		}
 		if !w.plan.Discovery.Consul {
--- a/internal/rehearse/sidecar.go
+++ b/internal/rehearse/sidecar.go
@@ -26,9 +26,10 @@
 	index   int
 	name    string
 	address string
-	tier    int // that it sends to
-	number  int // among its tier's
-	of      int // how many these are
+	tier    int           // that it sends to
+	late    time.Duration // behind others in what it hears of boxes
+	number  int           // among its tier's
+	of      int           // how many these are
 	config  string
 	agent   *agent
 	agency  *agency // nil where the platform tells of boxes
@@ -337,7 +338,7 @@
 // sidecarsOf makes the sidecars of a plan.
 func (w *world) sidecarsOf(plan *morning.Plan) {
 	for i, x := range plan.Senders() {
-		s := &sidecar{w: w, index: i, name: x.Name, address: w.sidecarAddress(i), tier: x.Tier, number: x.Number, of: x.Of}
+		s := &sidecar{w: w, index: i, name: x.Name, address: w.sidecarAddress(i), tier: x.Tier, number: x.Number, of: x.Of, late: plan.LateFor(x)}
 		w.sidecars = append(w.sidecars, s)
 		if x.Box >= 0 {
 			w.behind[x.Box] = s
--- a/internal/throttle/throttle.go
+++ b/internal/throttle/throttle.go
@@ -22,10 +22,11 @@
 // Bound brings the throttle up to a time and sets what it goes by from then on: how many
 // attempts may come to nothing without an answer in between (most), and how many more each second
 // allows by itself (rate), without which a client that has no answers would never ask again.
-// Both are 0 or above; the time must not go back.
-func (t *Throttle) Bound(now time.Duration, rate, most float64) {
+// The first call allows as many as first says: who has just started has earned nothing yet. All are
+// 0 or above; the time must not go back.
+func (t *Throttle) Bound(now time.Duration, rate, first, most float64) {
 	if !t.filled {
-		t.level, t.filled = most, true
+		t.level, t.filled = first, true
 	} else {
 		t.level += t.rate * (now - t.at).Seconds()
 	}
--- a/internal/throttle/throttle_test.go
+++ b/internal/throttle/throttle_test.go
@@ -15,14 +15,14 @@
 		most, rate := float64(rapid.IntRange(1, 20).Draw(t, "most")), rapid.Float64Range(0.1, 50).Draw(t, "rate")
 		more := rapid.Float64Range(0, 2).Draw(t, "more")
 		now, out, vain, allowed := time.Second, 0, 0.0, most
-		b.Bound(now, rate, most)
+		b.Bound(now, rate, most, most)
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
 				dt := time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
 				now += dt
 				allowed += rate * dt.Seconds()
-				b.Bound(now, rate, most)
+				b.Bound(now, rate, most, most)
 			case 1:
 				if b.Open() {
 					b.Sent()
@@ -44,7 +44,7 @@
 				t.Fatalf("%v attempts in vain and %d out; %v were allowed", vain, out, allowed)
 			}
 		}
-		b.Bound(now+time.Duration(float64(time.Second)*(most+1)/rate)+time.Second, rate, most)
+		b.Bound(now+time.Duration(float64(time.Second)*(most+1)/rate)+time.Second, rate, most, most)
 		if !b.Open() {
 			t.Fatal("shut for good")
 		}
@@ -54,10 +54,10 @@
 // What was not used is not saved up beyond the bound, and a bound that falls takes what is above it.
 func TestNoMoreIsSavedThanTheBound(t *testing.T) {
 	var b Throttle
-	b.Bound(0, 10, 8)
-	b.Bound(time.Hour, 10, 8)
+	b.Bound(0, 10, 2, 8)
+	b.Bound(time.Hour, 10, 2, 8)
 	b.Ran(5)
-	b.Bound(time.Hour, 10, 3)
+	b.Bound(time.Hour, 10, 2, 3)
 	for n := 0; ; n++ {
 		if !b.Open() {
 			if n != 3 {
--- a/internal/tool/fleet.go
+++ b/internal/tool/fleet.go
@@ -1,6 +1,7 @@
 package tool
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"text/tabwriter"
@@ -20,6 +21,9 @@
 	instances int
 	cpu       bool
 	list      bool
+	waves     bool
+	rates     []float64
+	seeds     int
 }
 
 // The bounds of what --subsets measures.
@@ -37,12 +41,24 @@
 			"in vain   attempts that no answer came of\n" +
 			"max, p99  load of the most loaded endpoint, and of the one that 99 of 100 stay under, over the mean, while\n" +
 			"          they were alike; behind it in brackets, what even odds for every attempt come to\n\n" +
+			"With --waves boxes and sidecars all restart at once, before 4 to 200 sidecars; the table shows\n" +
+			"fell        cold boxes that were pushed over, of 64, the mean and the most over the seeds\n" +
+			"service     worth in time over worth asked, the mean and the least\n" +
+			"cold        the most that all together sent to a cold box, over what it bears\n" +
+			"vain        the most that one box turned away within a second\n" +
+			"knocks      the most that came within a second to a box that was not there\n" +
+			"opened      the most connections opened to one box within a second\n" +
+			"full use    until as much was served as was asked for, from the first box that was back\n\n" +
 			"With --subsets it measures ways to choose which instance calls which endpoints, while endpoints come and go.\n\n" +
 			"Exit codes: 0 all kept, 1 a rule was broken or a day did not reach what it should, 2 wrong usage.",
 		RunE: func(_ *cobra.Command, args []string) error {
 			switch {
 			case o.list:
 				return c.listDays()
+			case o.waves && (o.subsets || len(args) > 0):
+				return fmt.Errorf("--waves goes with no day and with no --subsets")
+			case o.waves:
+				return c.playWaves(o)
 			case !o.subsets:
 				return c.playDays(args, o)
 			case len(args) > 0:
@@ -56,6 +72,9 @@
 	f := cmd.Flags()
 	f.Uint64Var(&o.seed, "seed", 0, "another seed than the day's")
 	f.BoolVar(&o.list, "list", false, "list the days, and play nothing")
+	f.BoolVar(&o.waves, "waves", false, "restart a fleet at once, with 4 to 200 sidecars")
+	f.Float64SliceVar(&o.rates, "rate", []float64{650, 1000, 1300, 1600}, "requests a second, of --waves")
+	f.IntVar(&o.seeds, "seeds", 5, "of --waves, from --seed (3 if that is not set) on")
 	f.BoolVar(&o.subsets, "subsets", false, "measure subsets")
 	f.IntVar(&o.endpoints, "endpoints", 1500, "of --subsets")
 	f.IntVar(&o.instances, "instances", 40, "of --subsets")
@@ -63,6 +82,58 @@
 	return cmd
 }
 
+// waveSidecars are the fleets of --waves, and mostSeeds bounds its plays.
+var waveSidecars = []int{4, 10, 12, 16, 24, 32, 40, 120, 200}
+
+const mostSeeds = 100
+
+// playWaves plays waves of restarts, as many at once as there are processors, and prints them in order.
+func (c *command) playWaves(o fleetOptions) error {
+	if o.seeds < 1 || o.seeds > mostSeeds {
+		return fmt.Errorf("--seeds are 1 to %d", mostSeeds)
+	}
+	for _, r := range o.rates {
+		if !(r >= 1 && r <= 20_000) {
+			return fmt.Errorf("--rate is 1 to 20000 a second, not %v", r)
+		}
+	}
+	swells, err := fleet.PlayAll(waveTable(o))
+	if err != nil {
+		return failure{err}
+	}
+	t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "rate\tsidecars\tfell\tservice\tcold\tvain\tknocks\topened\tfull use\t")
+	fell := 0
+	for i := 0; i < len(swells); i += o.seeds {
+		x := fleet.Summary(swells[i : i+o.seeds])
+		fell += x.FallsMost
+		full := "never"
+		if x.FullUse > 0 {
+			full = x.FullUse.Round(100 * time.Millisecond).String()
+		}
+		fmt.Fprintf(t, "%v\t%d\t%.1f (%d)\t%.3f (%.3f)\t%.2f\t%d\t%d\t%d\t%s\t\n", swells[i].Wave.Rate, swells[i].Wave.Sidecars,
+			x.Falls, x.FallsMost, x.Service, x.ServiceLeast, x.Cold, x.Vain, x.Knocks, x.Opened, full)
+	}
+	if err := t.Flush(); err != nil {
+		return failure{err}
+	}
+	if fell > 0 {
+		return failure{fmt.Errorf("cold boxes were pushed over")}
+	}
+	return nil
+}
+
+func waveTable(o fleetOptions) (waves []*fleet.Wave) {
+	for _, rate := range o.rates {
+		for _, sidecars := range waveSidecars {
+			for i := range o.seeds {
+				waves = append(waves, &fleet.Wave{Sidecars: sidecars, Rate: rate, Seed: cmp.Or(o.seed, 3) + uint64(i)})
+			}
+		}
+	}
+	return waves
+}
+
 func (c *command) listDays() error {
 	for _, name := range fleet.Days() {
 		m, err := fleet.Day(name)
