--- a/internal/audit/sums.go
+++ b/internal/audit/sums.go
@@ -42,7 +42,7 @@
 			from[e.Request] = e.Sidecar
 		case Answered:
 			if e.Status == 200 && e.Try > 0 {
-				served[int64(e.At/time.Second)]++
+				served[int64(e.At/step)]++
 			}
 		case Began:
 			began[e.Box], cold[e.Box], first = e.At, nil, min(first, e.At)
@@ -66,7 +66,7 @@
 		}
 	}
 	for _, a := range rules.Asks {
-		asked[int64(a.At/time.Second)]++
+		asked[int64(a.At/step)]++
 	}
 	if len(began) > 0 {
 		s.FullUse = fullUse(first, asked, served)
@@ -106,16 +106,24 @@
 	return sent
 }
 
-// fullUse is how long after a time the first whole second ends in which as much is served as is asked for, but for a
+// step is how finely the way back to full use is told.
+const step = 100 * time.Millisecond
+
+// fullUse is how long after a time the first second ends in which as much is served as is asked for, but for a
 // twentieth; 0 if there is none.
 func fullUse(from time.Duration, asked, served map[int64]float64) time.Duration {
 	last := int64(0)
-	for sec := range asked {
-		last = max(last, sec)
+	for n := range asked {
+		last = max(last, n)
 	}
-	for sec := int64((from + time.Second - 1) / time.Second); sec < last; sec++ {
-		if asked[sec] > 0 && served[sec] >= 0.95*asked[sec] {
-			return time.Duration(sec+1)*time.Second - from
+	const second = int64(time.Second / step)
+	for n := int64((from + step - 1) / step); n+second <= last; n++ {
+		var a, s float64
+		for k := n; k < n+second; k++ {
+			a, s = a+asked[k], s+served[k]
+		}
+		if a > 0 && s >= 0.95*a {
+			return time.Duration(n+second)*step - from
 		}
 	}
 	return 0
--- a/internal/tool/fleet.go
+++ b/internal/tool/fleet.go
@@ -48,7 +48,8 @@
 			"vain        the most that one box turned away within a second\n" +
 			"knocks      the most that came within a second to a box that was not there\n" +
 			"opened      the most connections opened to one box within a second\n" +
-			"full use    until as much was served as was asked for, from the first box that was back\n\n" +
+			"full use    until the end of a second in which as much was served as asked for, from the first box that\n" +
+			"            was back; the mean\n\n" +
 			"With --subsets it measures ways to choose which instance calls which endpoints, while endpoints come and go.\n\n" +
 			"Exit codes: 0 all kept, 1 a rule was broken or a day did not reach what it should, 2 wrong usage.",
 		RunE: func(_ *cobra.Command, args []string) error {
