--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,5 @@
 # The long plays, a few minutes: more random mornings, more crashes of the store, 50 kills amid bookings.
 soak:
 	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m . ./internal/dryrun ./internal/store ./internal/recall
+	SOAK=1 go test -count=1 -timeout 30m ./internal/fleet
 	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m -run 'Killed' ./cmd/quincegap
--- a/internal/tool/fleet_test.go
+++ b/internal/tool/fleet_test.go
@@ -29,10 +29,17 @@
 	if code, out, _ := run("--subsets", "--endpoints", "60", "--instances", "5"); code != Fine || strings.Count(out, "\n") != 1+len(fleet.Changes)*len(fleet.Schemes) {
 		t.Errorf("code %d:\n%s", code, out)
 	}
+	code, table, errs := run("--waves", "--rate", "20", "--seeds", "1")
+	if code != Fine || strings.Count(table, "\n") != 1+len(waveSidecars) || !strings.Contains(table, "0.0 (0)") {
+		t.Errorf("code %d:\n%s%s", code, table, errs)
+	}
 	for want, args := range map[string][]string{
 		`did you mean "trials"?`: {"trails"},
 		"--endpoints are 1 to":   {"--subsets", "--endpoints", "0"},
 		"--subsets plays no day": {"--subsets", "quiet"},
+		"--waves goes with no":   {"--waves", "quiet"},
+		"--seeds are 1 to":       {"--waves", "--seeds", "0"},
+		"--rate is 1 to":         {"--waves", "--rate", "NaN"},
 	} {
 		if code, _, errs := run(args...); code != Usage || !strings.Contains(errs, want) {
 			t.Errorf("%v: code %d, %q, wanted %q", args, code, errs, want)
