The tree shows the layers: internal packages move into folders by what they are for

Need: 38 packages lay side by side, and the next subsystems add eight. They are grouped into modules, structures, config, files, network and rehearsal; sidecar, wire, tool, product and standin stay. Moves only, with the paths in imports, pages and the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO_FILES := $(shell find . -name '*.go' -not -path './journal/*')
 
 # Days in virtual time are played by one goroutine: the race detector finds nothing there, and takes ten times as long.
-ALONE := /internal/(dryrun|fleet)$$
+ALONE := /internal/rehearsal/(dryrun|fleet)$$
 
 .PHONY: demo test soak
 
@@ -24,6 +24,6 @@
 
 # The long plays, a few minutes: more random mornings, more crashes of the store, 50 kills amid bookings.
 soak:
-	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m . ./internal/dryrun ./internal/store ./internal/recall
-	SOAK=1 go test -count=1 -timeout 30m ./internal/fleet
+	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m . ./internal/rehearsal/dryrun ./internal/files/store ./internal/modules/recall
+	SOAK=1 go test -count=1 -timeout 30m ./internal/rehearsal/fleet
 	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m -run 'Killed' ./cmd/quincegap
--- a/balancer.go
+++ b/balancer.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"gingerlead/internal/throttle"
+	"gingerlead/internal/structures/throttle"
 )
 
 // Tunables. Times are ratios of settings or of what is observed.
@@ -103,7 +103,7 @@
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
 	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
-	vainMost      = 0.6 // attempts that may end without having run, for each answered call,
+	vainMost      = 0.6  // attempts that may end without having run, for each answered call,
 	vainReserve   = 1.0  // beyond the limit on calls while none is answered,
 	vainKnocks    = 1.0  // and all instances', for each endpoint and time that cold ones are judged over
 	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held
--- a/cmd/quincegap/consul_test.go
+++ b/cmd/quincegap/consul_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"gingerlead/internal/admin"
+	"gingerlead/internal/network/admin"
 	"gingerlead/internal/standin/booking"
 	"gingerlead/internal/standin/consul"
 )
--- a/fleet.go
+++ b/fleet.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"gingerlead/internal/arcs"
-	"gingerlead/internal/due"
-	"gingerlead/internal/odds"
-	"gingerlead/internal/ring"
+	"gingerlead/internal/structures/arcs"
+	"gingerlead/internal/structures/due"
+	"gingerlead/internal/structures/odds"
+	"gingerlead/internal/structures/ring"
 )
 
 // This file keeps the listed endpoints where decisions find them without a walk over the list; it decides nothing.
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -10,50 +10,60 @@
 	"testing"
 )
 
-// layers are the packages, the highest first. A package imports lower layers only, and, where its layer is
-// marked so, others of its own.
-var layers = []struct {
-	name    string
-	own     bool
-	members []string
+// folders are the tree as docs/architecture.md has it, the highest first. A package imports lower folders only, and of its
+// own folder those of later ranks. A folder without ranks has no order of its own. The root's path is empty.
+var folders = []struct {
+	path  string
+	ranks string // packages; ranks are split by a bar, the highest first
 }{
-	{"programs", false, []string{"cmd/..."}},
-	{"tools", false, []string{"internal/tool"}},
-	{"wiring", false, []string{"internal/product"}},
-	{"rehearsals", false, []string{"internal/rehearse"}},
-	{"input and output", false, []string{"internal/sidecar", "internal/consul", "internal/admin", "internal/wire", "internal/standin/..."}},
-	{"protocols", false, []string{"internal/http1", "internal/http3"}},
-	{"exchange", false, []string{"internal/exchange"}},
-	{"certificates", false, []string{"internal/certfile"}},
-	{"store", false, []string{"internal/store"}},
-	{"files", false, []string{"internal/atomicfile", "internal/secretfile"}},
-	{"pages", false, []string{"internal/report"}},
-	{"experiments", false, []string{"internal/experiment"}},
-	{"fleet bench", false, []string{"internal/fleet"}},
-	{"virtual time", false, []string{"internal/dryrun"}},
-	{"mornings", false, []string{"internal/morning"}},
-	{"modules without I/O", false, []string{"internal/apps", "internal/membership", "internal/reach", "internal/emulator", "internal/audit", "internal/recall", "internal/route"}},
-	{"data", true, []string{"internal/appfile", "internal/schema", "internal/doc", "internal/finding", "internal/settings"}},
-	{"decisions", false, []string{""}},
-	{"structures", false, []string{"internal/odds", "internal/due", "internal/ring", "internal/arcs", "internal/throttle"}},
+	{"cmd", ""},
+	{"internal/tool", "."},
+	{"internal/product", "."},
+	{"internal/rehearsal", "rehearse report | experiment fleet | dryrun | morning | emulator audit"},
+	{"internal/sidecar", "."},
+	{"internal/wire", "."},
+	{"internal/network", "consul admin | http1 http3 | exchange"},
+	{"internal/standin", "authority booking consul disk h3 udp"},
+	{"internal/files", "certfile store | atomicfile secretfile"},
+	{"internal/modules", "membership reach recall route"},
+	{"internal/config", "apps | appfile | schema | doc | finding settings"},
+	{"", "."},
+	{"internal/structures", "arcs due odds ring throttle"},
 }
 
-// pure are the packages that do no I/O, and what they may not import for it. The flow of time is an argument.
+// pure are the folders whose packages do no I/O, but for those named; forbidden is what they may not import for it. The
+// flow of time is an argument.
 var (
-	pure = []string{"", "internal/odds", "internal/due", "internal/ring", "internal/arcs", "internal/throttle", "internal/fleet", "internal/apps", "internal/membership", "internal/reach", "internal/recall", "internal/route", "internal/appfile", "internal/schema", "internal/doc", "internal/settings",
-		"internal/emulator", "internal/audit", "internal/morning", "internal/dryrun", "internal/experiment", "internal/report"}
+	pure      = []string{"", "internal/structures", "internal/modules", "internal/config", "internal/rehearsal"}
+	impure    = []string{"internal/rehearsal/rehearse"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
-func layer(path string) int {
-	for i, l := range layers {
-		for _, m := range l.members {
-			if prefix, ok := strings.CutSuffix(m, "/..."); path == m || ok && strings.HasPrefix(path, prefix+"/") {
-				return i
+// place is where a package stands: its folder and the rank in it; false if it is in none.
+func place(path string) (folder, rank int, ok bool) {
+	for i, f := range folders {
+		name, in := ".", path == f.path
+		if !in && f.path != "" {
+			name, in = strings.CutPrefix(path, f.path+"/")
+		}
+		switch {
+		case !in:
+			continue
+		case f.ranks == "":
+			return i, 0, true
+		}
+		for r, names := range strings.Split(f.ranks, "|") {
+			if slices.Contains(strings.Fields(names), name) {
+				return i, r, true
 			}
 		}
 	}
-	return -1
+	return 0, 0, false
+}
+
+func isPure(path string) bool {
+	folder, _, _ := place(path)
+	return slices.Contains(pure, folders[folder].path) && !slices.Contains(impure, path)
 }
 
 func TestImportsGoOneWay(t *testing.T) {
@@ -61,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	seen := 0
+	seen, there := 0, map[string]bool{}
 	for d := json.NewDecoder(strings.NewReader(string(out))); ; {
 		var p struct {
 			ImportPath string
@@ -83,21 +93,30 @@
 			continue
 		}
 		seen++
-		at := layer(from)
-		if at < 0 {
-			t.Errorf("%s is in no layer: add it here and to docs/architecture.md", from)
+		there[from] = true
+		folder, rank, ok := place(from)
+		if !ok {
+			t.Errorf("%s has no place: add it here and to docs/architecture.md", from)
 			continue
 		}
 		for _, i := range p.Imports {
-			if slices.Contains(pure, from) && slices.Contains(forbidden, i) {
+			if isPure(from) && slices.Contains(forbidden, i) {
 				t.Errorf("%s imports %s, and is to do no I/O", p.ImportPath, i)
 			}
 			to, ok := own(i)
 			if !ok {
 				continue
 			}
-			if below := layer(to); below < at || below == at && !layers[at].own {
-				t.Errorf("%s (%s) imports %s (%s)", from, layers[at].name, to, layers[max(0, below)].name)
+			f, r, _ := place(to)
+			if f < folder || f == folder && r <= rank {
+				t.Errorf("%s imports %s, which is higher up, or beside it", from, to)
+			}
+		}
+	}
+	for _, f := range folders {
+		for _, name := range strings.Fields(strings.ReplaceAll(f.ranks, "|", " ")) {
+			if path := strings.TrimSuffix(f.path+"/"+name, "/."); path != "" && !there[path] {
+				t.Errorf("%s is listed, and is not there", path)
 			}
 		}
 	}
--- a/internal/appfile/appfile.go
+++ b/internal/config/appfile/appfile.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
 )
 
 // Sidecar says who a sidecar is.
--- a/internal/apps/apps.go
+++ b/internal/config/apps/apps.go
@@ -8,10 +8,10 @@
 import (
 	"slices"
 
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
 )
 
 const (
--- a/internal/apps/check.go
+++ b/internal/config/apps/check.go
@@ -7,9 +7,9 @@
 	"strings"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
 )
 
 // Check checks the applications of apps.toml against one another.
--- a/internal/apps/check_test.go
+++ b/internal/config/apps/check_test.go
@@ -7,9 +7,9 @@
 
 	"pgregory.net/rapid"
 
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
 )
 
 var testSchema = schema.New(appfile.Tables()...)
--- a/internal/apps/written.go
+++ b/internal/config/apps/written.go
@@ -9,10 +9,10 @@
 	"slices"
 	"strings"
 
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
 )
 
 // The header and the trailer of a written file. Their lines are comments to everybody else.
--- a/internal/apps/written_test.go
+++ b/internal/config/apps/written_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
 )
 
 const base = `# ours
--- a/internal/doc/doc.go
+++ b/internal/config/doc/doc.go
@@ -9,7 +9,7 @@
 	"strings"
 	"unicode/utf8"
 
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/finding"
 )
 
 // Kind is what a value is.
--- a/internal/doc/toml.go
+++ b/internal/config/doc/toml.go
@@ -7,7 +7,7 @@
 
 	"github.com/pelletier/go-toml/v2/unstable"
 
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/finding"
 )
 
 const (
--- a/internal/schema/schema.go
+++ b/internal/config/schema/schema.go
@@ -20,8 +20,8 @@
 	"slices"
 	"strings"
 
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
 )
 
 // Change tells when a key's value takes effect.
--- a/internal/schema/schema_test.go
+++ b/internal/config/schema/schema_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
 )
 
 type things struct {
--- a/internal/store/bench_test.go
+++ b/internal/files/store/bench_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"gingerlead/internal/store"
+	"gingerlead/internal/files/store"
 )
 
 // written is the bytes that this process has had written to disks.
--- a/internal/store/fuzz_test.go
+++ b/internal/files/store/fuzz_test.go
@@ -4,8 +4,8 @@
 	"hash/crc32"
 	"testing"
 
+	"gingerlead/internal/files/store"
 	"gingerlead/internal/standin/disk"
-	"gingerlead/internal/store"
 )
 
 // raw puts a file on a disk.
--- a/internal/store/store_test.go
+++ b/internal/files/store/store_test.go
@@ -17,8 +17,8 @@
 	"testing"
 	"time"
 
+	"gingerlead/internal/files/store"
 	"gingerlead/internal/standin/disk"
-	"gingerlead/internal/store"
 )
 
 // clock is one that stands still unless it is moved.
--- a/internal/membership/membership.go
+++ b/internal/modules/membership/membership.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/schema"
 )
 
 // Endpoint is what a source says of an endpoint.
--- a/internal/recall/recall.go
+++ b/internal/modules/recall/recall.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/due"
+	"gingerlead/internal/structures/due"
 )
 
 // ID names a request over its repeats: what its Idempotency-Key, or for want of one its own id, comes to. Keys may
--- a/internal/route/check_test.go
+++ b/internal/modules/route/check_test.go
@@ -5,11 +5,11 @@
 	"strings"
 	"testing"
 
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/route"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/route"
 )
 
 // base is a file whose routes are checked: 20 lines, so that a route's first line is the 21st.
--- a/internal/route/module_test.go
+++ b/internal/modules/route/module_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/route"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/modules/route"
 )
 
 const ms = time.Millisecond
--- a/internal/route/table.go
+++ b/internal/modules/route/table.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/schema"
 )
 
 // Rule is one [route.NAME].
--- a/internal/admin/admin.go
+++ b/internal/network/admin/admin.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"gingerlead/internal/membership"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/membership"
 )
 
 // Settings says where it listens.
--- a/internal/consul/consul_test.go
+++ b/internal/network/consul/consul_test.go
@@ -23,7 +23,7 @@
 	"go.uber.org/goleak"
 
 	"gingerlead"
-	"gingerlead/internal/membership"
+	"gingerlead/internal/modules/membership"
 	standin "gingerlead/internal/standin/consul"
 )
 
--- a/internal/consul/read.go
+++ b/internal/network/consul/read.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"gingerlead"
-	"gingerlead/internal/membership"
+	"gingerlead/internal/modules/membership"
 )
 
 // Bounds on what an answer may make grow.
--- a/internal/consul/settings.go
+++ b/internal/network/consul/settings.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"gingerlead/internal/membership"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/membership"
 )
 
 // Consistency is how a read is answered (Consul's API, Consistency Modes).
--- a/internal/consul/watch.go
+++ b/internal/network/consul/watch.go
@@ -20,9 +20,9 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"gingerlead/internal/certfile"
-	"gingerlead/internal/membership"
-	"gingerlead/internal/secretfile"
+	"gingerlead/internal/files/certfile"
+	"gingerlead/internal/files/secretfile"
+	"gingerlead/internal/modules/membership"
 )
 
 const (
--- a/internal/exchange/exchange.go
+++ b/internal/network/exchange/exchange.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/settings"
+	"gingerlead/internal/config/settings"
 )
 
 // MaxBody bounds the body of one request and of one answer, in bytes.
--- a/internal/http1/front.go
+++ b/internal/network/http1/front.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 )
 
 const excessSockets = exchange.ExcessSockets
--- a/internal/http1/transport.go
+++ b/internal/network/http1/transport.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 )
 
 const (
--- a/internal/http1/transport_test.go
+++ b/internal/network/http1/transport_test.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 )
 
 const patience = 10 * time.Second
--- a/internal/http3/front_test.go
+++ b/internal/network/http3/front_test.go
@@ -19,7 +19,7 @@
 	"github.com/quic-go/quic-go/http3"
 	"go.uber.org/goleak"
 
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 	"gingerlead/internal/standin/authority"
 	"gingerlead/internal/standin/udp"
 )
--- a/internal/http3/fuzz_test.go
+++ b/internal/network/http3/fuzz_test.go
@@ -13,7 +13,7 @@
 	"github.com/quic-go/quic-go"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 )
 
 // Whatever a caller writes on its streams, the front goes on serving others, and its handler gets whole requests
--- a/internal/http3/settings.go
+++ b/internal/network/http3/settings.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/schema"
 )
 
 // EarlyData is what becomes of requests that come in early data (RFC 8470).
--- a/internal/http3/transport.go
+++ b/internal/network/http3/transport.go
@@ -22,7 +22,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 )
 
 const (
--- a/internal/http3/transport_test.go
+++ b/internal/network/http3/transport_test.go
@@ -19,7 +19,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 	"gingerlead/internal/standin/authority"
 	"gingerlead/internal/standin/h3"
 	"gingerlead/internal/standin/udp"
--- a/internal/product/platform.go
+++ b/internal/product/platform.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"strings"
 
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
 	"gingerlead/internal/sidecar"
 )
 
--- a/internal/dryrun/box.go
+++ b/internal/rehearsal/dryrun/box.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/emulator"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 func sortedIDs(m map[gingerlead.RequestID]*request) []gingerlead.RequestID {
--- a/internal/dryrun/dryrun.go
+++ b/internal/rehearsal/dryrun/dryrun.go
@@ -1,5 +1,5 @@
 // Package dryrun plays a morning in virtual time: callers, boxes on the models of
-// internal/emulator, discovery, and instances of the decision module, with no
+// internal/rehearsal/emulator, discovery, and instances of the decision module, with no
 // socket between them. It does no I/O; the same plan gives the same events, byte
 // for byte, on any machine. It is judged by the same auditor as a rehearsal on
 // sockets.
@@ -16,10 +16,10 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/morning"
-	"gingerlead/internal/settings"
+	"gingerlead/internal/config/settings"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/emulator"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // The network, one way.
--- a/internal/dryrun/dryrun_test.go
+++ b/internal/rehearsal/dryrun/dryrun_test.go
@@ -13,9 +13,9 @@
 
 	"pgregory.net/rapid"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 func read(t testing.TB, name, text string) *morning.Morning {
@@ -39,7 +39,7 @@
 
 func library(t testing.TB) map[string]*morning.Morning {
 	t.Helper()
-	names, err := filepath.Glob("../../rehearsals/*.morning")
+	names, err := filepath.Glob("../../../rehearsals/*.morning")
 	if err != nil || len(names) == 0 {
 		t.Fatal("no rehearsals", err)
 	}
--- a/internal/experiment/experiment_test.go
+++ b/internal/rehearsal/experiment/experiment_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"testing"
 
-	"gingerlead/internal/finding"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 func small(t *testing.T) *morning.Morning {
--- a/internal/fleet/days.go
+++ b/internal/rehearsal/fleet/days.go
@@ -12,10 +12,10 @@
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/dryrun"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/dryrun"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 //go:embed days/*.morning
--- a/internal/fleet/waves.go
+++ b/internal/rehearsal/fleet/waves.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/dryrun"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/dryrun"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // Wave is a restart of much of a fleet at once: 64 boxes whose cold capacity is a little over a third, and so many
--- a/internal/morning/morning.go
+++ b/internal/rehearsal/morning/morning.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/emulator"
 )
 
 // The bounds of a script.
@@ -24,7 +24,7 @@
 	mostLines    = 2000
 	MostLength   = 10 * time.Minute
 	MostBoxes    = 25_000
-	MostSidecars = 256 // in virtual time; internal/rehearse has a bound of its own
+	MostSidecars = 256 // in virtual time; internal/rehearsal/rehearse has a bound of its own
 	MostRequests = 300_000
 )
 
--- a/internal/morning/morning_test.go
+++ b/internal/rehearsal/morning/morning_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/finding"
 )
 
 // whole is a script that can be played; tests break it.
@@ -251,7 +251,7 @@
 
 // Every script of the library can be played.
 func TestLibrary(t *testing.T) {
-	names, err := filepath.Glob("../../rehearsals/*.morning")
+	names, err := filepath.Glob("../../../rehearsals/*.morning")
 	if err != nil || len(names) < 15 {
 		t.Fatalf("%d scripts, %v", len(names), err)
 	}
--- a/internal/morning/parts.go
+++ b/internal/rehearsal/morning/parts.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/emulator"
 )
 
 // heard is when news count as told, whether or not they were written (the platform's protocol).
--- a/internal/morning/plan.go
+++ b/internal/rehearsal/morning/plan.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/emulator"
 )
 
 // Plan is a whole morning, drawn ahead.
--- a/internal/morning/settings.go
+++ b/internal/rehearsal/morning/settings.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/emulator"
 )
 
 // key is one setting: what may stand behind its name, and where it goes.
--- a/internal/rehearse/box.go
+++ b/internal/rehearsal/rehearse/box.go
@@ -15,9 +15,9 @@
 	"syscall"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/emulator"
+	"gingerlead/internal/rehearsal/morning"
 	"gingerlead/internal/standin/h3"
 )
 
--- a/internal/rehearse/caller.go
+++ b/internal/rehearsal/rehearse/caller.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/emulator"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // ask is one request to a sidecar.
--- a/internal/rehearse/consul.go
+++ b/internal/rehearsal/rehearse/consul.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"sync"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/morning"
 	"gingerlead/internal/standin/consul"
 )
 
--- a/internal/rehearse/discovery.go
+++ b/internal/rehearsal/rehearse/discovery.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/morning"
 	"gingerlead/internal/standin/booking"
 )
 
--- a/internal/rehearse/http3.go
+++ b/internal/rehearsal/rehearse/http3.go
@@ -11,7 +11,7 @@
 
 	qh3 "github.com/quic-go/quic-go/http3"
 
-	"gingerlead/internal/audit"
+	"gingerlead/internal/rehearsal/audit"
 	"gingerlead/internal/standin/authority"
 	"gingerlead/internal/standin/h3"
 )
--- a/internal/rehearse/run.go
+++ b/internal/rehearsal/rehearse/run.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // mostSidecars are played on sockets, each a process.
--- a/internal/rehearse/world.go
+++ b/internal/rehearsal/rehearse/world.go
@@ -1,6 +1,6 @@
 // Package rehearse plays a morning on sockets: boxes on the models of
-// internal/emulator, callers, discovery, and real sidecars as processes of their
-// own. All that crosses a socket is noted, and judged by internal/audit.
+// internal/rehearsal/emulator, callers, discovery, and real sidecars as processes of their
+// own. All that crosses a socket is noted, and judged by internal/rehearsal/audit.
 //
 // Everything stays on loopback: a rehearsal takes one network 127.A.0.0/16 for
 // itself, so that each box has an address of its own and two rehearsals on one
@@ -16,9 +16,9 @@
 	"sync/atomic"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/emulator"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/emulator"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // port is that of all addresses of a rehearsal.
--- a/internal/report/experiment.go
+++ b/internal/rehearsal/report/experiment.go
@@ -14,8 +14,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
-	"gingerlead/internal/experiment"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/experiment"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // short is the name of a morning's file.
--- a/internal/report/report_test.go
+++ b/internal/rehearsal/report/report_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/dryrun"
-	"gingerlead/internal/experiment"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/dryrun"
+	"gingerlead/internal/rehearsal/experiment"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 func play(t *testing.T, more string) *Play {
--- a/internal/report/screen.go
+++ b/internal/rehearsal/report/screen.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/morning"
 )
 
 // Play is one playing of a morning.
--- a/internal/sidecar/backlog_test.go
+++ b/internal/sidecar/backlog_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/membership"
+	"gingerlead/internal/modules/membership"
 )
 
 // fleetLoop is a loop, that is not run, with a list of n endpoints, numbered from 0.
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -16,13 +16,13 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/membership"
-	"gingerlead/internal/schema"
-	"gingerlead/internal/secretfile"
-	"gingerlead/internal/settings"
-	"gingerlead/internal/store"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/config/settings"
+	"gingerlead/internal/files/secretfile"
+	"gingerlead/internal/files/store"
+	"gingerlead/internal/modules/membership"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
+	"gingerlead/internal/network/exchange"
 )
 
 // A second copy of a request is a request of its own to the Balancer, which says where it goes and holds it down like
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -19,8 +19,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/membership"
+	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/network/exchange"
 )
 
 const (
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/membership"
+	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/network/exchange"
 )
 
 func ready(uid string, bootMS int64) target {
--- a/internal/sidecar/disk_test.go
+++ b/internal/sidecar/disk_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
 	"gingerlead/internal/standin/disk"
 )
 
--- a/internal/sidecar/each_test.go
+++ b/internal/sidecar/each_test.go
@@ -15,7 +15,7 @@
 	"github.com/quic-go/quic-go"
 	qh3 "github.com/quic-go/quic-go/http3"
 
-	"gingerlead/internal/http3"
+	"gingerlead/internal/network/http3"
 	"gingerlead/internal/standin/authority"
 	"gingerlead/internal/standin/h3"
 	"gingerlead/internal/standin/udp"
--- a/internal/sidecar/http3.go
+++ b/internal/sidecar/http3.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"time"
 
-	"gingerlead/internal/certfile"
-	"gingerlead/internal/http1"
-	"gingerlead/internal/http3"
-	"gingerlead/internal/secretfile"
+	"gingerlead/internal/files/certfile"
+	"gingerlead/internal/files/secretfile"
+	"gingerlead/internal/network/http1"
+	"gingerlead/internal/network/http3"
 )
 
 // openHTTP3 opens the front for HTTP/3; nil where none is set.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/http1"
-	"gingerlead/internal/membership"
-	"gingerlead/internal/reach"
-	"gingerlead/internal/route"
+	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/modules/reach"
+	"gingerlead/internal/modules/route"
+	"gingerlead/internal/network/exchange"
+	"gingerlead/internal/network/http1"
 )
 
 const (
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -13,12 +13,12 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/membership"
-	"gingerlead/internal/recall"
-	"gingerlead/internal/schema"
-	"gingerlead/internal/store"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/files/store"
+	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/modules/recall"
+	"gingerlead/internal/network/exchange"
 )
 
 // Memory says what is remembered across a death, and where.
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/recall"
-	"gingerlead/internal/store"
+	"gingerlead/internal/files/store"
+	"gingerlead/internal/modules/recall"
+	"gingerlead/internal/network/exchange"
 )
 
 // While the disk is ill a class that has to be remembered is refused, but never what may have run: a refusal says
--- a/internal/sidecar/route_test.go
+++ b/internal/sidecar/route_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/route"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/route"
 )
 
 func routesOf(t *testing.T, text string) *route.Table {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/http1"
-	"gingerlead/internal/route"
+	"gingerlead/internal/modules/route"
+	"gingerlead/internal/network/exchange"
+	"gingerlead/internal/network/http1"
 )
 
 const (
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -22,9 +22,9 @@
 	qh3 "github.com/quic-go/quic-go/http3"
 
 	"gingerlead"
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/http1"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/network/exchange"
+	"gingerlead/internal/network/http1"
 	"gingerlead/internal/standin/h3"
 )
 
--- a/internal/sidecar/tables.go
+++ b/internal/sidecar/tables.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/http3"
-	"gingerlead/internal/membership"
-	"gingerlead/internal/route"
-	"gingerlead/internal/schema"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/modules/route"
+	"gingerlead/internal/network/exchange"
+	"gingerlead/internal/network/http3"
 )
 
 // Callers bounds what callers may do.
--- a/internal/sidecar/transports.go
+++ b/internal/sidecar/transports.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/exchange"
-	"gingerlead/internal/reach"
+	"gingerlead/internal/modules/reach"
+	"gingerlead/internal/network/exchange"
 )
 
 // transports are the ways to endpoints. The loop owns them.
--- a/internal/standin/disk/disk.go
+++ b/internal/standin/disk/disk.go
@@ -13,7 +13,7 @@
 	"sync"
 	"syscall"
 
-	"gingerlead/internal/store"
+	"gingerlead/internal/files/store"
 )
 
 // ErrDead is what all calls fail with after the power has gone.
--- a/internal/tool/commands.go
+++ b/internal/tool/commands.go
@@ -9,12 +9,12 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/apps"
-	"gingerlead/internal/atomicfile"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/apps"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/files/atomicfile"
 	"gingerlead/internal/product"
-	"gingerlead/internal/schema"
 )
 
 //go:embed apps.toml
--- a/internal/tool/demo.go
+++ b/internal/tool/demo.go
@@ -17,8 +17,8 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/atomicfile"
-	"gingerlead/internal/doc"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/files/atomicfile"
 	"gingerlead/internal/standin/booking"
 )
 
--- a/internal/tool/demo_test.go
+++ b/internal/tool/demo_test.go
@@ -17,7 +17,7 @@
 
 	"go.uber.org/goleak"
 
-	"gingerlead/internal/atomicfile"
+	"gingerlead/internal/files/atomicfile"
 )
 
 // shared is a writer that others read while it grows.
--- a/internal/tool/experiment.go
+++ b/internal/tool/experiment.go
@@ -16,9 +16,9 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/experiment"
-	"gingerlead/internal/morning"
-	"gingerlead/internal/report"
+	"gingerlead/internal/rehearsal/experiment"
+	"gingerlead/internal/rehearsal/morning"
+	"gingerlead/internal/rehearsal/report"
 )
 
 // loadSteps is at how many loads a range is played.
--- a/internal/tool/fleet.go
+++ b/internal/tool/fleet.go
@@ -9,9 +9,9 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/audit"
-	"gingerlead/internal/fleet"
-	"gingerlead/internal/report"
+	"gingerlead/internal/rehearsal/audit"
+	"gingerlead/internal/rehearsal/fleet"
+	"gingerlead/internal/rehearsal/report"
 )
 
 type fleetOptions struct {
--- a/internal/tool/members.go
+++ b/internal/tool/members.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/admin"
+	"gingerlead/internal/network/admin"
 	"gingerlead/internal/product"
 )
 
--- a/internal/tool/members_test.go
+++ b/internal/tool/members_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
-	"gingerlead/internal/admin"
-	"gingerlead/internal/membership"
+	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/network/admin"
 )
 
 func TestMembers(t *testing.T) {
--- a/internal/tool/rehearse.go
+++ b/internal/tool/rehearse.go
@@ -15,12 +15,12 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/dryrun"
-	"gingerlead/internal/finding"
-	"gingerlead/internal/morning"
+	"gingerlead/internal/config/finding"
 	"gingerlead/internal/product"
-	"gingerlead/internal/rehearse"
-	"gingerlead/internal/report"
+	"gingerlead/internal/rehearsal/dryrun"
+	"gingerlead/internal/rehearsal/morning"
+	"gingerlead/internal/rehearsal/rehearse"
+	"gingerlead/internal/rehearsal/report"
 )
 
 // Voided is the exit code of a rehearsal that says nothing: the emulator itself was too slow.
--- a/internal/tool/route.go
+++ b/internal/tool/route.go
@@ -10,11 +10,11 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/appfile"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/route"
 	"gingerlead/internal/product"
-	"gingerlead/internal/route"
-	"gingerlead/internal/schema"
 )
 
 func (c *command) route() *cobra.Command {
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -10,9 +10,9 @@
 
 	"github.com/spf13/cobra"
 
-	"gingerlead/internal/apps"
-	"gingerlead/internal/atomicfile"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/apps"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/files/atomicfile"
 	"gingerlead/internal/product"
 )
 
--- a/internal/tool/tool_test.go
+++ b/internal/tool/tool_test.go
@@ -16,10 +16,10 @@
 
 	"pgregory.net/rapid"
 
-	"gingerlead/internal/apps"
-	"gingerlead/internal/atomicfile"
-	"gingerlead/internal/doc"
-	"gingerlead/internal/finding"
+	"gingerlead/internal/config/apps"
+	"gingerlead/internal/config/doc"
+	"gingerlead/internal/config/finding"
+	"gingerlead/internal/files/atomicfile"
 	"gingerlead/internal/product"
 )
 
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/settings"
+	"gingerlead/internal/config/settings"
 )
 
 // fields takes the values off a line one by one. The first that is missing or
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"gingerlead"
-	"gingerlead/internal/settings"
+	"gingerlead/internal/config/settings"
 )
 
 // maxLists is how many numbered lists the protocol has.
