Ramps keep their measure while no endpoint is warm; lists are asked for by lot

Seen: with boxes alone restarting, 40 sidecars, 1,300 a second, 1,000 a second were served from 9.8 to 14.0 s though no cold box got more than 0.5 of what it bears, and full use came after 5.1 s (2.2 without the bound on attempts that never run). Traced: hardly any attempt was turned away, so that bound held nothing back; what was sent came to 2.1 times the share of a cold box times the peak rate of sends to warm ones, as rampRoom has it, and that peak fades by e in 5 s where none is warm and none can renew it. Ruled out: trials put off by calls that had gone to an isolated box for want of any other (mended as well, 5.1 s all the same).

At fault: warm.peak in rampRoom. It rests now while no endpoint is warm.

A broken connection had each sidecar ask for a list in the same moment, 181 with 200 of them; of more than 16 that many ask on average. With 16 or fewer nothing changes.

--- a/balancer.go
+++ b/balancer.go
@@ -98,6 +98,7 @@
 	errorDebt     = 5.0  // base latencies that a failed call still counts as in flight
 	trialFirst    = 4.0  // connect time-outs from isolation to the first trial call
 	refreshShare  = 0.5  // of AskEvery (or Cold): the pace of fetching lists after broken connections
+	listsAtOnce   = 16.0 // of these, that all instances ask for in that time
 	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure
 	returnedWarm  = 0.75 // share of Cold that an endpoint skips in its ramp if nothing showed a restart
 	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
@@ -856,7 +857,8 @@
 		b.press(now, r.class, o.Elapsed)
 		b.debt(now, e, r.class, 1)
 	}
-	if r.trial && e.mark == isolated {
+	// A call that went there for want of any other tells no more than that one is still to come.
+	if r.trial && e.mark == isolated && r.sentAt >= e.trialAt {
 		b.postpone(now, e)
 	}
 }
@@ -976,14 +978,18 @@
 	return seconds(d.Seconds() * (0.75 + 0.5*b.rng.Float64()))
 }
 
-// refresh asks for a fresh list after a broken connection, at a pace.
+// refresh asks for a fresh list after a broken connection, at a pace. What breaks breaks for many instances at
+// once, and discovery is one service for all: of more than listsAtOnce so many ask on average, by lot. The others
+// hear of it as of any change.
 func (b *Balancer) refresh(now time.Duration) {
 	if now < b.fetchAt {
 		return
 	}
 	pace := cmp.Or(b.set.AskEvery, max(b.set.Cold, b.window))
 	b.fetchAt = now + b.jitter(seconds(refreshShare*pace.Seconds()))
-	b.host.Fetch()
+	if n := float64(b.set.Instances); n <= listsAtOnce || b.rng.Float64()*n < listsAtOnce {
+		b.host.Fetch()
+	}
 }
 
 // again decides what follows an attempt that was not served: another one where the rules, the budget and
@@ -1075,6 +1081,10 @@
 		b.lost = 0
 		b.raise(now)
 		b.dry, b.freed = [2]bool{}, nil
+		// Where none is warm no send can renew what ramps go by: it faded, and with it what all cold ones were sent.
+		if b.warmOdds() == 0 {
+			b.warm.rest(now, b.window)
+		}
 		for _, e := range b.busy {
 			b.age(now, e)
 			b.miss(now, e)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1496,3 +1496,48 @@
 		}
 	}
 }
+
+// What breaks breaks for many instances at once: the lists that they ask for then do not grow with their number.
+func TestListsAreAskedForByLot(t *testing.T) {
+	for instances, want := range map[int][2]int{8: {8, 8}, 200: {4, 40}} {
+		asked := 0
+		for i := range instances {
+			s := settings()
+			s.Instances, s.Ordinal = instances, i
+			d := start(t, s, 16)
+			d.b.rng = rand.New(rand.NewPCG(uint64(i), 2))
+			d.ask(read)
+			d.end(d.last(), Reset, ms)
+			asked += d.fetches
+		}
+		if asked < want[0] || asked > want[1] {
+			t.Errorf("%d instances ask for %d lists, want %v", instances, asked, want)
+		}
+	}
+}
+
+// While no endpoint is warm, what ramps go by does not fade: nothing could renew it. It fades as soon as one is.
+func TestRampsKeepTheirMeasureWhileNoneIsWarm(t *testing.T) {
+	d := start(t, settings(), 2)
+	for range 200 {
+		d.ask(read)
+		d.end(d.last(), OK, 10*ms)
+		d.pass(10 * ms)
+	}
+	before := d.b.warm.peak(d.now, d.b.window)
+	for id := EndpointID(1); id <= 2; id++ {
+		d.list(Entry{Endpoint: id, Weight: 1, Started: d.now})
+	}
+	d.ask(read) // it keeps the ticks going
+	d.pass(3 * time.Second)
+	if after := d.b.warm.peak(d.now, d.b.window); after < 0.95*before {
+		t.Errorf("%.1f a second, %.1f before the endpoints started anew", after, before)
+	}
+	d.end(d.last(), OK, 10*ms)
+	d.list(Entry{Endpoint: 3, Weight: 1})
+	kept := d.b.warm.peak(d.now, d.b.window)
+	d.pass(3 * time.Second)
+	if after := d.b.warm.peak(d.now, d.b.window); after > 0.7*kept {
+		t.Errorf("%.1f a second after 3 s with a warm one that is sent nothing, %.1f before", after, kept)
+	}
+}
--- a/internal/rehearsal/fleet/waves_test.go
+++ b/internal/rehearsal/fleet/waves_test.go
@@ -34,8 +34,11 @@
 
 // What all sidecars together send to a box does not grow with their number: each sum has one bound for 4 to 200.
 func TestSumsDoNotGrowWithTheSidecars(t *testing.T) {
-	for _, sidecars := range []int{4, 12, 40, 120, 200} {
+	for i, sidecars := range []int{4, 12, 40, 120, 200, 4, 12, 40, 120, 200} {
 		w := Wave{Sidecars: sidecars, Rate: 1300, Seed: 3}
+		if i >= 5 {
+			w.Boxes = 1 // alone: the sidecars know what there was, and knock
+		}
 		s, err := w.Play()
 		if err != nil {
 			t.Fatal(err)
@@ -52,6 +55,9 @@
 		if sums.Knocks > 40 {
 			t.Errorf("%d sidecars: %d attempts within a second came to a box that was not there", sidecars, sums.Knocks)
 		}
+		if sums.Listed > 40 {
+			t.Errorf("%d sidecars: %d lists were asked for within a second", sidecars, sums.Listed)
+		}
 		if sums.Opened > 45 {
 			t.Errorf("%d sidecars: %d connections were opened to one box within a second", sidecars, sums.Opened)
 		}
--- a/state.go
+++ b/state.go
@@ -150,6 +150,11 @@
 	return f.top * math.Exp(-float64(now-f.at)/float64(window)/peakHold)
 }
 
+// rest lets the rate fade and keeps its peak.
+func (f *flow) rest(now, window time.Duration) {
+	f.sum, f.at = f.value(now, window), now
+}
+
 // portion is the smoothed share of time in which something was so.
 type portion struct {
 	share float64
