--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -25,7 +25,7 @@
 	{"internal/network", "consul admin | http1 http3 | exchange"},
 	{"internal/standin", "authority booking consul disk h3 udp"},
 	{"internal/files", "certfile store | atomicfile secretfile"},
-	{"internal/modules", "membership reach recall route"},
+	{"internal/modules", "membership peers reach recall route"},
 	{"internal/config", "apps | appfile | schema | doc | finding settings"},
 	{"", "."},
 	{"internal/structures", "arcs due odds ring throttle"},
