--- a/balancer.go
+++ b/balancer.go
@@ -978,9 +978,9 @@
 	return seconds(d.Seconds() * (0.75 + 0.5*b.rng.Float64()))
 }
 
-// refresh asks for a fresh list after a broken connection, at a pace. What breaks breaks for many instances at
-// once, and discovery is one service for all: of more than listsAtOnce so many ask on average, by lot. The others
-// hear of it as of any change.
+// refresh asks for a fresh list after a broken connection, at a pace. What breaks breaks for many instances
+// at once, and discovery is one service for all: of more than listsAtOnce so many ask on average, by lot. The
+// others hear of it as of any change.
 func (b *Balancer) refresh(now time.Duration) {
 	if now < b.fetchAt {
 		return
@@ -1081,7 +1081,7 @@
 		b.lost = 0
 		b.raise(now)
 		b.dry, b.freed = [2]bool{}, nil
-		// Where none is warm no send can renew what ramps go by: it faded, and with it what all cold ones were sent.
+		// Where none is warm no send can renew what ramps go by: it faded, and with it what cold ones got.
 		if b.warmOdds() == 0 {
 			b.warm.rest(now, b.window)
 		}
