Endpoints that are back are found by a share of what was answered; trials summed, wave kinds

Traced: too few calls in the first 0.3 s after the boxes are back (22, 42, 58 for 100 asked), for one attempt an endpoint and second was allowed before an answer comes; then 60 to 90, which is what ramps allow. At fault: Bound's rate in refit, and rampHeadroom, 0.7, whose room was needed while further attempts had no bound. Now a fifth of the best rate of late may go out unanswered, and ramps take 0.8 of TipMultiple.

A call that goes to an isolated endpoint for want of others puts no trial off: that had no test, and has one.

--- a/balancer.go
+++ b/balancer.go
@@ -101,12 +101,13 @@
 	listsAtOnce   = 16.0 // of these, that all instances ask for in that time
 	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure
 	returnedWarm  = 0.75 // share of Cold that an endpoint skips in its ramp if nothing showed a restart
-	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
+	rampHeadroom  = 0.8  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
 	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
 	vainMost      = 0.6  // attempts that may end without having run, for each answered call,
 	vainReserve   = 1.0  // beyond the limit on calls while none is answered,
-	vainKnocks    = 1.0  // and all instances', for each endpoint and time that cold ones are judged over
+	vainKnocks    = 1.0  // and all instances', for each endpoint and time that cold ones are judged over,
+	vainShare     = 0.2  // or a share of what was answered at the best rate of late, whichever is more
 	holdPerSecond = 2.0  // seconds of calls, at the present rate, that may be held
 	waitsLeast    = 0.2  // of a rate window in which calls were held, until it is known how many are worked off
 	repeatWeight  = 0.05 // of one repeat in the mean time that repeats have spent
@@ -457,8 +458,8 @@
 // endpoint at once, so the sum of all instances' was the requests times MaxAttempts where all were full, and
 // each learns by an attempt of its own which are: cold ones fell over under calls that they had turned away.
 // What answers earn adds up to the answers, and what is allowed without them is a part of the list's length
-// for each instance. It goes by cold endpoints' bound whether or not the list calls them cold: lists come
-// late, and know little at first.
+// for each instance, or of what it had answered, so that endpoints that are back are soon found. It goes by
+// cold endpoints' bound whether or not the list calls them cold: lists come late, and know little at first.
 func (b *Balancer) refit(now time.Duration) {
 	b.credit = min(b.credit+b.pace*(now-b.creditAt).Seconds(), max(paceBurst, b.pace/2))
 	b.creditAt = now
@@ -471,7 +472,8 @@
 	queue = min(queue, queueShare*base, b.spare.peak(now, b.window))
 	b.limit = max(base+queue+limitSlack, least)
 	if each := float64(len(b.listed)) / float64(b.set.Instances); each > 0 {
-		b.vain.Bound(now, vainKnocks*each/b.window.Seconds(), vainReserve+startHolds*each, b.limit+vainReserve)
+		knocks := max(vainKnocks*each/b.window.Seconds(), vainShare*b.served.peak(now, b.window))
+		b.vain.Bound(now, knocks, vainReserve+startHolds*each, b.limit+vainReserve)
 	}
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1541,3 +1541,27 @@
 		t.Errorf("%.1f a second after 3 s with a warm one that is sent nothing, %.1f before", after, kept)
 	}
 }
+
+// A call that goes to an isolated endpoint for want of any other, before its trial is due, does not put the trial off.
+func TestCallsForWantOfOthersPutNoTrialOff(t *testing.T) {
+	d := start(t, settings(), 1)
+	d.ask(read)
+	d.end(d.last(), Reset, ms)
+	e := d.b.byID[1]
+	due := e.trialAt
+	for range 3 { // those of the further attempts
+		if d.last().to != 1 || d.now >= due {
+			t.Fatalf("sent to %d at %v, trial due %v", d.last().to, d.now, due)
+		}
+		d.end(d.last(), ConnectFailed, ms)
+	}
+	if e.trialAt != due {
+		t.Errorf("the trial is due %v later", e.trialAt-due)
+	}
+	d.now = due + ms
+	d.ask(read)
+	d.end(d.last(), ConnectFailed, ms)
+	if e.trialAt <= due {
+		t.Error("a trial that failed does not put the next one off")
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -553,6 +553,12 @@
 	}
 }
 
+// Isolated tells whether this instance sends an endpoint trial calls alone. It is for people and measurements.
+func (b *Balancer) Isolated(id EndpointID) bool {
+	e := b.byID[id]
+	return e != nil && e.mark == isolated
+}
+
 // isBound tells whether a request may only go to those of a cell.
 func (b *Balancer) isBound(r *request) bool {
 	return r.mayRun && r.class.Effect == Keyed && r.class.Scope == ScopeCell
--- a/internal/rehearsal/audit/event.go
+++ b/internal/rehearsal/audit/event.go
@@ -33,6 +33,7 @@
 	Opened                   // a sidecar opened a connection to a box
 	Knocked                  // an attempt found no box there, or one that says nothing
 	Listed                   // a sidecar asked for a list
+	Tried                    // a sidecar sent an attempt to a box that it has isolated
 )
 
 // How an attempt ended, as its box saw it.
@@ -103,7 +104,7 @@
 	return l.events, l.lost
 }
 
-var kinds = [...]string{"?", "asked", "answered", "closed", "gave-up", "stray", "sent", "ended", "told", "up", "stopping", "killed", "died", "fell", "late", "began", "opened", "knocked", "listed"}
+var kinds = [...]string{"?", "asked", "answered", "closed", "gave-up", "stray", "sent", "ended", "told", "up", "stopping", "killed", "died", "fell", "late", "began", "opened", "knocked", "listed", "tried"}
 
 // String is an event on one line, for traces that are compared.
 func (e Event) String() string {
--- a/internal/rehearsal/audit/sums.go
+++ b/internal/rehearsal/audit/sums.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Sums are what all sidecars together did, where each may keep its own part of a bound and the sum break it.
+// Sums are what all sidecars together did, where each may keep its own part of a bound and the sum break it. On sockets
+// Knocks, Opened, Listed and Trials are not seen.
 type Sums struct {
 	// Cold is the most work that was sent to a cold box within Rules.TipWindow, as attempts of mean work and whatever
 	// became of them, over what the rules allow it in that time. From 1 on it is up to chance whether the box falls.
@@ -19,9 +20,10 @@
 	Knocks int // the most that came to one box within a second while it was down or silent
 	Opened int // the most connections that were opened to one box within a second
 	Listed int // the most lists that were asked for within a second
+	Trials int // the most attempts at one box within a second from sidecars that had isolated it
 	Falls  int
 
-	// From the first start of a cold box, and from the last fall, until as much was served in a second as was asked for;
+	// From the first return of a box or a sidecar, and from the last fall, until as much was served in a second as was asked for;
 	// 0 if never, or if there was none.
 	FullUse, Back time.Duration
 	LastFall      time.Duration
@@ -33,7 +35,8 @@
 	began, first := map[int]time.Duration{}, time.Duration(math.MaxInt64)
 	cold := map[int][]coldSend{}
 	from := map[string]int{}
-	vain, knocks, opened, listed := perSecond{}, perSecond{}, perSecond{}, perSecond{}
+	vain, knocks, opened, listed, trials := perSecond{}, perSecond{}, perSecond{}, perSecond{}, perSecond{}
+	killed := false
 	asked, served := map[int64]float64{}, map[int64]float64{}
 	for i := range events {
 		e := &events[i]
@@ -46,6 +49,12 @@
 			}
 		case Began:
 			began[e.Box], cold[e.Box], first = e.At, nil, min(first, e.At)
+		case Killed:
+			killed = true
+		case Up:
+			if killed {
+				first = min(first, e.At)
+			}
 		case Sent:
 			if at, ok := began[e.Box]; ok && e.Box >= 0 && e.Box < len(rules.Boxes) {
 				cold[e.Box] = s.cold(&rules, at, append(cold[e.Box], coldSend{e.At, from[e.Request]}), e)
@@ -60,6 +69,8 @@
 			opened.note(&s.Opened, e.Box, e.At)
 		case Listed:
 			listed.note(&s.Listed, 0, e.At)
+		case Tried:
+			trials.note(&s.Trials, e.Box, e.At)
 		case Fell:
 			s.Falls++
 			s.LastFall = e.At
@@ -68,7 +79,7 @@
 	for _, a := range rules.Asks {
 		asked[int64(a.At/step)]++
 	}
-	if len(began) > 0 {
+	if first < math.MaxInt64 {
 		s.FullUse = fullUse(first, asked, served)
 	}
 	if s.Falls > 0 {
--- a/internal/rehearsal/dryrun/dryrun.go
+++ b/internal/rehearsal/dryrun/dryrun.go
@@ -538,6 +538,9 @@
 func (i *instance) Send(id gingerlead.RequestID, to gingerlead.EndpointID, timeout time.Duration) {
 	s, r := i.s, i.requests[id]
 	s.attempts++
+	if i.b.Isolated(to) {
+		s.add(audit.Event{Kind: audit.Tried, Request: r.request, Sidecar: i.index, Box: i.byID[to], Origin: r.origin})
+	}
 	a := &attempt{id: s.attempts, number: r.attempts, r: r, box: s.boxes[i.byID[to]], sent: s.now}
 	r.attempts++
 	r.out = a
--- a/internal/rehearsal/fleet/waves.go
+++ b/internal/rehearsal/fleet/waves.go
@@ -136,6 +136,7 @@
 	Service, ServiceLeast float64 // likewise
 	Cold                  float64 // of this and the others, the most
 	Vain, Knocks, Opened  int
+	Listed, Trials        int
 	FullUse               time.Duration // the mean; 0 if one never was
 }
 
@@ -150,6 +151,7 @@
 		x.ServiceLeast = min(x.ServiceLeast, s.Verdict.Service)
 		x.Cold = max(x.Cold, s.Sums.Cold)
 		x.Vain, x.Knocks, x.Opened = max(x.Vain, s.Sums.Vain), max(x.Knocks, s.Sums.Knocks), max(x.Opened, s.Sums.Opened)
+		x.Listed, x.Trials = max(x.Listed, s.Sums.Listed), max(x.Trials, s.Sums.Trials)
 		x.FullUse, never = x.FullUse+s.Sums.FullUse/time.Duration(len(swells)), never || s.Sums.FullUse == 0
 	}
 	if never {
--- a/internal/tool/fleet.go
+++ b/internal/tool/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"gingerlead/internal/config/finding"
 	"gingerlead/internal/rehearsal/audit"
 	"gingerlead/internal/rehearsal/fleet"
 	"gingerlead/internal/rehearsal/report"
@@ -23,6 +25,7 @@
 	list      bool
 	waves     bool
 	rates     []float64
+	restart   string
 	seeds     int
 }
 
@@ -48,8 +51,10 @@
 			"vain        the most that one box turned away within a second\n" +
 			"knocks      the most that came within a second to a box that was not there\n" +
 			"opened      the most connections opened to one box within a second\n" +
-			"full use    until the end of a second in which as much was served as asked for, from the first box that\n" +
-			"            was back; the mean\n\n" +
+			"trials      the most that came to one box within a second from sidecars that had isolated it\n" +
+			"listed      the most lists that were asked for within a second\n" +
+			"full use    until the end of a second in which as much was served as asked for, from the first box\n" +
+			"            or sidecar that was back; the mean\n\n" +
 			"With --subsets it measures ways to choose which instance calls which endpoints, while endpoints come and go.\n\n" +
 			"Exit codes: 0 all kept, 1 a rule was broken or a day did not reach what it should, 2 wrong usage.",
 		RunE: func(_ *cobra.Command, args []string) error {
@@ -75,6 +80,7 @@
 	f.BoolVar(&o.list, "list", false, "list the days, and play nothing")
 	f.BoolVar(&o.waves, "waves", false, "restart a fleet at once, with 4 to 200 sidecars")
 	f.Float64SliceVar(&o.rates, "rate", []float64{650, 1000, 1300, 1600}, "requests a second, of --waves")
+	f.StringVar(&o.restart, "restart", "all", "what restarts in --waves: "+strings.Join(restarts, ", "))
 	f.IntVar(&o.seeds, "seeds", 5, "of --waves, from --seed (3 if that is not set) on")
 	f.BoolVar(&o.subsets, "subsets", false, "measure subsets")
 	f.IntVar(&o.endpoints, "endpoints", 1500, "of --subsets")
@@ -84,10 +90,13 @@
 }
 
 // waveSidecars are the fleets of --waves, and mostSeeds bounds its plays.
-var waveSidecars = []int{4, 10, 12, 16, 24, 32, 40, 120, 200}
+var waveSidecars = []int{2, 4, 10, 12, 16, 24, 32, 40, 120, 200}
 
 const mostSeeds = 100
 
+// restarts are what may restart in a wave.
+var restarts = []string{"all", "boxes", "sidecars", "half"}
+
 // playWaves plays waves of restarts, as many at once as there are processors, and prints them in order.
 func (c *command) playWaves(o fleetOptions) error {
 	if o.seeds < 1 || o.seeds > mostSeeds {
@@ -98,12 +107,15 @@
 			return fmt.Errorf("--rate is 1 to 20000 a second, not %v", r)
 		}
 	}
+	if !slices.Contains(restarts, o.restart) {
+		return fmt.Errorf("%s", finding.Unknown("restart", o.restart, restarts))
+	}
 	swells, err := fleet.PlayAll(waveTable(o))
 	if err != nil {
 		return failure{err}
 	}
 	t := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "rate\tsidecars\tfell\tservice\tcold\tvain\tknocks\topened\tfull use\t")
+	fmt.Fprintln(t, "rate\tsidecars\tfell\tservice\tcold\tvain\tknocks\topened\ttrials\tlisted\tfull use\t")
 	fell := 0
 	for i := 0; i < len(swells); i += o.seeds {
 		x := fleet.Summary(swells[i : i+o.seeds])
@@ -112,8 +124,8 @@
 		if x.FullUse > 0 {
 			full = x.FullUse.Round(100 * time.Millisecond).String()
 		}
-		fmt.Fprintf(t, "%v\t%d\t%.1f (%d)\t%.3f (%.3f)\t%.2f\t%d\t%d\t%d\t%s\t\n", swells[i].Wave.Rate, swells[i].Wave.Sidecars,
-			x.Falls, x.FallsMost, x.Service, x.ServiceLeast, x.Cold, x.Vain, x.Knocks, x.Opened, full)
+		fmt.Fprintf(t, "%v\t%d\t%.1f (%d)\t%.3f (%.3f)\t%.2f\t%d\t%d\t%d\t%d\t%d\t%s\t\n", swells[i].Wave.Rate, swells[i].Wave.Sidecars,
+			x.Falls, x.FallsMost, x.Service, x.ServiceLeast, x.Cold, x.Vain, x.Knocks, x.Opened, x.Trials, x.Listed, full)
 	}
 	if err := t.Flush(); err != nil {
 		return failure{err}
@@ -128,7 +140,16 @@
 	for _, rate := range o.rates {
 		for _, sidecars := range waveSidecars {
 			for i := range o.seeds {
-				waves = append(waves, &fleet.Wave{Sidecars: sidecars, Rate: rate, Seed: cmp.Or(o.seed, 3) + uint64(i)})
+				w := &fleet.Wave{Sidecars: sidecars, Rate: rate, Seed: cmp.Or(o.seed, 3) + uint64(i)}
+				switch o.restart {
+				case "boxes":
+					w.Boxes = 1
+				case "sidecars":
+					w.Senders = 1
+				case "half":
+					w.Boxes, w.Senders = 0.5, 0.5
+				}
+				waves = append(waves, w)
 			}
 		}
 	}
--- a/internal/tool/fleet_test.go
+++ b/internal/tool/fleet_test.go
@@ -40,6 +40,7 @@
 		"--waves goes with no":   {"--waves", "quiet"},
 		"--seeds are 1 to":       {"--waves", "--seeds", "0"},
 		"--rate is 1 to":         {"--waves", "--rate", "NaN"},
+		`did you mean "boxes"?`:  {"--waves", "--restart", "boxs"},
 	} {
 		if code, _, errs := run(args...); code != Usage || !strings.Contains(errs, want) {
 			t.Errorf("%v: code %d, %q, wanted %q", args, code, errs, want)
