--- a/balancer.go
+++ b/balancer.go
@@ -101,7 +101,8 @@
 	listsAtOnce   = 16.0 // of these, that all instances ask for in that time
 	watchShare    = 0.05 // of AskEvery: spread of the first Watch; it doubles with each failure
 	returnedWarm  = 0.75 // share of Cold that an endpoint skips in its ramp if nothing showed a restart
-	rampHeadroom  = 0.8  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
+	rampHeadroom  = 0.7  // of TipMultiple: a ramping endpoint's rate over its share of what warm ones are sent
+	rampAlone     = 0.9  // the same while none is warm: there is nobody else to take the calls
 	retryShare    = 0.2  // further attempts earned by each answered call
 	retryReserve  = 10.0 // and how many may be saved up
 	vainMost      = 0.6  // attempts that may end without having run, for each answered call,
@@ -166,6 +167,7 @@
 	errors   float64           // smoothed share of answers that are errors
 	strays   float64           // and of overdue calls that stay away for longer
 	budget   float64           // further attempts that may be made
+	noneWarm bool              // none in the subset
 	vain     throttle.Throttle // attempts that may end without having run
 	quits    int               // attempts withdrawn whose end is still to come
 
@@ -516,7 +518,11 @@
 	if warm == 0 {
 		return len(e.calls) == 0
 	}
-	rate := max(rampHeadroom*b.set.TipMultiple, 1) * b.share(now, e) * warm * b.odds(e)
+	headroom := rampHeadroom
+	if b.noneWarm {
+		headroom = rampAlone
+	}
+	rate := max(headroom*b.set.TipMultiple, 1) * b.share(now, e) * warm * b.odds(e)
 	e.tokens = min(e.tokens+rate*(now-e.tokensAt).Seconds(), 1+rate*b.window.Seconds()/4)
 	e.tokensAt = now
 	return e.tokens >= 1
@@ -1084,7 +1090,7 @@
 		b.raise(now)
 		b.dry, b.freed = [2]bool{}, nil
 		// Where none is warm no send can renew what ramps go by: it faded, and with it what cold ones got.
-		if b.warmOdds() == 0 {
+		if b.noneWarm = b.warmOdds() == 0; b.noneWarm {
 			b.warm.rest(now, b.window)
 		}
 		for _, e := range b.busy {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1530,6 +1530,9 @@
 	}
 	d.ask(read) // it keeps the ticks going
 	d.pass(3 * time.Second)
+	if !d.b.noneWarm {
+		t.Error("ramps are held as if others could take their calls")
+	}
 	if after := d.b.warm.peak(d.now, d.b.window); after < 0.95*before {
 		t.Errorf("%.1f a second, %.1f before the endpoints started anew", after, before)
 	}
@@ -1537,6 +1540,9 @@
 	d.list(Entry{Endpoint: 3, Weight: 1})
 	kept := d.b.warm.peak(d.now, d.b.window)
 	d.pass(3 * time.Second)
+	if d.b.noneWarm {
+		t.Error("ramps go on as if there were no warm endpoint")
+	}
 	if after := d.b.warm.peak(d.now, d.b.window); after > 0.7*kept {
 		t.Errorf("%.1f a second after 3 s with a warm one that is sent nothing, %.1f before", after, kept)
 	}
