Draws keep to the odds of endpoints whose kind is new, and of all kinds when one reports

Seen: TestFleetIsAsALookAtAll with other random plays finds endpoints whose odds are over the bound they are drawn by, so they get fewer calls than their odds say. Ruled out: regrouping (off in the play), weights.

--- a/balancer.go
+++ b/balancer.go
@@ -921,8 +921,11 @@
 // size is what an endpoint can do beside others: its listed weight, less what it is slower than its kind by;
 // where the list weighs all alike, what its pace tells.
 func (b *Balancer) size(e *endpoint) float64 {
-	if n := len(b.speeds.kinds); n > 0 && !b.weighted {
-		return b.speed(e) * b.speeds.kinds[min(e.kind, n-1)].over(e.service)
+	if len(b.speeds.kinds) > 0 && !b.weighted {
+		if e.kind >= len(b.speeds.kinds) { // moved to a kind that has reported nothing
+			return b.speed(e)
+		}
+		return b.speed(e) * b.speeds.kinds[e.kind].over(e.service)
 	}
 	if !b.weighted {
 		return 1 / b.slow(e)
--- a/fleet.go
+++ b/fleet.go
@@ -295,8 +295,9 @@
 	return far
 }
 
-// drift takes a kind's move into the slack, and settles its endpoints when it has gone too far.
-func (b *Balancer) drift(now time.Duration, kind int) {
+// drift takes a kind's move into the slack, and settles its endpoints when it has gone too far. A report moves what the
+// odds of all kinds share, so that the slack is looked at for all.
+func (b *Balancer) drift(now time.Duration, kind int, reported bool) {
 	far := b.drifted(kind)
 	// Before paceTrust answers a kind's pace counts for nothing, and all its endpoints' odds leap when it does. A
 	// kind that reports its first service time moves those of all kinds.
@@ -310,7 +311,9 @@
 		b.slack = max(b.slack, far)
 	}
 	if b.looks++; b.looks >= slackFor {
-		b.looks, b.slack = 0, 1
+		b.looks, b.slack, reported = 0, 1, true
+	}
+	if reported {
 		for k := range max(len(b.kinds), len(b.speeds.kinds)) {
 			b.slack = max(b.slack, b.drifted(k))
 		}
--- a/state.go
+++ b/state.go
@@ -342,7 +342,7 @@
 	}
 	b.kinds[e.kind].add(slow, kindWeight)
 	e.pace.add(slow, paceWeight)
-	b.drift(now, e.kind)
+	b.drift(now, e.kind, false)
 	b.settle(now, e)
 }
 
@@ -354,7 +354,7 @@
 	}
 	b.speeds.note(e.kind, l.Service.Seconds())
 	e.service.add(l.Service.Seconds(), reportWeight)
-	b.drift(now, e.kind)
+	b.drift(now, e.kind, true)
 	b.settle(now, e)
 	if now-b.countAt > b.window {
 		b.reweigh(now)
