The module takes how many instances there are from a view, while it runs

Balancer.Regroup takes the group anew: who shares the load, and, apart from that, by how many what all together must not go beyond is divided (quotas, attempts at cold endpoints, lists asked for), so that a side of a partition does not double it. Subsets by ids then go by rendezvous hash of the members' names: when one of 20 goes, another loses none of its endpoints (a test); with arcs by place in a row half of them would move. Off until something calls it.

--- a/balancer.go
+++ b/balancer.go
@@ -192,7 +192,7 @@
 	b := &Balancer{set: set, host: host, fleet: newFleet(), rng: rand.New(rand.NewPCG(seed, 0x6a617370)),
 		byID: map[EndpointID]*endpoint{}, requests: map[RequestID]*request{}, budget: retryReserve,
 		queue: queueHolds, strays: 0.5, endsAt: math.MaxInt64}
-	b.window = cmp.Or(set.Fall, time.Second)
+	b.window, b.sharing = cmp.Or(set.Fall, time.Second), float64(set.Instances)
 	b.tick = max(tickQuanta*set.Quantum, time.Millisecond)
 	for _, c := range set.Classes {
 		b.classes = append(b.classes, class{Class: c, tail: tailStart})
@@ -204,7 +204,7 @@
 func (b *Balancer) meter(now time.Duration) {
 	total := 0.0
 	for _, t := range b.set.Tenants {
-		rate := t.QuotaPerS / float64(b.set.Instances)
+		rate := t.QuotaPerS / b.sharing
 		b.tenants = append(b.tenants, newBucket(now, rate, tenantBurst))
 		total += rate
 	}
@@ -465,23 +465,23 @@
 func (b *Balancer) refit(now time.Duration) {
 	b.credit = min(b.credit+b.pace*(now-b.creditAt).Seconds(), max(paceBurst, b.pace/2))
 	b.creditAt = now
-	least := b.perInstance(leastHolds)
+	least := b.perInstance(leastHolds, float64(b.set.Instances))
 	if !b.settled() {
-		least = b.perInstance(startHolds)
+		least = b.perInstance(startHolds, b.sharing)
 	}
 	base := b.rate.peak(now, b.window)
 	queue := b.queue * float64(len(b.listed)*max(b.set.Tiers-b.set.Stage, 1)) / float64(b.set.Instances)
 	queue = min(queue, queueShare*base, b.spare.peak(now, b.window))
 	b.limit = max(base+queue+limitSlack, least)
-	if each := float64(len(b.listed)) / float64(b.set.Instances); each > 0 {
+	if each := float64(len(b.listed)) / b.sharing; each > 0 {
 		knocks := max(vainKnocks*each/b.window.Seconds(), vainShare*b.served.peak(now, b.window))
 		b.vain.Bound(now, knocks, vainReserve+startHolds*each, b.limit+vainReserve)
 	}
 }
 
 // perInstance is a number of calls for each listed endpoint, divided among the tier's instances.
-func (b *Balancer) perInstance(calls float64) float64 {
-	return limitSlack + calls*float64(len(b.listed))/float64(b.set.Instances)
+func (b *Balancer) perInstance(calls, instances float64) float64 {
+	return limitSlack + calls*float64(len(b.listed))/instances
 }
 
 // room tells whether an endpoint may get one more call.
@@ -998,7 +998,7 @@
 	}
 	pace := cmp.Or(b.set.AskEvery, max(b.set.Cold, b.window))
 	b.fetchAt = now + b.jitter(seconds(refreshShare*pace.Seconds()))
-	if n := float64(b.set.Instances); n <= listsAtOnce || b.rng.Float64()*n < listsAtOnce {
+	if n := b.sharing; n <= listsAtOnce || b.rng.Float64()*n < listsAtOnce {
 		b.host.Fetch()
 	}
 }
--- a/fleet.go
+++ b/fleet.go
@@ -60,6 +60,8 @@
 	arced    bool                 // the subset is by ids,
 	arc      arcs.Share           // those that this has
 	few      int                  // endpoints that are looked at one by one
+	sharing  float64              // instances that what all together may do is divided by
+	group    *arcs.Group          // what the subsets by ids go by; nil for ordinals
 	dry      [2]bool              // a look at the subset, and one at all, was in vain
 	freed    *endpoint            // that the latest answer since came from
 	news     []*endpoint          // those that the list which is taken in names first
@@ -485,7 +487,33 @@
 	if c := b.seats * float64(b.set.Instances) / float64(b.ring.Len()); c < copies-1e-9 {
 		copies = min(copies, math.Exp2(math.Floor(4*math.Log2(c)+1e-9)/4))
 	}
-	return arcs.Share{Owner: b.set.Ordinal, Owners: b.set.Instances, Copies: copies, Wide: wide}
+	return arcs.Share{Owner: b.set.Ordinal, Owners: b.set.Instances, Copies: copies, Wide: wide, Group: b.group}
+}
+
+// Regroup takes which instances there are by now, in place of Settings.Instances and Ordinal. Endpoints that the subset
+// loses are used no more but by calls that are out; what was learnt of them stays. It returns an error, and changes
+// nothing, where the group is none. Give it a group that holds for some time: each moves subsets.
+func (b *Balancer) Regroup(now time.Duration, g Group) error {
+	if err := g.check(); err != nil {
+		return err
+	}
+	b.set.Instances, b.set.Ordinal = g.Instances, g.Ordinal
+	was := b.sharing
+	b.sharing = float64(max(g.Sharing, g.Instances))
+	b.group = nil
+	if len(g.Members) > 0 {
+		b.group = arcs.NewGroup(g.Self, g.Members)
+	}
+	if b.tenants != nil && b.sharing != was {
+		for i := range b.tenants {
+			b.tenants[i].refill(now, b.set.Tenants[i].QuotaPerS/b.sharing, tenantBurst)
+		}
+		b.all.refill(now, b.all.rate*was/b.sharing, allBurst)
+	}
+	b.stale = true
+	b.place(now)
+	b.arm()
+	return nil
 }
 
 // tellShort tells people when a bound on subsets leaves endpoints without any instance, and when it no longer does.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -225,7 +225,7 @@
 
 // Whatever happens, what the fleet keeps is what a look at all endpoints would find.
 func TestFleetIsAsALookAtAll(t *testing.T) {
-	for seed := range uint64(40) {
+	for seed := range uint64(40 * soaked(20)) {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		s := settings()
 		s.Instances = []int{1, 3, 12, 40, 4}[seed%5]
@@ -254,7 +254,7 @@
 			return e
 		}
 		for range 150 * soaked(4) {
-			switch rng.IntN(8) {
+			switch rng.IntN(9) {
 			case 0, 1, 2:
 				d.ask(rng.IntN(3))
 			case 3, 4, 5:
@@ -278,6 +278,18 @@
 					l.Entries = append(l.Entries, entry()) // some twice
 				}
 				d.b.Targets(d.now, l)
+			case 8:
+				g := Group{Instances: 1 + rng.IntN(2*s.Instances)}
+				g.Ordinal, g.Sharing = rng.IntN(g.Instances), rng.IntN(2*g.Instances)
+				if rng.IntN(2) == 0 {
+					for i := range g.Instances {
+						g.Members = append(g.Members, uint64(1000*i))
+					}
+					g.Self = g.Members[g.Ordinal]
+				}
+				if err := d.b.Regroup(d.now, g); err != nil {
+					t.Fatal(err)
+				}
 			}
 			if rng.IntN(3) == 0 {
 				d.pass(time.Duration(rng.IntN(400)) * ms)
@@ -490,3 +502,106 @@
 		t.Errorf("%d of 2 were sent after the tick", len(d.sent)-before)
 	}
 }
+
+// Endpoints that the dead alone called are called again once the rest are regrouped, and hardly any others move.
+func TestRegroupLeavesNoEndpointUncalled(t *testing.T) {
+	const instances, endpoints = 20, 600
+	s := settings()
+	s.Instances = instances
+	var members []uint64
+	for i := range instances {
+		members = append(members, uint64(i)<<40+7)
+	}
+	var all []*bed
+	subset := func(i int) map[EndpointID]bool {
+		m := map[EndpointID]bool{}
+		for id := range all[i].b.Subset() {
+			m[id] = true
+		}
+		return m
+	}
+	uncalled := func(of []int) int {
+		called := map[EndpointID]bool{}
+		for _, i := range of {
+			for id := range subset(i) {
+				called[id] = true
+			}
+		}
+		return endpoints - len(called)
+	}
+	regroup := func(of []int) {
+		var g Group
+		for _, i := range of {
+			g.Members = append(g.Members, members[i])
+		}
+		g.Instances = len(of)
+		for n, i := range of {
+			g.Ordinal, g.Self = n, members[i]
+			if err := all[i].b.Regroup(all[i].now, g); err != nil {
+				t.Fatal(err)
+			}
+			verify(t, all[i].b, all[i].now)
+		}
+	}
+	var everybody []int
+	for i := range instances {
+		s.Ordinal = i
+		all = append(all, start(t, s, endpoints))
+		everybody = append(everybody, i)
+	}
+	regroup(everybody)
+	before := subset(3)
+	left := slices.Delete(slices.Clone(everybody), 11, 12)
+	regroup(left)
+	lost := 0
+	for id := range before {
+		if !subset(3)[id] {
+			lost++
+		}
+	}
+	if n := len(subset(3)); lost > 0 || n > len(before)+endpoints/instances/2 {
+		t.Errorf("one of %d went: another lost %d of its %d endpoints, and has %d", instances, lost, len(before), n)
+	}
+	left = []int{0, 3, 7, 8, 13, 19}
+	if uncalled(left) == 0 {
+		t.Error("seven in ten died, and no endpoint was without calls: the test shows nothing")
+	}
+	regroup(left)
+	if n := uncalled(left); n > 0 {
+		t.Errorf("%d endpoints are called by nobody", n)
+	}
+}
+
+// What all together must not go beyond is divided by how many there may be, not by how many are in reach; a bucket that
+// grows begins without a burst.
+func TestRegroupDividesWhatIsShared(t *testing.T) {
+	s := settings()
+	s.Instances, s.Tenants = 10, []Tenant{{Name: "a", QuotaPerS: 100}}
+	d := start(t, s, 40)
+	rate := func(g Group, want float64) {
+		t.Helper()
+		level := d.b.tenants[0].level
+		if err := d.b.Regroup(d.now, g); err != nil {
+			t.Fatal(err)
+		}
+		if got := d.b.tenants[0].rate; got != want || math.Abs(d.b.all.rate-want) > 1e-9 || d.b.tenants[0].level > level {
+			t.Errorf("%+v: %v and %v a second, should be %v; level %v after %v", g, got, d.b.all.rate, want, d.b.tenants[0].level, level)
+		}
+	}
+	rate(Group{Instances: 3, Sharing: 10}, 10)
+	rate(Group{Instances: 4, Ordinal: 3}, 25)
+	rate(Group{Instances: 20}, 5)
+	for want, g := range map[string]Group{
+		"0 instances":   {},
+		"no number":     {Instances: 3, Ordinal: 3},
+		"this one":      {Instances: 2, Members: []uint64{1, 2}, Self: 3},
+		"1 members for": {Instances: 2, Members: []uint64{1}, Self: 1},
+	} {
+		if err := d.b.Regroup(d.now, g); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, should say %q", g, err, want)
+		}
+	}
+	if d.b.set.Instances != 20 {
+		t.Error("a group that is none changed something")
+	}
+}
--- a/internal/structures/arcs/arcs.go
+++ b/internal/structures/arcs/arcs.go
@@ -17,10 +17,54 @@
 	Owner, Owners int     // this one's number, from 0, and how many there are
 	Copies        float64 // owners of an item; at most Owners
 	Wide          float64 // times as long an arc as that takes; 0 counts as 1
+	Group         *Group  // in place of Owner and Owners; nil for none
+}
+
+// Group are owners that are known by numbers of their own, such as hashes of their names. An item goes to the owners whose
+// numbers score highest with it (rendezvous hashing: Thaler, Ravishankar 1998), so that of all items only those that one
+// had move when it goes, each to one other owner, and only those that one gets move when it comes. With arcs by their
+// place in a row half of all would. An owner's number of items is by chance, as with arcs.
+type Group struct {
+	self   uint64
+	others []uint64
+}
+
+// NewGroup is the group of an owner: its own number, and all, itself among them or not, in any order.
+func NewGroup(self uint64, all []uint64) *Group {
+	g := &Group{self: self}
+	for _, m := range all {
+		if m != self {
+			g.others = append(g.others, m)
+		}
+	}
+	return g
+}
+
+// has tells whether this owner is one of an item's. Copies that are no whole number leave each item with the whole ones,
+// and a part of the items with one more.
+func (g *Group) has(id uint32, copies float64) bool {
+	item := hash(uint64(id))
+	if whole := math.Floor(copies); float64(item>>11)/(1<<53) < copies-whole {
+		copies = whole + 1
+	} else {
+		copies = whole
+	}
+	own, rank := hash(item^g.self), 0.0
+	for _, m := range g.others {
+		if hash(item^m) > own {
+			if rank++; rank >= copies {
+				return false
+			}
+		}
+	}
+	return copies > 0
 }
 
 // Has tells whether the owner has an item.
 func (s Share) Has(id uint32) bool {
+	if s.Group != nil {
+		return s.Group.has(id, s.Copies*max(s.Wide, 1))
+	}
 	length := s.Copies / float64(s.Owners)
 	from := float64(s.Owner) * length
 	if s.Wide > 1 {
--- a/internal/structures/arcs/arcs_test.go
+++ b/internal/structures/arcs/arcs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -105,3 +106,67 @@
 		s.Has(uint32(i))
 	}
 }
+
+func group(n int) (all []uint64) {
+	for i := range n {
+		all = append(all, hash(uint64(i)+1000))
+	}
+	return all
+}
+
+// owners are the places of an item's owners.
+func owners(all []uint64, id uint32, copies, wide float64) (of []int) {
+	for i, m := range all {
+		if (Share{Group: NewGroup(m, all), Copies: copies, Wide: wide}).Has(id) {
+			of = append(of, i)
+		}
+	}
+	return of
+}
+
+// Each item has just as many owners as it should, and keeps them when another owner comes or goes.
+func TestGroupMovesOnlyWhatItHasTo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(4, 60).Draw(t, "owners")
+		copies := rapid.IntRange(1, 3).Draw(t, "copies")
+		id := rapid.Uint32().Draw(t, "id")
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		all := group(n)
+		before := owners(all, id, float64(copies), 1)
+		if len(before) != copies {
+			t.Fatalf("%d owners, should be %d", len(before), copies)
+		}
+		left := slices.Delete(slices.Clone(all), gone, gone+1)
+		after := owners(left, id, float64(copies), 1)
+		kept := 0
+		for _, i := range after {
+			if i >= gone {
+				i++ // its place among all
+			}
+			if slices.Contains(before, i) {
+				kept++
+			}
+		}
+		want := copies
+		if slices.Contains(before, gone) {
+			want--
+		}
+		if len(after) != copies || kept != want {
+			t.Fatalf("%v became %v without %d: %d kept, should be %d", before, after, gone, kept, want)
+		}
+		if wide := owners(all, id, float64(copies), 2); len(wide) != min(2*copies, n) {
+			t.Fatalf("twice as wide: %d owners of %d", len(wide), n)
+		}
+	})
+}
+
+// Copies that are no whole number are so on average.
+func TestGroupWithPartsOfCopies(t *testing.T) {
+	all, n := group(20), 0
+	for id := range uint32(4000) {
+		n += len(owners(all, id, 1.5, 0))
+	}
+	if n < 5800 || n > 6200 {
+		t.Errorf("%d owners of 4000 items, 6000 expected", n)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -230,6 +230,14 @@
 	return bucket{rate: rate, level: bucketStart, most: bucketLeast + rate*burst, at: now}
 }
 
+// refill changes the rate from now on. What was saved up stays as far as the new rate would have let it: a bucket that
+// grows begins without a burst.
+func (b *bucket) refill(now time.Duration, rate, burst float64) {
+	b.spend(now, 0)
+	b.rate, b.most = rate, bucketLeast+rate*burst
+	b.level = min(b.level, b.most)
+}
+
 // take takes n out, if they are there.
 func (b *bucket) take(now time.Duration, n float64) bool {
 	b.spend(now, 0)
