--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -22,7 +22,7 @@
 	{"internal/rehearsal", "rehearse report | experiment fleet | dryrun | morning | emulator audit"},
 	{"internal/sidecar", "."},
 	{"internal/wire", "."},
-	{"internal/network", "consul admin | http1 http3 | exchange"},
+	{"internal/network", "consul admin gossip | http1 http3 | exchange"},
 	{"internal/standin", "authority booking consul disk h3 udp"},
 	{"internal/files", "certfile store | atomicfile secretfile"},
 	{"internal/modules", "membership peers reach recall route"},
--- a/internal/modules/peers/group.go
+++ b/internal/modules/peers/group.go
@@ -37,14 +37,15 @@
 // group is what is built on a view. It changes only when the view comes to rest.
 type group struct {
 	turns     map[string]*turns
-	met       bool          // another process was there
-	open      bool          // something has changed since the last rest
-	firstOpen time.Duration // the first of these changes,
-	lastOpen  time.Duration // and the last
-	names     []string      // that counted as there at the last rest, in order; nil before the first
-	part      bool          // it was not a settled one
-	settled   map[string]bool
-	resumed   bool // settled is of an earlier life
+	met       bool                     // another process was there
+	open      bool                     // something has changed since the last rest
+	firstOpen time.Duration            // the first of these changes,
+	lastOpen  time.Duration            // and the last
+	names     []string                 // that counted as there at the last rest, in order; nil before the first
+	part      bool                     // it was not a settled one
+	settled   map[string]bool          // that counted when the view was settled last,
+	lost      map[string]time.Duration // and those of earlier ones that went since without a word, and when
+	resumed   bool                     // settled is of an earlier life
 	resumeAt  time.Duration
 }
 
@@ -57,7 +58,7 @@
 }
 
 func newGroup(now time.Duration) group {
-	return group{turns: map[string]*turns{}, settled: map[string]bool{}, open: true, firstOpen: now, lastOpen: now}
+	return group{turns: map[string]*turns{}, settled: map[string]bool{}, lost: map[string]time.Duration{}, open: true, firstOpen: now, lastOpen: now}
 }
 
 // seen is what the members of a name say of it together.
@@ -99,6 +100,7 @@
 func (v *View) turned(now time.Duration, name string, s seen) {
 	if s.leaves && !s.here {
 		delete(v.settled, name) // it said so: no sign of a cut
+		delete(v.lost, name)
 	}
 	t := v.turns[name]
 	if t == nil {
@@ -181,7 +183,9 @@
 }
 
 // Reach is how many of the group that was settled last are there, and how many that group had, without those that said
-// since that they end; before the first one, how many are there of those that are expected.
+// since that they end; before the first one, how many are there of those that are expected. Those that went without a word
+// within Options.LossFor before count as of the group still: the other side of a cut is not found dead in one moment, and a
+// group that shrank with each that is would be settled at both sides.
 func (v *View) Reach() (n, of int) {
 	if len(v.settled) == 0 {
 		for _, t := range v.turns {
@@ -191,12 +195,21 @@
 		}
 		return n, max(v.o.Expected, 1)
 	}
-	for name := range v.settled {
+	there := func(name string) {
+		of++
 		if t := v.turns[name]; t != nil && t.counts() {
 			n++
 		}
 	}
-	return n, len(v.settled)
+	for name := range v.settled {
+		there(name)
+	}
+	for name := range v.lost {
+		if !v.settled[name] {
+			there(name)
+		}
+	}
+	return n, of
 }
 
 func (t *turns) counts() bool { return t.here && !t.damped }
@@ -209,6 +222,13 @@
 		v.unsettle(now)
 	}
 	c := v.Confidence(now)
+	if c == Settled {
+		for name, at := range v.lost {
+			if now-at >= v.o.LossFor {
+				delete(v.lost, name)
+			}
+		}
+	}
 	if c == Changing || !v.open && v.part == (c == Part) {
 		return
 	}
@@ -221,15 +241,24 @@
 	}
 	slices.Sort(v.names)
 	if c == Settled {
-		clear(v.settled)
-		v.resumed = false
-		for _, name := range v.names {
-			v.settled[name] = true
-		}
+		v.settle(now)
 	}
 	v.version++
 }
 
+// settle takes the group for the one that a later part is measured by.
+func (v *View) settle(now time.Duration) {
+	for name := range v.settled {
+		v.lost[name] = now
+	}
+	clear(v.settled)
+	v.resumed = false
+	for _, name := range v.names {
+		v.settled[name] = true
+		delete(v.lost, name)
+	}
+}
+
 // Share is what a member has of what all do.
 type Share struct {
 	Confidence Confidence
@@ -270,7 +299,8 @@
 	s.Instances = len(s.Names)
 	s.Sharing = s.Instances
 	if v.part {
-		s.Sharing = max(s.Instances, len(v.settled), v.o.Expected)
+		_, of := v.Reach()
+		s.Sharing = max(s.Instances, of, v.o.Expected)
 	}
 	return s, true
 }
--- a/internal/modules/peers/peers.go
+++ b/internal/modules/peers/peers.go
@@ -86,6 +86,7 @@
 	ForgetAfter time.Duration // until one that is gone is forgotten; longer than any record can be on its way
 	SettleFor   time.Duration // without a change until the view is settled
 	DampFor     time.Duration // in which a name that comes and goes is taken for gone; longer than SettleFor
+	LossFor     time.Duration // in which all of those at the other side of a cut are surely found to be lost
 	ResumeFor   time.Duration // in which the group of an earlier life counts
 	Expected    int           // members that a file names; the first group has more than half of them. 0 or 1: none are expected
 	Most        int           // processes that are kept, those that are gone among them
@@ -107,12 +108,13 @@
 	version uint64
 	refused int
 	changes []Change
+	ticked  time.Duration
 	group
 }
 
 // New makes the view of a process that knows itself alone. self.Incarnation may be 0.
 func New(self Record, o Options, now time.Duration) *View {
-	v := &View{self: self.Process, o: o, members: map[uint64]*member{}}
+	v := &View{self: self.Process, o: o, members: map[uint64]*member{}, ticked: now}
 	v.group = newGroup(now)
 	v.members[self.Process] = &member{Record: self, since: now, known: now, reached: true}
 	v.turn(now, self.Name)
@@ -270,8 +272,13 @@
 
 // Tick moves the view on with time: suspects that deny nothing are gone, those long gone or never reached forgotten, and a
 // view in which nothing has changed comes to rest. It returns the records that this makes new, in the order of their
-// processes. Call it some times in each SettleFor.
+// processes. Call it some times in each SettleFor: after a longer pause this process stood still (SIGSTOP, a machine that was
+// moved), and what it held for settled is old.
 func (v *View) Tick(now time.Duration) (news []Record) {
+	if now-v.ticked > v.o.SettleFor {
+		v.unsettle(now)
+	}
+	v.ticked = now
 	for _, p := range slices.Sorted(maps.Keys(v.members)) {
 		m := v.members[p]
 		switch {
--- a/internal/modules/peers/peers_test.go
+++ b/internal/modules/peers/peers_test.go
@@ -11,7 +11,7 @@
 )
 
 var options = Options{SuspectFor: 2 * time.Second, ForgetAfter: time.Minute, SettleFor: 3 * time.Second, DampFor: 20 * time.Second,
-	ResumeFor: 30 * time.Second, Most: 64}
+	LossFor: time.Minute, ResumeFor: 30 * time.Second, Most: 64}
 
 func record(process uint64, s State) Record {
 	return Record{Process: process, Name: fmt.Sprintf("n%02d", process), Zone: "a", Version: "1", Incarnation: 1, State: s}
@@ -213,6 +213,25 @@
 	}
 }
 
+// The other side of a cut is found to be lost one by one, with rests between: that settles neither side. What is lost over a
+// longer time is.
+func TestLostOneByOne(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		want  Confidence
+	}{{options.SettleFor + time.Second, Part}, {options.LossFor, Settled}} {
+		b := among(10, options)
+		for p := uint64(6); p <= 10; p++ {
+			b.Lost(b.now, p)
+			b.pass(c.pause)
+		}
+		b.pass(2 * options.LossFor)
+		if b.confidence() != c.want || len(b.names()) != 5 {
+			t.Errorf("five of ten went, one each %v: %v, %v", c.pause, b.confidence(), b.names())
+		}
+	}
+}
+
 // Those that say that they end are missed by nobody: a fleet that is made smaller on purpose stays settled.
 func TestLeavingIsNoCut(t *testing.T) {
 	b := among(10, options)
@@ -310,6 +329,18 @@
 	}
 }
 
+// A process that stood still does not hold what it knew for settled.
+func TestPauseUnsettles(t *testing.T) {
+	b := among(5, options)
+	b.now += options.SettleFor + time.Second
+	if b.Tick(b.now); b.confidence() != Changing {
+		t.Errorf("after a pause: %v", b.confidence())
+	}
+	if b.pass(options.SettleFor); b.confidence() != Settled || len(b.names()) != 5 {
+		t.Errorf("later: %v, %v", b.confidence(), b.names())
+	}
+}
+
 // Two processes under one name are seen, and the later one gets no place, whatever their clocks say.
 func TestNameTwice(t *testing.T) {
 	first, second := record(1, Serving), record(2, Joining)
--- /dev/null
+++ b/internal/network/gossip/settings.go
@@ -0,0 +1,174 @@
+package gossip
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"gingerlead/internal/config/appfile"
+	"gingerlead/internal/config/schema"
+	"gingerlead/internal/modules/peers"
+)
+
+// Settings is [peers].
+type Settings struct {
+	Listen      string
+	Advertise   string
+	Join        string
+	KeyFile     string
+	Zone        string
+	Pace        time.Duration
+	SettleAfter time.Duration
+	ForgetAfter time.Duration
+	Most        int
+}
+
+const (
+	mostJoin = 64
+	// perMember is what a member takes, with what the library keeps of it (docs/peers-figures.md), and memoryShare how much of
+	// limits.memory all may take.
+	perMember   = 6 << 10
+	memoryShare = 0.1
+	leastKey    = 16 // bytes: AES-128
+)
+
+func list(text string) (all []string) {
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			all = append(all, part)
+		}
+	}
+	return all
+}
+
+func badAddress(text string) string {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil || strings.Trim(port, "0123456789") != "" || port == "" {
+		return "is not IP:port"
+	}
+	return ""
+}
+
+func badJoin(text string) string {
+	all := list(text)
+	if len(all) == 0 || len(all) > mostJoin {
+		return "names no address, or more than 64"
+	}
+	for _, a := range all {
+		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || strings.Trim(port, "0123456789") != "" || port == "" {
+			return "is no list of host:port divided by commas"
+		}
+	}
+	return ""
+}
+
+func badZone(text string) string {
+	if len(text) > 64 {
+		return "is longer than 64 bytes"
+	}
+	return ""
+}
+
+// Table is [peers].
+var Table = schema.NewTable("peers", "The view of the other sidecars of this application (docs/peers.md); it is off unless peers_listen is set.",
+	schema.String("peers_listen", func(s *Settings) *string { return &s.Listen },
+		schema.Text{Example: "10.0.4.7:7946", Type: "address", Bounds: "IP:port", Bad: badAddress}, schema.AtStart,
+		"Where the others reach this one, over UDP and TCP."),
+	schema.String("peers_advertise", func(s *Settings) *string { return &s.Advertise },
+		schema.Text{Example: "192.0.2.7:7946", Type: "address", Bounds: "IP:port", Bad: badAddress}, schema.AtStart,
+		"The address that the others are told, where it is not peers_listen."),
+	schema.String("peers_join", func(s *Settings) *string { return &s.Join },
+		schema.Text{Example: "10.0.4.8:7946, 10.0.4.9:7946", Type: "addresses", Bounds: "host:port, divided by commas, 64 at most", Bad: badJoin}, schema.AtStart,
+		"Some of the others; the rest is learnt from them. Without it this one waits to be found."),
+	schema.SecretFile("peers_key_file", func(s *Settings) *string { return &s.KeyFile }, schema.Token, "/etc/quincegap/peers.key", schema.OnReload,
+		"A file with the key that all share: 16, 24 or 32 random bytes in base64, or several divided by commas, of which the first "+
+			"encrypts and all decrypt. It is read again at SIGHUP."),
+	schema.String("peers_zone", func(s *Settings) *string { return &s.Zone }, schema.Text{Example: "provo", Bad: badZone}, schema.AtStart,
+		"The zone that this one tells the others."),
+	schema.Duration("peers_pace", func(s *Settings) *time.Duration { return &s.Pace },
+		schema.Bounds[time.Duration]{Default: 500 * time.Millisecond, Least: 100 * time.Millisecond, Most: 10 * time.Second}, schema.AtStart,
+		"How often this one asks one of the others whether it is there."),
+	schema.Duration("settle_after", func(s *Settings) *time.Duration { return &s.SettleAfter },
+		schema.Bounds[time.Duration]{Default: time.Second, Least: 100 * time.Millisecond, Most: time.Minute}, schema.AtStart,
+		"How long nothing must change until subsets and shares follow the view."),
+	schema.Duration("forget_after", func(s *Settings) *time.Duration { return &s.ForgetAfter },
+		schema.Bounds[time.Duration]{Default: 10 * time.Minute, Least: time.Minute, Most: 24 * time.Hour}, schema.AtStart,
+		"How long one that is gone is remembered, so that no old message brings it back."),
+	schema.Int("peers_most", func(s *Settings) *int { return &s.Most },
+		schema.Bounds[int]{Default: 1000, Least: 2, Most: 4000}, schema.AtStart,
+		"The most sidecars that are known at once, those that are gone among them."),
+).Check(func(f *schema.File, _ string, s *Settings, report schema.Reporter) {
+	own := []string{s.Listen}
+	if s.Advertise != "" {
+		own = append(own, s.Advertise)
+	}
+	memory := appfile.LimitsTable.In(f).Memory
+	switch need := int64(s.Most) * perMember; {
+	case s.Listen == "" && (s.Join != "" || s.KeyFile != "" || s.Advertise != ""):
+		report("peers_listen", "missing: without it there is no view of the others")
+	case s.Listen == "":
+	case s.KeyFile == "" && !loopback(s.Listen):
+		report("peers_key_file", "missing: %s is not on loopback, and whoever reaches it could say who is there", s.Listen)
+	case s.Advertise == "" && unspecified(s.Listen):
+		report("peers_advertise", "missing: %s is no address that the others could reach", s.Listen)
+	case memory > 0 && float64(need) > memoryShare*float64(memory):
+		report("peers_most", "%d members may take %d KiB, more than a tenth of limits.memory (%s)", s.Most, need>>10, f.Place("limits", "memory"))
+	case s.ForgetAfter <= 10*s.SettleAfter:
+		report("forget_after", "%s is not above ten times settle_after, %s (%s)", schema.FormatDuration(s.ForgetAfter),
+			schema.FormatDuration(s.SettleAfter), f.Place("peers", "settle_after"))
+	}
+	for _, a := range list(s.Join) {
+		if s.Listen != "" && slices.Contains(own, a) {
+			report("peers_join", "%s is this sidecar's own address", a)
+		}
+	}
+})
+
+func loopback(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+func unspecified(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsUnspecified()
+}
+
+// ParseKeys reads the keys of a file's text. No error carries any of it.
+func ParseKeys(text string) (keys [][]byte, err error) {
+	for i, part := range list(text) {
+		key, err := base64.StdEncoding.DecodeString(part)
+		if err != nil {
+			return nil, fmt.Errorf("key %d is not in base64 (RFC 4648, section 4)", i+1)
+		}
+		if n := len(key); n != leastKey && n != 24 && n != 32 {
+			return nil, fmt.Errorf("key %d has %d bytes; 16, 24 or 32 are wanted", i+1, n)
+		}
+		keys = append(keys, key)
+	}
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("holds no key")
+	}
+	return keys, nil
+}
+
+// options are the figures of the view that these settings make. A suspicion is memberlist's to end; SuspectFor is how long a
+// member has to hear that it was taken for gone, and to deny it.
+func (s *Settings) options(expected int) peers.Options {
+	return peers.Options{SuspectFor: suspectPaces * s.Pace, ForgetAfter: s.ForgetAfter, SettleFor: s.SettleAfter, DampFor: dampSettles * s.SettleAfter, LossFor: lossPaces * s.Pace,
+		ResumeFor: resumeSettles * s.SettleAfter, Expected: expected, Most: s.Most}
+}
+
+// lossPaces is above what memberlist takes to find all of one half of its most members lost, one after another: a suspicion of
+// suspicionMult*suspicionMax*log10(members) paces, and the probes before it.
+const (
+	suspectPaces  = 20
+	lossPaces     = 120
+	dampSettles   = 20
+	resumeSettles = 60
+)
