Sidecars find one another: [peers], the group in subsets and shares, quincegapctl peers

With peers_listen set it joins them (memberlist behind internal/network/gossip), and each share of the view goes to the module as Regroup: subsets, queues, quotas and ramps then go by who is there. At its end it counts whether others are there by the view. Files are checked across applications for these addresses. Off unless set.

Two processes of one name: the second gets nobody's share.

--- /dev/null
+++ b/cmd/quincegap/peers_test.go
@@ -0,0 +1,340 @@
+package main
+
+import (
+	"encoding/base64"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gingerlead/internal/modules/peers"
+	"gingerlead/internal/network/admin"
+	"gingerlead/internal/standin/booking"
+	"gingerlead/internal/standin/relay"
+)
+
+// ground is a proving ground: sidecar processes that find one another through relays, before the endpoints of one
+// application, with callers.
+type ground struct {
+	t       *testing.T
+	dir     string
+	net     *relay.Net
+	texts   []string
+	members []*process // nil for one that is dead
+	urls    []atomic.Pointer[string]
+	ledger  *ledger
+	began   time.Time
+	story   []string
+}
+
+const groundFile = `
+[admin]
+admin_listen = "unix:%s"
+
+[memory]
+memory_dir = %q
+
+[peers]
+peers_listen = %q
+peers_advertise = %q
+peers_join = %q
+peers_key_file = %q
+peers_pace = "200ms"
+settle_after = "400ms"
+`
+
+func free(t testing.TB, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newGround(t *testing.T, n int, seed uint64) *ground {
+	t.Helper()
+	l := &ledger{seen: map[string]bool{}, runs: map[string]int{}}
+	g := &ground{t: t, dir: t.TempDir(), net: relay.New(seed), ledger: l, members: make([]*process, n), urls: make([]atomic.Pointer[string], n), began: time.Now()}
+	t.Cleanup(g.net.Close)
+	var targets []booking.Target
+	for i := range 12 {
+		e, err := booking.StartEndpoint(fmt.Sprintf("box-%d", i), l.serve(i/4))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Close)
+		target := e.Target()
+		target.Cell = i / 4
+		targets = append(targets, target)
+	}
+	d := listing(t, targets...)
+	key := filepath.Join(g.dir, "key")
+	if err := os.WriteFile(key, []byte(base64.StdEncoding.EncodeToString([]byte("0123456789abcdef"))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var own, fronts []string
+	for i := range n {
+		own = append(own, free(t, fmt.Sprintf("127.0.7.%d", i+1)))
+		fronts = append(fronts, free(t, fmt.Sprintf("127.0.8.%d", i+1)))
+		if err := g.net.Join(name(i), fronts[i], own[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range n {
+		join := slices.DeleteFunc([]string{fronts[0], fronts[1]}, func(a string) bool { return a == fronts[i] })
+		text := strings.Replace(fmt.Sprintf(goodFile, d.Address()), "[discovery]", fmt.Sprintf("instance = %q\ninstances = %d\nordinal = %d\n\n[discovery]", name(i), n, i), 1) + unsafeClass +
+			fmt.Sprintf(groundFile, g.admin(i), filepath.Join(g.dir, fmt.Sprint("m", i)), own[i], fronts[i], strings.Join(join, ","), key)
+		g.texts = append(g.texts, text)
+	}
+	return g
+}
+
+func name(i int) string { return fmt.Sprint("front-", i) }
+
+func (g *ground) admin(i int) string { return filepath.Join(g.dir, fmt.Sprint("s", i)) }
+
+func (g *ground) say(format string, args ...any) {
+	g.story = append(g.story, fmt.Sprintf("%6.2fs ", time.Since(g.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (g *ground) start(is ...int) {
+	g.t.Helper()
+	for _, i := range is {
+		g.say("%s starts", name(i))
+		g.members[i] = launch(g.t, g.texts[i])
+		g.urls[i].Store(&g.members[i].url)
+		go func(p *process) { // nobody reads on: a full log would hold the program up
+			for range p.log {
+			}
+		}(g.members[i])
+	}
+}
+
+func (g *ground) kill(is ...int) {
+	for _, i := range is {
+		g.say("%s is killed", name(i))
+		g.urls[i].Store(nil)
+		g.members[i].kill()
+		g.members[i] = nil
+	}
+}
+
+// view is a member's; false where it gives none.
+func (g *ground) view(i int) (peers.Report, bool) {
+	f, err := admin.AskPeers("unix:"+g.admin(i), false)
+	return f.Own, err == nil
+}
+
+// until waits until each of some members has a view of just those, of a confidence.
+func (g *ground) until(what string, confidence peers.Confidence, of []int, ask ...int) {
+	g.t.Helper()
+	holds := func() bool {
+		for _, i := range ask {
+			r, ok := g.view(i)
+			if !ok || r.Confidence != confidence.String() || r.Instances != len(of) || !r.Placed || of[r.Ordinal] != i {
+				return false
+			}
+		}
+		return true
+	}
+	for end := time.Now().Add(4 * patience); !holds(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			var views strings.Builder
+			for _, i := range ask {
+				r, ok := g.view(i)
+				fmt.Fprintf(&views, "%s: %v %+v\n", name(i), ok, r)
+			}
+			g.t.Fatalf("%s: never\n%s\n%s", what, strings.Join(g.story, "\n"), views.String())
+		}
+	}
+	g.say("%s", what)
+}
+
+// tally is what callers got.
+type tally struct {
+	served, refused, failed, broken atomic.Int64
+}
+
+// callers book through all that live, keyed and unsafe, until calm is called. A refusal promises that the call did not run;
+// so an unsafe one that is refused is sent again, and must not have happened twice.
+func (g *ground) callers(n int) (got *tally, calm func()) {
+	got = &tally{}
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	for c := range n {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(c), 1))
+			for k := 0; ; k++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				class, key := "book-trip", fmt.Sprintf("g-%d-%d", c, k)
+				if c%2 == 1 {
+					class, key = "pay-trip", ""
+				}
+				for try := 0; try < 50; try++ {
+					url := g.urls[rng.IntN(len(g.urls))].Load()
+					if url == nil {
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					id := fmt.Sprintf("t-%d-%d", c, k) // of an unsafe one the same, for the ledger goes by it
+					if key != "" {
+						id += fmt.Sprint("-", try)
+					}
+					status, err := ask(client, *url, class, id, key)
+					switch {
+					case err != nil:
+						got.broken.Add(1) // killed under it, or before: nothing is promised
+					case status == http.StatusOK:
+						got.served.Add(1)
+					case status == http.StatusServiceUnavailable:
+						got.refused.Add(1)
+					default:
+						got.failed.Add(1)
+					}
+					if err == nil && status == http.StatusServiceUnavailable {
+						time.Sleep(5 * time.Millisecond)
+						continue
+					}
+					break
+				}
+			}
+		})
+	}
+	return got, func() {
+		close(done)
+		all.Wait()
+	}
+}
+
+func ask(client *http.Client, url, class, txn, key string) (int, error) {
+	r, err := http.NewRequest(http.MethodPost, url+"/trips", strings.NewReader("trip"))
+	if err != nil {
+		return 0, err
+	}
+	r.Header.Set("X-Txn", txn)
+	r.Header.Set("X-Lane", class)
+	r.Header.Set("X-Remaining", "6000m")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	res, err := client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
+func several(n int) (is []int, names []string) {
+	for i := range n {
+		is, names = append(is, i), append(names, name(i))
+	}
+	return is, names
+}
+
+// Seven processes find one another, know of a cut into three and four, of one that stands still, of five that die at once and
+// come back, while callers book through them; nothing happens twice, and all that are alive answer.
+func TestSevenSidecarsUnderFaults(t *testing.T) {
+	const n = 7
+	g := newGround(t, n, 1)
+	all, names := several(n)
+	g.start(all...)
+	g.until("seven are settled", peers.Settled, all, all...)
+	got, calm := g.callers(6)
+	g.net.Cut(names[:3], names[3:], true)
+	g.net.Cut(names[3:], names[:3], true)
+	g.say("cut into three and four")
+	g.until("four are settled", peers.Settled, all[3:], all[3:]...)
+	g.until("three know that they are a part", peers.Part, all[:3], all[:3]...)
+	g.net.Heal()
+	g.say("healed")
+	g.until("seven are one again", peers.Settled, all, all...)
+
+	g.say("front-4 is heard by none")
+	g.net.Cut(names[4:5], names, true)
+	rest := slices.Delete(slices.Clone(all), 4, 5)
+	g.until("six without it", peers.Settled, rest, rest...)
+	g.net.Heal()
+	g.until("it is back", peers.Settled, all, all...)
+
+	g.say("front-2 stands still")
+	g.members[2].signal(syscall.SIGSTOP)
+	rest = slices.Delete(slices.Clone(all), 2, 3)
+	g.until("six without it", peers.Settled, rest, rest...)
+	g.members[2].signal(syscall.SIGCONT)
+	g.until("it is back", peers.Settled, all, all...)
+
+	g.net.Set(relay.Fault{Loss: 0.1, Double: 0.1, Late: 30 * time.Millisecond})
+	g.say("datagrams are lost, doubled and late")
+	g.kill(0, 1, 3, 5, 6)
+	g.until("two know that they are what is left", peers.Part, []int{2, 4}, 2, 4)
+	before := got.served.Load()
+	for end := time.Now().Add(patience); got.served.Load() < before+100; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the two that are left served %d calls", got.served.Load()-before)
+		}
+	}
+	g.net.Heal()
+	g.start(0, 1, 3, 5, 6)
+	g.until("all are back", peers.Settled, all, all...)
+	calm()
+	f, err := admin.AskPeers("unix:"+g.admin(0), true)
+	if err != nil || len(f.Others) != n-1 || len(f.Differences()) > 0 {
+		t.Errorf("all asked: %d others, %v, %v", len(f.Others), f.Differences(), err)
+	}
+	twice, ran := g.ledger.twice()
+	t.Logf("%d served, %d refused, %d failed, %d broken; %d effects", got.served.Load(), got.refused.Load(), got.failed.Load(), got.broken.Load(), ran)
+	if twice > 0 || int64(ran) < got.served.Load() {
+		t.Errorf("%d of %d happened twice; %d were served", twice, ran, got.served.Load())
+	}
+	t.Log(strings.Join(g.story, "\n"))
+}
+
+// Two processes started from one file: the second one is told apart, and gets nobody's share.
+func TestTwoProcessesOfOneName(t *testing.T) {
+	g := newGround(t, 3, 1)
+	second := strings.Replace(g.texts[0], "front-0", "front-1", 1) // of the name of another, elsewhere
+	second = strings.Replace(second, "ordinal = 0", "ordinal = 1", 1)
+	g.texts[0] = second
+	g.start(1, 2)
+	g.start(0)
+	twice := func(i int) bool {
+		r, ok := g.view(i)
+		return ok && slices.Equal(r.Twice, []string{"front-1"})
+	}
+	for end := time.Now().Add(patience); !twice(0) || !twice(1) || !twice(2); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			r0, _ := g.view(0)
+			r1, _ := g.view(1)
+			t.Fatalf("not seen by all:\n%+v\n%+v", r0, r1)
+		}
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
+		r0, _ := g.view(0)
+		r1, _ := g.view(1)
+		if !r0.Placed && r1.Placed && r1.Instances == 2 && r0.Instances == 3 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("shares:\n%+v\n%+v", r0, r1)
+		}
+	}
+}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -23,7 +23,7 @@
 	{"internal/sidecar", "."},
 	{"internal/wire", "."},
 	{"internal/network", "consul admin gossip | http1 http3 | exchange"},
-	{"internal/standin", "authority booking consul disk h3 udp"},
+	{"internal/standin", "authority booking consul disk h3 relay udp"},
 	{"internal/files", "certfile store | atomicfile secretfile"},
 	{"internal/modules", "membership peers reach recall route"},
 	{"internal/config", "apps | appfile | schema | doc | finding settings"},
--- a/internal/config/apps/addresses.go
+++ b/internal/config/apps/addresses.go
@@ -33,6 +33,9 @@
 	{table: "sidecar", name: "listen", network: "tcp", what: "takes callers"},
 	{table: "http3", name: "http3_listen", network: "udp", what: "takes callers over HTTP/3"},
 	{table: "admin", name: "admin_listen", network: "tcp", what: "answers people"},
+	{table: "peers", name: "peers_listen", network: "tcp", what: "is found by the other sidecars"},
+	{table: "peers", name: "peers_listen", network: "udp", what: "is found by the other sidecars"},
+	{table: "peers", name: "peers_join", network: "tcp", asks: true, many: true, what: "looks for the other sidecars"},
 	{table: "discovery", name: "address", network: "tcp", asks: true, what: "asks discovery"},
 	{table: "consul", name: "agents", network: "tcp", asks: true, many: true, what: "asks Consul"},
 }
--- a/internal/network/admin/admin.go
+++ b/internal/network/admin/admin.go
@@ -18,6 +18,7 @@
 
 	"gingerlead/internal/config/schema"
 	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/modules/peers"
 )
 
 // Settings says where it listens.
@@ -56,9 +57,15 @@
 	Endpoints []membership.Row `json:"endpoints"`
 }
 
-// Serve serves the view until stop is called. It holds few connections, each for a short time: nobody can use
+// Views are what is served. Those that are nil are not found.
+type Views struct {
+	Members func() (Members, bool)             // false where the sidecar does not answer
+	Peers   func(all bool) (peers.Fleet, bool) // false where it looks for no others
+}
+
+// Serve serves the views until stop is called. It holds few connections, each for a short time: nobody can use
 // it up.
-func Serve(address string, view func() (Members, bool)) (stop func(), err error) {
+func Serve(address string, views Views) (stop func(), err error) {
 	network, at := "tcp", address
 	if path, ok := strings.CutPrefix(address, "unix:"); ok {
 		network, at = "unix", path
@@ -82,15 +89,34 @@
 		}
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
-		m, ok := view()
-		if !ok {
-			http.Error(w, "the sidecar does not answer", http.StatusServiceUnavailable)
+	give := func(w http.ResponseWriter, what any, fault string, status int) {
+		if fault != "" {
+			http.Error(w, fault, status)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(m)
-	})
+		json.NewEncoder(w).Encode(what)
+	}
+	if views.Members != nil {
+		mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) {
+			m, ok := views.Members()
+			fault := ""
+			if !ok {
+				fault = "the sidecar does not answer"
+			}
+			give(w, m, fault, http.StatusServiceUnavailable)
+		})
+	}
+	if views.Peers != nil {
+		mux.HandleFunc("GET /peers", func(w http.ResponseWriter, r *http.Request) {
+			f, ok := views.Peers(r.URL.Query().Get("all") == "1")
+			fault := ""
+			if !ok {
+				fault = "this sidecar looks for no others: peers.peers_listen is not set"
+			}
+			give(w, f, fault, http.StatusNotFound)
+		})
+	}
 	s := &http.Server{Handler: mux, ReadTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second, MaxHeaderBytes: 4 << 10}
 	s.SetKeepAlivesEnabled(false)
 	ended := make(chan struct{})
@@ -138,21 +164,37 @@
 
 // Ask asks a sidecar's view.
 func Ask(address string) (m Members, err error) {
+	err = ask(address, "members", &m)
+	return m, err
+}
+
+// AskPeers asks a sidecar for its view of the others; with all, for theirs too.
+func AskPeers(address string, all bool) (f peers.Fleet, err error) {
+	what := "peers"
+	if all {
+		what = "peers?all=1"
+	}
+	err = ask(address, what, &f)
+	return f, err
+}
+
+func ask(address, what string, into any) error {
 	dial := (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	network, at := "tcp", address
 	if path, ok := strings.CutPrefix(address, "unix:"); ok {
 		network, at = "unix", path
 	}
 	c := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialTo(dial, network, at)}}
-	res, err := c.Get("http://sidecar/members")
+	res, err := c.Get("http://sidecar/" + what)
 	if err != nil {
-		return m, errors.Unwrap(err)
+		return errors.Unwrap(err)
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return m, fmt.Errorf("%s answered %s", address, res.Status)
+		why, _ := io.ReadAll(io.LimitReader(res.Body, 300))
+		return fmt.Errorf("%s answered %s: %s", address, res.Status, strings.TrimSpace(string(why)))
 	}
-	return m, json.NewDecoder(io.LimitReader(res.Body, mostAnswer)).Decode(&m)
+	return json.NewDecoder(io.LimitReader(res.Body, mostAnswer)).Decode(into)
 }
 
 type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/network/admin/admin_test.go
+++ b/internal/network/admin/admin_test.go
@@ -32,7 +32,7 @@
 			address = l.Addr().String()
 			l.Close()
 		}
-		stop, err := Serve(address, look)
+		stop, err := Serve(address, Views{Members: look})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -50,7 +50,7 @@
 // The view cannot be written to, and says when the sidecar does not answer.
 func TestReadOnly(t *testing.T) {
 	address := "unix:" + filepath.Join(t.TempDir(), "s")
-	stop, err := Serve(address, func() (Members, bool) { return Members{}, false })
+	stop, err := Serve(address, Views{Members: func() (Members, bool) { return Members{}, false }})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,12 +77,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Serve("unix:"+path, look); err == nil || !strings.Contains(err.Error(), "another process") {
+	if _, err := Serve("unix:"+path, Views{Members: look}); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Error(err)
 	}
 	l.SetUnlinkOnClose(false)
 	l.Close()
-	stop, err := Serve("unix:"+path, look)
+	stop, err := Serve("unix:"+path, Views{Members: look})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 	stop()
 	file := filepath.Join(t.TempDir(), "f")
 	os.WriteFile(file, []byte("x"), 0o600)
-	if _, err := Serve("unix:"+file, look); err == nil {
+	if _, err := Serve("unix:"+file, Views{Members: look}); err == nil {
 		t.Error("a file was taken for a socket")
 	}
 	if text, _ := os.ReadFile(file); string(text) != "x" {
@@ -103,7 +103,7 @@
 // Who holds connections and says nothing keeps others out for a while only.
 func TestMuteClients(t *testing.T) {
 	address := "unix:" + filepath.Join(t.TempDir(), "s")
-	stop, err := Serve(address, look)
+	stop, err := Serve(address, Views{Members: look})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/network/gossip/settings.go
+++ b/internal/network/gossip/settings.go
@@ -4,7 +4,6 @@
 	"encoding/base64"
 	"fmt"
 	"net"
-	"slices"
 	"strings"
 	"time"
 
@@ -101,10 +100,6 @@
 		schema.Bounds[int]{Default: 1000, Least: 2, Most: 4000}, schema.AtStart,
 		"The most sidecars that are known at once, those that are gone among them."),
 ).Check(func(f *schema.File, _ string, s *Settings, report schema.Reporter) {
-	own := []string{s.Listen}
-	if s.Advertise != "" {
-		own = append(own, s.Advertise)
-	}
 	memory := appfile.LimitsTable.In(f).Memory
 	switch need := int64(s.Most) * perMember; {
 	case s.Listen == "" && (s.Join != "" || s.KeyFile != "" || s.Advertise != ""):
@@ -121,7 +116,7 @@
 			schema.FormatDuration(s.SettleAfter), f.Place("peers", "settle_after"))
 	}
 	for _, a := range list(s.Join) {
-		if s.Listen != "" && slices.Contains(own, a) {
+		if a == s.Advertise { // that it is peers_listen is seen where all addresses are compared
 			report("peers_join", "%s is this sidecar's own address", a)
 		}
 	}
--- a/internal/product/product.go
+++ b/internal/product/product.go
@@ -11,6 +11,7 @@
 	"log"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -22,16 +23,18 @@
 	"gingerlead/internal/files/certfile"
 	"gingerlead/internal/files/secretfile"
 	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/modules/peers"
 	"gingerlead/internal/modules/route"
 	"gingerlead/internal/network/admin"
 	"gingerlead/internal/network/consul"
+	"gingerlead/internal/network/gossip"
 	"gingerlead/internal/network/http3"
 	"gingerlead/internal/sidecar"
 )
 
 // Schema is the product's file: the tables that say what a sidecar is, and those of its parts.
 var Schema = schema.New(slices.Concat(appfile.Tables(), sidecar.Tables(),
-	[]*schema.Table{membership.Table.Table, route.Rules.Table, consul.Table.Table, admin.Table.Table})...)
+	[]*schema.Table{membership.Table.Table, route.Rules.Table, consul.Table.Table, gossip.Table.Table, admin.Table.Table})...)
 
 // Read reads a file of at most a number of bytes. Anything but a regular file is refused: a pipe would hold
 // its reader up for good.
@@ -170,6 +173,7 @@
 		Resolve: resolve,
 		Follow:  func(f *schema.File) (sidecar.Follower, error) { return follow(f, resolve) },
 		Admin:   view,
+		Among:   func(f *schema.File) (sidecar.Among, error) { return among(f, resolve) },
 	})
 }
 
@@ -195,19 +199,90 @@
 }
 
 // view serves the view that a file asks for, nil for none.
-func view(f *schema.File, name string) func(func() (string, []membership.Row, bool)) (func(), error) {
+func view(f *schema.File, name string) sidecar.Admin {
 	address := admin.Table.In(f).Listen
 	if address == "" {
 		return nil
 	}
-	return func(look func() (string, []membership.Row, bool)) (func(), error) {
-		return admin.Serve(address, func() (admin.Members, bool) {
+	return func(look func() (string, []membership.Row, bool), others func(bool) (peers.Fleet, bool)) (func(), error) {
+		return admin.Serve(address, admin.Views{Members: func() (admin.Members, bool) {
 			source, rows, ok := look()
 			return admin.Members{Name: name, Source: source, Endpoints: rows}, ok
-		})
+		}, Peers: others})
 	}
 }
 
+// among opens the view of the other sidecars that a file asks for, nil for none.
+func among(f *schema.File, resolve func(string) string) (sidecar.Among, error) {
+	set := *gossip.Table.In(f)
+	if set.Listen == "" {
+		return nil, nil
+	}
+	application := appfile.SidecarTable.In(f).Application
+	if application == "" {
+		return nil, fmt.Errorf("%s: peers_listen is set, and sidecar.application is not: others could not be told from another application's",
+			f.Place("peers", "peers_listen"))
+	}
+	keys := func() ([][]byte, error) {
+		if set.KeyFile == "" {
+			return nil, nil
+		}
+		text, err := secretfile.Read(resolve(set.KeyFile))
+		if err != nil {
+			return nil, err
+		}
+		all, err := gossip.ParseKeys(text)
+		if err != nil {
+			err = fmt.Errorf("%s: peers.peers_key_file: %w", f.Place("peers", "peers_key_file"), err)
+		}
+		return all, err
+	}
+	if _, err := keys(); err != nil {
+		return nil, err
+	}
+	return func(in sidecar.PeersIn) (sidecar.Peers, error) {
+		first, err := keys()
+		if err != nil {
+			return nil, err
+		}
+		g, err := gossip.Open(gossip.Config{Settings: set, Name: in.Name, Application: application, Version: Version(), Expected: in.Instances,
+			Keys: first, Names: in.Names, Addresses: in.Addresses, Ready: in.Ready, Changed: in.Changed, Keep: in.Keep})
+		if err != nil {
+			return nil, err
+		}
+		return &rekeyed{g, keys}, nil
+	}, nil
+}
+
+// rekeyed is a Group whose keys are in a file.
+type rekeyed struct {
+	*gossip.Group
+	keys func() ([][]byte, error)
+}
+
+// Reload reads the keys again.
+func (r *rekeyed) Reload() error {
+	keys, err := r.keys()
+	if err != nil || keys == nil {
+		return err
+	}
+	return r.Keys(keys)
+}
+
+// Version is that of the program: the commit that it was built of, where the build tells.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(len(s.Value), 12)]
+		}
+	}
+	return ""
+}
+
 // Reference is the reference page of all files, in Markdown.
 func Reference() string {
 	return `# Reference: configuration keys
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -23,6 +23,7 @@
 	"gingerlead/internal/files/secretfile"
 	"gingerlead/internal/files/store"
 	"gingerlead/internal/modules/membership"
+	"gingerlead/internal/modules/peers"
 )
 
 // Config is what a sidecar is told at its start.
@@ -43,7 +44,8 @@
 	platform    bool // a platform says what appfile.ByPlatform has
 
 	follower Follower // a source of endpoints beside discovery; nil for none
-	admin    func(view func() (source string, rows []membership.Row, ok bool)) (stop func(), err error)
+	admin    Admin    // nil for none
+	among    Among    // nil where this sidecar looks for no others
 
 	disk store.FS // where memory is kept, in place of memory.memory_dir; nil for that
 
@@ -57,9 +59,14 @@
 	Resolve func(path string) string             // a path that the file names
 	Follow  func(*schema.File) (Follower, error) // the source that the file asks for; nil for none
 	// Admin serves the view that the file asks for; nil for none.
-	Admin func(f *schema.File, name string) func(view func() (source string, rows []membership.Row, ok bool)) (stop func(), err error)
+	Admin func(f *schema.File, name string) Admin
+	// Among opens the view of the others that the file asks for; nil for none.
+	Among func(f *schema.File) (Among, error)
 }
 
+// Admin serves a view for people until stop is called: of the endpoints, and of the other sidecars.
+type Admin func(view func() (source string, rows []membership.Row, ok bool), others func(all bool) (peers.Fleet, bool)) (stop func(), err error)
+
 // Limits are those of the machine the sidecar runs on.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -148,7 +155,8 @@
 		return nil, err
 	}
 	fresh.admin = c.product.Admin(file, fresh.Name)
-	return fresh, nil
+	fresh.among, err = c.product.Among(file)
+	return fresh, err
 }
 
 // platform reads the configuration that the platform gives.
--- /dev/null
+++ b/internal/sidecar/group.go
@@ -0,0 +1,152 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"log"
+	"time"
+
+	"gingerlead"
+	"gingerlead/internal/files/store"
+	"gingerlead/internal/modules/peers"
+)
+
+// Peers is this sidecar among the others of its application.
+type Peers interface {
+	Leave()        // tells the others that it ends
+	Reload() error // reads its key again
+	Close()
+	Report() peers.Report
+	Fleet() peers.Fleet // waits for the others
+}
+
+// Among is what opens Peers, as the product's file asks for it.
+type Among func(p PeersIn) (Peers, error)
+
+// PeersIn is what Peers are told and asked of this sidecar. Its functions may be called by any goroutine.
+type PeersIn struct {
+	Name             string
+	Instances        int
+	Names, Addresses []string // that an earlier life kept; nil for none
+	Ready            func() bool
+	Changed          func(peers.Share)
+	Keep             func(names, addresses []string)
+}
+
+// group is what the server knows of the others.
+type group struct {
+	peers  Peers // nil where the file asks for none
+	server *server
+}
+
+// join opens the view of the others, if the file asks for one. The loop must not have begun.
+func (s *server) join() error {
+	s.instances.Store(int64(s.config.Settings.Instances))
+	if s.config.among == nil {
+		return nil
+	}
+	in := PeersIn{Name: s.config.Name, Instances: s.config.Settings.Instances, Ready: s.loop.ready.Load, Changed: s.regroup}
+	if m := s.loop.memory; m != nil {
+		in.Names, in.Addresses = m.group()
+		in.Keep = func(names, addresses []string) {
+			s.loop.post(func() { m.keepGroup(names, addresses) })
+		}
+	}
+	var err error
+	s.group.peers, err = s.config.among(in)
+	return err
+}
+
+// regroup takes a share of the view. One that was told to stop keeps what it has: the others count it out, and its last
+// callers are not to move to endpoints that are new to it.
+func (s *server) regroup(share peers.Share) {
+	if s.end.Load() != nil {
+		return
+	}
+	s.instances.Store(int64(share.Instances))
+	g := groupOf(&share)
+	s.loop.post(func() {
+		if err := s.loop.balancer.Regroup(s.loop.now(), g); err != nil {
+			log.Printf("peers: %v; the numbers before stay", err)
+		}
+	})
+}
+
+// groupOf is a share as the Balancer takes it: members are numbers that all have alike.
+func groupOf(s *peers.Share) gingerlead.Group {
+	g := gingerlead.Group{Instances: s.Instances, Ordinal: s.Ordinal, Sharing: s.Sharing}
+	for _, name := range s.Names {
+		h := fnv.New64a()
+		h.Write([]byte(name))
+		g.Members = append(g.Members, h.Sum64())
+	}
+	g.Self = g.Members[s.Ordinal]
+	return g
+}
+
+// leave tells the others that this one ends.
+func (g *group) leave() {
+	if g.peers != nil {
+		g.peers.Leave()
+	}
+}
+
+func (g *group) close() {
+	if g.peers != nil {
+		g.peers.Close()
+	}
+}
+
+// reload has the key read again; what it is made of otherwise takes effect at a start only.
+func (g *group) reload() {
+	if g.peers == nil {
+		return
+	}
+	if err := g.peers.Reload(); err != nil {
+		log.Printf("reload: %v; the keys before stay", err)
+	}
+}
+
+// look is the view for people; false where there is none.
+func (g *group) look(all bool) (f peers.Fleet, ok bool) {
+	switch {
+	case g.peers == nil:
+		return f, false
+	case all:
+		return g.peers.Fleet(), true
+	}
+	return peers.Fleet{Own: g.peers.Report()}, true
+}
+
+// The group that was settled last is kept beside what else is remembered, for the next life: an old report.
+const (
+	groupMark = 'g'
+	groupKeep = 24 * time.Hour
+)
+
+type keptGroup struct {
+	Names     []string `json:"names"`
+	Addresses []string `json:"addresses"`
+}
+
+func (m *memory) group() (names, addresses []string) {
+	text, _, ok, err := m.store.Get([]byte{groupMark})
+	if err != nil {
+		log.Printf("memory: %v", err)
+	}
+	var k keptGroup
+	if !ok || json.Unmarshal(text, &k) != nil {
+		return nil, nil
+	}
+	return k.Names, k.Addresses
+}
+
+func (m *memory) keepGroup(names, addresses []string) {
+	text, err := json.Marshal(keptGroup{names, addresses})
+	if err != nil {
+		return
+	}
+	var b store.Batch
+	b.Put([]byte{groupMark}, text, groupKeep)
+	m.store.Apply(b, m.told)
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -35,15 +35,17 @@
 
 // server takes callers' requests to the loop, and its answers back.
 type server struct {
-	fronts  []exchange.Front
-	loop    *loop
-	config  *Config
-	classes map[string]int
-	tenants map[string]int
-	longest time.Duration             // deadline of a class
-	quiet   time.Duration             // see quietAfter
-	tuning  atomic.Pointer[tuning]    // as the configuration file has it now
-	end     atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
+	fronts    []exchange.Front
+	loop      *loop
+	config    *Config
+	classes   map[string]int
+	tenants   map[string]int
+	longest   time.Duration             // deadline of a class
+	quiet     time.Duration             // see quietAfter
+	tuning    atomic.Pointer[tuning]    // as the configuration file has it now
+	end       atomic.Pointer[time.Time] // when all is answered; nil unless it was told to stop
+	group     group
+	instances atomic.Int64 // that there are by now, as far as this one knows
 }
 
 func newServer(c *Config, l *loop, listener net.Listener) (*server, error) {
@@ -313,8 +315,9 @@
 	end := told.Add(linger)
 	s.loop.post(func() { s.loop.leave(end) })
 	s.end.Store(&end)
+	s.group.leave()
 	last := end
-	if s.config.Settings.Instances > 1 {
+	if s.instances.Load() > 1 {
 		last = end.Add(-min(how.HandOver, max(0, linger-s.quiet)))
 	}
 	for time.Now().Before(last) && (time.Since(told) < s.quiet || !s.isQuiet()) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,6 +39,10 @@
 }
 
 func (s *server) run(at net.Addr, stop, reload <-chan os.Signal) error {
+	if err := s.join(); err != nil {
+		return err
+	}
+	defer s.group.close()
 	go s.loop.run()
 	defer s.loop.memory.close()
 	go func() {
@@ -53,7 +57,7 @@
 	}()
 	s.config.unused()
 	if s.config.admin != nil {
-		stop, err := s.config.admin(s.loop.view)
+		stop, err := s.config.admin(s.loop.view, s.group.look)
 		if err != nil {
 			return err
 		}
@@ -98,6 +102,7 @@
 		}
 		s.loop.follow(c.Discovery, c.token)
 	})
+	s.group.reload()
 	s.config.file = c.file
 	// Said when it is in force: who waits for this line finds it so.
 	log.Printf("reload: discovery is %s", c.Discovery)
--- a/internal/tool/members_test.go
+++ b/internal/tool/members_test.go
@@ -13,12 +13,12 @@
 func TestMembers(t *testing.T) {
 	dir := t.TempDir()
 	address := "unix:" + filepath.Join(dir, "s")
-	stop, err := admin.Serve(address, func() (admin.Members, bool) {
+	stop, err := admin.Serve(address, admin.Views{Members: func() (admin.Members, bool) {
 		return admin.Members{Name: "front", Source: "overlay", Endpoints: []membership.Row{
 			{UID: "a", Address: "h:1", State: "ready", Weight: 2, Platform: "ready", Consul: "ready", Why: "the platform says so", AgoMS: 61500},
 			{UID: "b", Address: "h:2", State: "draining", Platform: "ready", Consul: "draining", Why: `check "http" is critical`, AgoMS: 300},
 		}}, true
-	})
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/tool/peers.go
@@ -0,0 +1,101 @@
+package tool
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gingerlead/internal/modules/peers"
+	"gingerlead/internal/network/admin"
+)
+
+func (c *command) peers() *cobra.Command {
+	var asJSON, all bool
+	cmd := &cobra.Command{
+		Use: "peers ADDRESS", Short: "Show the other sidecars as a running one sees them, and how far it can be relied on", Args: cobra.ExactArgs(1),
+		Long: "peers asks the admin listener of a running sidecar (unix:PATH or host:port, admin.admin_listen in its\n" +
+			"file) for its view of the others (docs/peers.md). With --all it has that one ask the others for theirs,\n" +
+			"shows them side by side, and ends with 1 where they differ.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			f, err := admin.AskPeers(args[0], all)
+			if err != nil {
+				return failure{fmt.Errorf("%s: %w", args[0], err)}
+			}
+			if asJSON {
+				e := json.NewEncoder(c.out)
+				e.SetIndent("", "  ")
+				return e.Encode(f)
+			}
+			if all {
+				return c.sideBySide(&f)
+			}
+			return c.showPeers(&f.Own)
+		},
+	}
+	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON object for programs")
+	cmd.Flags().BoolVar(&all, "all", false, "the views of all, and where they differ")
+	return cmd
+}
+
+func (c *command) showPeers(r *peers.Report) error {
+	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tSTATE\tFOR\tCOUNTS\tREACHED\tADDRESS\tZONE\tVERSION\tPROCESS")
+	for _, m := range r.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.State, (time.Duration(m.ForMS) * time.Millisecond).Round(100*time.Millisecond),
+			yes(m.Counts), yes(m.Reached), dash(m.Address), dash(m.Zone), dash(m.Version), m.Process)
+	}
+	if err := w.Flush(); err != nil {
+		return failure{err}
+	}
+	fmt.Fprintf(c.out, "%s: %s; %d of the %d settled last are in reach\n", r.Name, r.Confidence, r.Reached, r.Of)
+	switch {
+	case r.Instances == 0:
+		fmt.Fprintln(c.out, "it goes by the numbers of its file until the view has settled once")
+	case !r.Placed:
+		fmt.Fprintf(c.out, "it has no place of its own among %d: it does not serve, comes and goes, or another process has its name\n", r.Instances-1)
+	default:
+		fmt.Fprintf(c.out, "it is number %d of %d, and divides limits by %d\n", r.Ordinal, r.Instances, r.Sharing)
+	}
+	if len(r.Twice) > 0 {
+		fmt.Fprintf(c.out, "several processes under one name: %s\n", strings.Join(r.Twice, ", "))
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Refused)) {
+		fmt.Fprintf(c.out, "refused, %s: %d\n", reason, r.Refused[reason])
+	}
+	return nil
+}
+
+// sideBySide shows the views of all, a line each.
+func (c *command) sideBySide(f *peers.Fleet) error {
+	w := tabwriter.NewWriter(c.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tCONFIDENCE\tINSTANCES\tORDINAL\tSHARING\tREACHED\tDIGEST")
+	for _, r := range append([]peers.Report{f.Own}, f.Others...) {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d of %d\t%s\n", r.Name, r.Confidence, r.Instances, r.Ordinal, r.Sharing, r.Reached, r.Of, r.Digest)
+	}
+	if err := w.Flush(); err != nil {
+		return failure{err}
+	}
+	lines := f.Differences()
+	if len(lines) == 0 {
+		fmt.Fprintf(c.out, "all %d agree\n", 1+len(f.Others))
+		return nil
+	}
+	fmt.Fprintf(c.out, "beside %s:\n", f.Own.Name)
+	for _, l := range lines {
+		fmt.Fprintln(c.out, "  "+l)
+	}
+	return errFindings
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -41,7 +41,7 @@
 		SilenceErrors: true,
 	}
 	c := &command{out: out, errs: errs, disk: atomicfile.Disk{}}
-	root.AddCommand(c.init(), c.write(), c.check(), c.diff(), c.adopt(), c.sample(), c.reference(), c.demo(), c.members(), c.rehearse(), c.experiment(), c.fleet(), c.route(), c.store())
+	root.AddCommand(c.init(), c.write(), c.check(), c.diff(), c.adopt(), c.sample(), c.reference(), c.demo(), c.members(), c.peers(), c.rehearse(), c.experiment(), c.fleet(), c.route(), c.store())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
