Rehearsals throw faults between sidecars; addresses of the others from Consul and the platform

Scripts know 'sidecars peers yes', and lines that cut sidecars off, let one be heard by none, and lose, double and delay what they tell one another; relays on loopback do it, by pair, to UDP and TCP. morning.Faults draws such lines by a seed. At the end all must have one view, settled. A test plays them with seven processes, callers and the audit of the four rules: none broken, one view. peers_service has Consul name the others while somebody is missing; a platform's peers are tried too.

--- a/cmd/quincegap/peers_test.go
+++ b/cmd/quincegap/peers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/base64"
 	"fmt"
 	"io"
@@ -17,8 +18,11 @@
 	"testing"
 	"time"
 
+	"gingerlead/internal/config/finding"
 	"gingerlead/internal/modules/peers"
 	"gingerlead/internal/network/admin"
+	"gingerlead/internal/rehearsal/morning"
+	"gingerlead/internal/rehearsal/rehearse"
 	"gingerlead/internal/standin/booking"
 	"gingerlead/internal/standin/relay"
 )
@@ -253,6 +257,7 @@
 // Seven processes find one another, know of a cut into three and four, of one that stands still, of five that die at once and
 // come back, while callers book through them; nothing happens twice, and all that are alive answer.
 func TestSevenSidecarsUnderFaults(t *testing.T) {
+	t.Parallel()
 	const n = 7
 	g := newGround(t, n, 1)
 	all, names := several(n)
@@ -310,6 +315,7 @@
 
 // Two processes started from one file: the second one is told apart, and gets nobody's share.
 func TestTwoProcessesOfOneName(t *testing.T) {
+	t.Parallel()
 	g := newGround(t, 3, 1)
 	second := strings.Replace(g.texts[0], "front-0", "front-1", 1) // of the name of another, elsewhere
 	second = strings.Replace(second, "ordinal = 0", "ordinal = 1", 1)
@@ -338,3 +344,55 @@
 		}
 	}
 }
+
+// Sidecar processes that find one another before boxes and callers, with faults that a seed draws between them: cuts, one that
+// is heard by none, messages lost, late and doubled, sidecars killed and stopped. No rule is broken, and all have one view in
+// the end. What went wrong is told with the lines that were drawn, and the views.
+func TestRandomFaultsBetweenSidecars(t *testing.T) {
+	t.Parallel()
+	seeds := 1
+	if os.Getenv("SOAK") != "" {
+		seeds = 12
+	}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			lines := morning.Faults(seed+1, 7, time.Second, 16*time.Second)
+			script := fmt.Sprintf(faultyMorning, strings.Join(lines, "\n"))
+			var found finding.List
+			m := morning.Read("faults", []byte(script), &found)
+			if m == nil {
+				t.Fatalf("%v\n%s", found.Err(), script)
+			}
+			self, err := os.Executable()
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := rehearse.Run(context.Background(), m.Plan(seed+1), rehearse.Options{Program: self, Env: []string{"BE_QUINCEGAP=1"}, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Apart != "" {
+				t.Errorf("they are not one in the end:\n%s%s", r.Apart, script)
+			}
+			if b := r.Verdict.Breaches; len(b) > 0 && r.Verdict.Void == "" {
+				t.Errorf("%v\n%s", b, script)
+			}
+			if c := r.Verdict.Crashes; len(c) > 0 {
+				t.Errorf("%v\n%s", c, script)
+			}
+			t.Logf("service %.3f, %d requests, worst memory %d MiB", r.Verdict.Service, r.Verdict.Requests, r.Memory>>20)
+		})
+	}
+}
+
+const faultyMorning = `
+title "Faults between sidecars"
+length 20s
+tier slot-keeper boxes 16 cells 4 cores 2 slots 4 queue 6 conns 100
+tier slot-keeper work 20ms shape lognormal cv 0.8 cold 0.4 warm 3s
+class find-slot effect safe aim 2s deadline 5s share 2
+class take-slot effect keyed scope cell window 20s aim 2s deadline 5s
+sidecars count 7 memory 80MiB sockets 512 peers yes
+callers rate 60/s shape steady retries 1 patience 0.8 backoff 300ms
+%s
+`
--- a/internal/modules/peers/peers_test.go
+++ b/internal/modules/peers/peers_test.go
@@ -412,7 +412,7 @@
 	reach := func(a string) bool { return a == "l17" }
 	var now time.Duration
 	for ; now < 10*time.Minute; now += 100 * time.Millisecond {
-		try := r.Next(now, true, reach)
+		try, _ := r.Next(now, true, reach)
 		if len(try) > triesAtOnce {
 			t.Fatalf("%v at once", try)
 		}
@@ -424,12 +424,26 @@
 	if len(tried) != 5 || tried["l17"] > 0 || tries < 12 || tries > 40 {
 		t.Errorf("%d tries in 10 minutes: %v", tries, tried)
 	}
+	r.Found([]string{"s1", "s2"})
 	r.Met()
+	for end := now + 2*time.Minute; now < end; now += 100 * time.Millisecond {
+		try, _ := r.Next(now, true, reach)
+		for _, a := range try {
+			tried[a]++
+		}
+	}
+	if tried["s1"] == 0 || tried["s2"] == 0 {
+		t.Errorf("what was found is not tried: %v", tried)
+	}
 	for ; now < 20*time.Minute; now += 100 * time.Millisecond {
 		r.Next(now, false, reach)
 	}
 	lost := now
-	for ; len(r.Next(now, true, reach)) == 0; now += 100 * time.Millisecond {
+	for {
+		if _, due := r.Next(now, true, reach); due {
+			break
+		}
+		now += 100 * time.Millisecond
 	}
 	if now-lost > 3*time.Second {
 		t.Errorf("something went missing, and the next try came %v later", now-lost)
--- a/internal/modules/peers/rejoin.go
+++ b/internal/modules/peers/rejoin.go
@@ -14,6 +14,7 @@
 	Most    int           // addresses learnt
 
 	fixed  []string
+	found  []string // by a search, the last time
 	learnt []string // the latest last
 	next   int
 	due    time.Duration
@@ -44,27 +45,32 @@
 	}
 }
 
+// Found takes what a search gave, such as one in a catalogue, in place of what the one before gave.
+func (r *Rejoin) Found(addresses []string) {
+	r.found = slices.Clone(addresses[:min(len(addresses), r.Most)])
+}
+
 // Learnt are the addresses to be kept for a later life.
 func (r *Rejoin) Learnt() []string { return slices.Clone(r.learnt) }
 
 // triesAtOnce are the addresses of one try: few, for each that is silent costs a time-out.
 const triesAtOnce = 3
 
-// Next gives the addresses to try at a time, none while none is due: few at once, each in its turn, those in reach left
+// Next gives the addresses to try at a time; due tells that one is, and a search may be made. They are few at once, each in its turn, those in reach left
 // out, for they tell of nobody new. missing tells that somebody is: the view is a part, or nobody was met. The pause has
 // jitter, so that a fleet that is restarted does not knock at one seed member in step.
-func (r *Rejoin) Next(now time.Duration, missing bool, inReach func(address string) bool) (try []string) {
+func (r *Rejoin) Next(now time.Duration, missing bool, inReach func(address string) bool) (try []string, due bool) {
 	if now < r.due {
 		if !missing || r.due-now <= r.pause() {
-			return nil
+			return nil, false
 		}
 		r.due = now + r.jitter(r.pause()) // something is missing since: the long pause is over
-		return nil
+		return nil, false
 	}
 	if !missing {
 		r.vain = 0
 	}
-	all := slices.Concat(r.fixed, r.learnt)
+	all := slices.Concat(r.fixed, r.found, r.learnt)
 	for range all {
 		a := all[r.next%len(all)]
 		r.next = (r.next + 1) % len(all)
@@ -80,7 +86,7 @@
 		r.vain++
 	}
 	r.due = now + r.jitter(wait)
-	return try
+	return try, true
 }
 
 // Met tells that a try has found somebody: the next ones come soon again while something is still missing.
--- /dev/null
+++ b/internal/network/gossip/figures_test.go
@@ -0,0 +1,167 @@
+package gossip
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gingerlead/internal/modules/peers"
+)
+
+// cpu is the processor time that this process has used.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// heap is what is held, in bytes.
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// lines is a log that is kept.
+type lines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, string(b))
+	return len(b), nil
+}
+
+func (l *lines) logger() *slog.Logger { return slog.New(slog.NewTextHandler(l, nil)) }
+
+func (l *lines) take() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := l.all
+	l.all = nil
+	return all
+}
+
+// TestFigures prints docs/peers-figures.md's tables of virtual time:
+//
+//	FIGURES=1 go test ./internal/network/gossip -run TestFigures -v -timeout 60m
+func TestFigures(t *testing.T) {
+	if os.Getenv("FIGURES") == "" {
+		t.Skip("FIGURES is not set")
+	}
+	t.Run("times", func(t *testing.T) {
+		for _, n := range []int{3, 10, 50, 200} {
+			var line string
+			synctest.Test(t, func(t *testing.T) { line = times(t, n) })
+			t.Log(line)
+		}
+	})
+	t.Run("loss", func(t *testing.T) {
+		for _, n := range []int{10, 50} {
+			for _, loss := range []float64{0.01, 0.1, 0.3} {
+				var line string
+				synctest.Test(t, func(t *testing.T) { line = lossy(t, n, loss) })
+				t.Log(line)
+			}
+		}
+	})
+}
+
+// times measures one size: a start, a quiet minute, a death, a join, a healed cut.
+func times(t *testing.T, n int) string {
+	before := heap()
+	f := newFleet(t, n, 1)
+	defer f.end()
+	for i := range n {
+		f.start(i, n, nil)
+	}
+	const long = 5 * time.Minute
+	start := f.within(long, "start", func() bool { return f.agree(peers.Settled) })
+	held := float64(heap()-before) / float64(n)
+	sent := func() (b int) {
+		f.net.set(func() {
+			for _, x := range f.net.bytes {
+				b += x
+			}
+		})
+		return b
+	}
+	bytes, used := sent(), cpu()
+	const quiet = time.Minute
+	time.Sleep(quiet)
+	rate := float64(sent()-bytes) / float64(n) / quiet.Seconds()
+	work := (cpu() - used).Seconds() / float64(n) / quiet.Seconds()
+	f.kill(n - 1)
+	died := f.within(long, "a death", func() bool { return f.agree(peers.Settled) })
+	f.start(n-1, n, nil)
+	joined := f.within(long, "a join", func() bool { return f.agree(peers.Settled) })
+	time.Sleep(time.Minute)
+	var a, b []string
+	for i := range n {
+		if i < n/2 {
+			a = append(a, f.at(i))
+		} else {
+			b = append(b, f.at(i))
+		}
+	}
+	f.net.apart(a, b, true)
+	f.net.apart(b, a, true)
+	cut := f.within(long, "a cut", func() bool {
+		for i, g := range f.members {
+			want := n - n/2
+			if i < n/2 {
+				want = n / 2
+			}
+			if s, _ := g.state(); s.Instances != want {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(time.Minute)
+	f.net.set(func() { clear(f.net.cut) })
+	healed := f.within(long, "healed", func() bool { return f.agree(peers.Settled) })
+	return fmt.Sprintf("| %d | %.1f s | %.1f s | %.1f s | %.1f s | %.1f s | %.0f | %.2f | %.0f |", n, start.Seconds(), died.Seconds(), joined.Seconds(),
+		cut.Seconds(), healed.Seconds(), rate, work*1000, held/1024)
+}
+
+// lossy counts for ten minutes how often a member that lives is taken for gone by another, and how often the group moves.
+func lossy(t *testing.T, n int, loss float64) string {
+	f := newFleet(t, n, 1)
+	defer f.end()
+	said := &lines{}
+	for i := range n {
+		f.start(i, n, func(c *Config) { c.Log = said.logger() })
+	}
+	f.within(5*time.Minute, "start", func() bool { return f.agree(peers.Settled) })
+	f.net.set(func() { f.net.loss = loss })
+	said.take()
+	const length = 10 * time.Minute
+	time.Sleep(length)
+	gone, moves := 0, 0
+	verdicts := map[string]bool{} // one for each member that was taken for gone, whoever heard of it
+	for _, l := range said.take() {
+		if strings.Contains(l, "msg=peer ") && strings.Contains(l, "to=gone") {
+			gone++
+			if i := strings.Index(l, "process="); i >= 0 && strings.Contains(l, `cause="not reached"`) {
+				verdicts[l[i:]] = true
+			}
+		}
+		if strings.Contains(l, "msg=peers ") && strings.Contains(l, "instances=") {
+			moves++
+		}
+	}
+	hours := length.Hours() * float64(n)
+	return fmt.Sprintf("| %d | %.0f%% | %.2f | %.2f |", n, loss*100, float64(len(verdicts))/hours, float64(moves)/hours)
+}
--- a/internal/network/gossip/gossip.go
+++ b/internal/network/gossip/gossip.go
@@ -40,6 +40,7 @@
 	Ready   func() bool                     // this sidecar serves by now; asked every tick until it does
 	Changed func(peers.Share)               // a share that differs from the one before; called one at a time
 	Keep    func(names, addresses []string) // a group that has settled, for a later life; nil for none
+	Find    func() ([]string, error)        // looks for addresses beside those of the file when some are to be tried; nil for none
 	Log     *slog.Logger
 	Network func() (memberlist.Transport, error) // in place of sockets, for tests; nil for those
 }
@@ -228,7 +229,7 @@
 	for _, a := range g.at {
 		inReach[a] = true
 	}
-	try := g.rejoin.Next(now, missing, func(a string) bool { return inReach[a] })
+	try, due := g.rejoin.Next(now, missing, func(a string) bool { return inReach[a] })
 	changes := g.view.Changes()
 	g.mu.Unlock()
 	g.log(changes)
@@ -242,15 +243,32 @@
 	if fresh {
 		g.list.UpdateNode(updateWait) // late where nobody hears it; the next exchange carries it too
 	}
-	if len(try) > 0 && !g.joining.Swap(true) {
+	if due && (len(try) > 0 || g.c.Find != nil) && !g.joining.Swap(true) {
 		go func() {
 			defer g.joining.Store(false)
-			g.join(try)
+			g.join(try, missing)
 		}()
 	}
 }
 
-func (g *Group) join(try []string) {
+// join tries addresses, and looks for others to be tried the next time. While nobody is missing nobody is looked for.
+func (g *Group) join(try []string, missing bool) {
+	if g.c.Find != nil && missing {
+		found, err := g.c.Find()
+		if err != nil {
+			g.c.Log.Warn("peers", "trouble", "no addresses were found: "+err.Error())
+		} else {
+			g.mu.Lock()
+			g.rejoin.Found(found)
+			g.mu.Unlock()
+			if len(try) == 0 {
+				try = found[:min(len(found), 3)]
+			}
+		}
+	}
+	if len(try) == 0 {
+		return
+	}
 	if n, _ := g.list.Join(try); n > 0 {
 		g.mu.Lock()
 		g.rejoin.Met()
--- a/internal/network/gossip/settings.go
+++ b/internal/network/gossip/settings.go
@@ -17,6 +17,7 @@
 	Listen      string
 	Advertise   string
 	Join        string
+	Service     string
 	KeyFile     string
 	Zone        string
 	Pace        time.Duration
@@ -64,6 +65,13 @@
 	return ""
 }
 
+func badService(text string) string {
+	if strings.ContainsAny(text, "/?#% \"`\\") || len(text) > 128 {
+		return "is no name of a service"
+	}
+	return ""
+}
+
 func badZone(text string) string {
 	if len(text) > 64 {
 		return "is longer than 64 bytes"
@@ -82,6 +90,8 @@
 	schema.String("peers_join", func(s *Settings) *string { return &s.Join },
 		schema.Text{Example: "10.0.4.8:7946, 10.0.4.9:7946", Type: "addresses", Bounds: "host:port, divided by commas, 64 at most", Bad: badJoin}, schema.AtStart,
 		"Some of the others; the rest is learnt from them. Without it this one waits to be found."),
+	schema.String("peers_service", func(s *Settings) *string { return &s.Service }, schema.Text{Example: "booking-front-peers", Bad: badService}, schema.AtStart,
+		"A service in Consul (consul.agents) whose instances are the others' peers_listen; asked while somebody is missing."),
 	schema.SecretFile("peers_key_file", func(s *Settings) *string { return &s.KeyFile }, schema.Token, "/etc/quincegap/peers.key", schema.OnReload,
 		"A file with the key that all share: 16, 24 or 32 random bytes in base64, or several divided by commas, of which the first "+
 			"encrypts and all decrypt. It is read again at SIGHUP."),
--- a/internal/product/product.go
+++ b/internal/product/product.go
@@ -223,6 +223,9 @@
 		return nil, fmt.Errorf("%s: peers_listen is set, and sidecar.application is not: others could not be told from another application's",
 			f.Place("peers", "peers_listen"))
 	}
+	if set.Service != "" && consul.Table.In(f).Agents == "" {
+		return nil, fmt.Errorf("%s: peers_service is set, and consul.agents is not", f.Place("peers", "peers_service"))
+	}
 	keys := func() ([][]byte, error) {
 		if set.KeyFile == "" {
 			return nil, nil
@@ -245,7 +248,13 @@
 		if err != nil {
 			return nil, err
 		}
-		g, err := gossip.Open(gossip.Config{Settings: set, Name: in.Name, Application: application, Version: Version(), Expected: in.Instances,
+		var find func() ([]string, error)
+		if set.Service != "" {
+			find = func() ([]string, error) {
+				return consul.Find(context.Background(), *consul.Table.In(f), set.Service, resolve)
+			}
+		}
+		g, err := gossip.Open(gossip.Config{Settings: set, Find: find, Name: in.Name, Application: application, Version: Version(), Expected: in.Instances,
 			Keys: first, Names: in.Names, Addresses: in.Addresses, Ready: in.Ready, Changed: in.Changed, Keep: in.Keep})
 		if err != nil {
 			return nil, err
--- a/internal/rehearsal/morning/grammar.go
+++ b/internal/rehearsal/morning/grammar.go
@@ -65,6 +65,7 @@
 	New       *newBoxes     `parser:"( @@"`
 	Rude      *rude         `parser:"| @@"`
 	Boxes     *boxEvent     `parser:"| @@"`
+	Link      *linkEvent    `parser:"| @@"`
 	Sidecars  *sidecarEvent `parser:"| @@"`
 	Load      *loadEvent    `parser:"| @@"`
 	Discovery *listEvent    `parser:"| @@ )"`
@@ -132,6 +133,22 @@
 	Back   *span    `parser:"('and' ('is' | 'are') 'back' 'after' @Duration)?"`
 }
 
+// linkEvent is what befalls what sidecars tell one another.
+type linkEvent struct {
+	Pos   lexer.Position
+	Cut   *cut     `parser:"( @@"`
+	Mute  *int     `parser:"| 'sidecar' @Number 'is' 'heard' 'by' 'none'"`
+	Lost  *percent `parser:"| 'messages' 'are' ( @Percent 'lost'"`
+	Twice *percent `parser:"| @Percent 'doubled'"`
+	Late  *span    `parser:"| 'late' 'by' @Duration ) )"`
+	For   span     `parser:"'for' @Duration"`
+}
+
+type cut struct {
+	From int `parser:"'sidecars' @Number '..'"`
+	To   int `parser:"@Number 'are' 'cut' 'off'"`
+}
+
 type loadEvent struct {
 	Pos   lexer.Position
 	Times float64 `parser:"'load' 'is' @Number 'times'"`
@@ -190,6 +207,9 @@
 	{"fail", "at 12s: box 1 fails 50% of calls for 10s"},
 	{"garble", "at 12s: all boxes garble 3% of answers for 10s"},
 	{"refuse", "at 12s: box 1 refuses 80% of calls for 10s"},
+	{"cut", "at 12s: sidecars 1..3 are cut off for 8s"},
+	{"heard", "at 12s: sidecar 4 is heard by none for 8s"},
+	{"messages", "at 12s: messages are 20% lost for 8s"},
 	{"sidecar", "at 12s: sidecar 1 gets SIGTERM and is back after 5s"},
 	{"load", "at 12s: load is 1.5 times for 10s"},
 	{"discovery", "at 12s: discovery is silent for 20s"},
--- a/internal/rehearsal/morning/morning.go
+++ b/internal/rehearsal/morning/morning.go
@@ -96,7 +96,8 @@
 	Count    int
 	MemoryMB int
 	Sockets  int
-	Told     int // how many each is told there are; 0 for the truth
+	Told     int  // how many each is told there are; 0 for the truth
+	Peers    bool // they find one another; on sockets alone
 }
 
 // Callers are clients from outside.
--- a/internal/rehearsal/morning/plan.go
+++ b/internal/rehearsal/morning/plan.go
@@ -53,6 +53,7 @@
 	Rude              // so many (By) rude callers; none for 0
 	Weigh             // discovery can tell its weight, By
 	Again             // discovery says what it says twice, the second time late (By 1), or no more (By 0)
+	Link              // What befalls what sidecars of the first tier tell one another, from Sidecar on; no more for By 0
 )
 
 // Step is one thing that happens.
@@ -63,7 +64,7 @@
 	Sidecar int // where it is about one, from 0
 	By      float64
 	Until   time.Duration
-	What    string        // of a Fault: lose, reset, fail, garble or refuse; of a Signal: its name
+	What    string        // of a Link: cut (By so many of the rest), mute, lost or doubled (the share By), late (by By seconds); of a Fault: lose, reset, fail, garble or refuse; of a Signal: its name
 	State   string        // of a Tell: Ready, Terminating or Gone
 	Boot    time.Duration // of a Tell: when the box started; 0 for long ago
 	Line    int           // of the script
@@ -262,6 +263,8 @@
 			d.hit(e, e.Boxes, i, box)
 		}
 		d.gather(from, hit)
+	case e.Link != nil:
+		d.link(e, e.Link)
 	case e.Sidecars != nil:
 		d.signals(e, e.Sidecars)
 	case e.Load != nil:
@@ -692,6 +695,8 @@
 		return "discovery: " + map[bool]string{true: "says everything twice", false: "says things once again"}[s.By > 0]
 	case Revive:
 		return fmt.Sprintf("sidecar %d comes back", s.Sidecar+1)
+	case Link:
+		return s.link()
 	}
 	return fmt.Sprintf("%v rude callers", s.By)
 }
--- a/internal/rehearsal/morning/settings.go
+++ b/internal/rehearsal/morning/settings.go
@@ -135,6 +135,7 @@
 var sidecarKeys = map[string]key[Morning]{
 	"count":   count(func(m *Morning) *int { return &m.Sidecars.Count }, 1, MostSidecars),
 	"told":    count(func(m *Morning) *int { return &m.Sidecars.Told }, 0, 10*MostSidecars),
+	"peers":   yes(func(m *Morning) *bool { return &m.Sidecars.Peers }),
 	"sockets": count(func(m *Morning) *int { return &m.Sidecars.Sockets }, 64, 65536),
 	"memory": {"a size like 192MiB", func(m *Morning, v *value) bool {
 		if v.High != nil || v.Low.Size == nil {
--- a/internal/rehearsal/rehearse/run.go
+++ b/internal/rehearsal/rehearse/run.go
@@ -42,7 +42,8 @@
 	HTTP3   int64 // attempts that came over HTTP/3
 	// Processes are the sidecars' that were started; all have ended.
 	Processes []int
-	Again     int // effects of a key beyond its first, callers' own repeats included
+	Apart     string // the views of sidecars that find one another, where they were not one and settled in the end
+	Again     int    // effects of a key beyond its first, callers' own repeats included
 }
 
 // Check tells why a plan can be played in virtual time alone, nil if it can be on sockets too.
@@ -95,6 +96,12 @@
 			return nil, err
 		}
 	}
+	if plan.Sidecars.Peers {
+		if err := w.link(); err != nil {
+			return nil, err
+		}
+		defer w.links.Close()
+	}
 	defer func() { w.endAll(program) }() // also where it could not all be started: no process is left
 	if err := w.open(ctx, program); err != nil {
 		return nil, err
@@ -104,6 +111,10 @@
 		return nil, ctx.Err()
 	}
 	w.hangs(ctx)
+	result = &Result{Plan: plan}
+	if w.links != nil {
+		result.Apart = w.apart(ctx, program)
+	}
 	cancel()
 	w.endAll(program)
 	w.calls.Wait()
@@ -115,7 +126,7 @@
 	for _, s := range w.sidecars {
 		rules.Sidecars = append(rules.Sidecars, s.name)
 	}
-	result = &Result{Plan: plan, Verdict: audit.Judge(rules, events, lost), Again: w.again, HTTP3: w.counters.http3.Load()}
+	result.Verdict, result.Again, result.HTTP3 = audit.Judge(rules, events, lost), w.again, w.counters.http3.Load()
 	for i := range w.hanging {
 		if n := w.hanging[i].Load(); n > 0 {
 			result.Hanging += n
@@ -311,6 +322,8 @@
 			}
 			w.front.add(own)
 		})
+	case morning.Link:
+		w.befall(s)
 	case morning.Rude:
 		before := int(w.rude.Swap(int64(s.By)))
 		for i := before; i < int(s.By); i++ {
--- a/internal/rehearsal/rehearse/sidecar.go
+++ b/internal/rehearsal/rehearse/sidecar.go
@@ -160,6 +160,9 @@
 	if s.w.plan.Discovery.Consul {
 		text += fmt.Sprintf(consulFile, s.w.consulAddress(s.index), tier.Name)
 	}
+	if s.w.links != nil && s.tier == 0 {
+		text += s.peersFile(dir)
+	}
 	if text == "" {
 		return nil, nil
 	}
--- a/internal/rehearsal/rehearse/world.go
+++ b/internal/rehearsal/rehearse/world.go
@@ -19,6 +19,7 @@
 	"gingerlead/internal/rehearsal/audit"
 	"gingerlead/internal/rehearsal/emulator"
 	"gingerlead/internal/rehearsal/morning"
+	"gingerlead/internal/standin/relay"
 )
 
 // port is that of all addresses of a rehearsal.
@@ -34,6 +35,7 @@
 	net    int // the A of 127.A.0.0/16
 	guard  net.Listener
 
+	links       *relay.Net       // between sidecars that find one another; nil where they do not
 	certificate *tls.Certificate // of boxes that speak HTTP/3; nil where none does
 	authority   string           // the file with who signed it
 
@@ -97,6 +99,8 @@
 	sidecarsAt   = 200
 	discoveryAt  = 201
 	consulAt     = 202
+	peersAt      = 203 // where a sidecar is found by the others,
+	relayAt      = 204 // and what it tells them
 	hostsInRow   = 250
 	firstHost    = 1
 	mostBoxSlots = sidecarsAt * hostsInRow
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -47,6 +47,8 @@
 	admin    Admin    // nil for none
 	among    Among    // nil where this sidecar looks for no others
 
+	peerAddresses []string // that a platform names, one for each sidecar
+
 	disk store.FS // where memory is kept, in place of memory.memory_dir; nil for that
 
 	getenv  func(string) string // where it was loaded from:
--- a/internal/sidecar/group.go
+++ b/internal/sidecar/group.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"log"
+	"slices"
 	"time"
 
 	"gingerlead"
@@ -25,18 +26,18 @@
 
 // PeersIn is what Peers are told and asked of this sidecar. Its functions may be called by any goroutine.
 type PeersIn struct {
-	Name             string
-	Instances        int
-	Names, Addresses []string // that an earlier life kept; nil for none
-	Ready            func() bool
-	Changed          func(peers.Share)
-	Keep             func(names, addresses []string)
+	Name      string
+	Instances int
+	Names     []string // that an earlier life kept; nil for none
+	Addresses []string // that a platform names, and that it kept
+	Ready     func() bool
+	Changed   func(peers.Share)
+	Keep      func(names, addresses []string)
 }
 
 // group is what the server knows of the others.
 type group struct {
-	peers  Peers // nil where the file asks for none
-	server *server
+	peers Peers // nil where the file asks for none
 }
 
 // join opens the view of the others, if the file asks for one. The loop must not have begun.
@@ -46,8 +47,10 @@
 		return nil
 	}
 	in := PeersIn{Name: s.config.Name, Instances: s.config.Settings.Instances, Ready: s.loop.ready.Load, Changed: s.regroup}
+	in.Addresses = s.config.peerAddresses
 	if m := s.loop.memory; m != nil {
-		in.Names, in.Addresses = m.group()
+		names, addresses := m.group()
+		in.Names, in.Addresses = names, slices.Concat(in.Addresses, addresses)
 		in.Keep = func(names, addresses []string) {
 			s.loop.post(func() { m.keepGroup(names, addresses) })
 		}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -47,6 +47,14 @@
 	n.changed.Broadcast()
 }
 
+// Change changes the faults between all.
+func (n *Net) Change(how func(f *Fault)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	how(&n.all)
+	n.changed.Broadcast()
+}
+
 // Cut cuts, or heals, what some send to others.
 func (n *Net) Cut(from, to []string, cut bool) {
 	n.mu.Lock()
