--- a/api.go
+++ b/api.go
@@ -166,11 +166,12 @@
 type Group struct {
 	Instances int // that take this tier's requests; at least 1
 	Ordinal   int // this one's number among them, from 0
-	// Sharing is how many there may be at most, as far as this one can tell: what all together must not go beyond, such
-	// as tenants' quotas and attempts at endpoints that may be cold, is divided by it. At least Instances; 0 for that.
+	// Sharing is how many there may be at most, as far as this one can tell: what all together must not go
+	// beyond, such as tenants' quotas and attempts at endpoints that may be cold, is divided by it. At least
+	// Instances; 0 for that.
 	Sharing int
-	// Members are numbers of theirs that all agree on, in any order, and Self this one's. Subsets of many endpoints then
-	// move by no more than a change of the group takes. Nil: they go by Ordinal.
+	// Members are numbers of theirs that all agree on, in any order, and Self this one's. Subsets of many
+	// endpoints then move by no more than a change of the group takes. Nil: they go by Ordinal.
 	Members []uint64
 	Self    uint64
 }
@@ -182,7 +183,8 @@
 	case g.Ordinal < 0 || g.Ordinal >= g.Instances:
 		return fmt.Errorf("group: %d is no number among %d instances, counted from 0", g.Ordinal, g.Instances)
 	case g.Members != nil && (len(g.Members) != g.Instances || !slices.Contains(g.Members, g.Self)):
-		return fmt.Errorf("group: %d members for %d instances, or this one is not among them", len(g.Members), g.Instances)
+		return fmt.Errorf("group: %d members for %d instances, or this one is not among them",
+			len(g.Members), g.Instances)
 	}
 	return nil
 }
