Views are exchanged whole every 60 paces, and the rest of a fleet finds out sooner that most have died

Suspicions last twice their least at most, and one that thinks itself ill judges others three times as slowly, for eight. sidecar.application under a platform is no longer said to be unused where the others go by it.

--- a/cmd/quincegap/peers_bench_test.go
+++ b/cmd/quincegap/peers_bench_test.go
@@ -78,6 +78,7 @@
 			for range b.N {
 				g := newGround(b, n, 1, "")
 				all, names := several(n)
+				still := func() { time.Sleep(25 * time.Second) } // above DampFor: nobody comes and goes too often
 				timed := func(what string, confidence peers.Confidence, of, ask []int) {
 					began := time.Now()
 					g.until(what, confidence, of, ask...)
@@ -98,7 +99,7 @@
 					if err != nil {
 						b.Fatal(err)
 					}
-					resident = max(resident, kilobytes(string(status), "VmRSS"))
+					resident = max(resident, kilobytes(string(status), "VmRSS:"))
 				}
 				b.ReportMetric(1000*used/float64(n)/quiet.Seconds(), "cpu-ms/s")
 				b.ReportMetric(resident/1024, "rss-MiB")
@@ -106,6 +107,7 @@
 				timed("death", peers.Settled, all[:n-1], all[:n-1])
 				g.start(n - 1)
 				timed("join", peers.Settled, all, all)
+				still()
 				g.net.Cut(names[:n/2], names[n/2:], true)
 				g.net.Cut(names[n/2:], names[:n/2], true)
 				larger := peers.Settled
@@ -114,6 +116,7 @@
 				}
 				timed("cut", larger, all[n/2:], all[n/2:])
 				g.until("the other side", peers.Part, all[:n/2], all[:n/2]...)
+				still()
 				g.net.Heal()
 				timed("healed", peers.Settled, all, all)
 			}
--- a/cmd/quincegap/peers_test.go
+++ b/cmd/quincegap/peers_test.go
@@ -107,7 +107,7 @@
 	return g
 }
 
-func name(i int) string { return fmt.Sprint("front-", i) }
+func name(i int) string { return fmt.Sprintf("front-%02d", i) }
 
 func (g *ground) admin(i int) string { return filepath.Join(g.dir, fmt.Sprint("s", i)) }
 
@@ -319,14 +319,14 @@
 func TestTwoProcessesOfOneName(t *testing.T) {
 	t.Parallel()
 	g := newGround(t, 3, 1, quick)
-	second := strings.Replace(g.texts[0], "front-0", "front-1", 1) // of the name of another, elsewhere
+	second := strings.Replace(g.texts[0], "front-00", "front-01", 1) // of the name of another, elsewhere
 	second = strings.Replace(second, "ordinal = 0", "ordinal = 1", 1)
 	g.texts[0] = second
 	g.start(1, 2)
 	g.start(0)
 	twice := func(i int) bool {
 		r, ok := g.view(i)
-		return ok && slices.Equal(r.Twice, []string{"front-1"})
+		return ok && slices.Equal(r.Twice, []string{"front-01"})
 	}
 	for end := time.Now().Add(patience); !twice(0) || !twice(1) || !twice(2); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/network/gossip/gossip.go
+++ b/internal/network/gossip/gossip.go
@@ -56,8 +56,9 @@
 	rejoinMost    = 32
 	troubleEvery  = 10 * time.Second // at most so often one of memberlist's own complaints is logged
 	suspicionMult = 4                // paces, times the logarithm of the members, until a suspect that denies nothing is gone,
-	suspicionMax  = 3                // times that where nobody else suspects it too
-	exchangeEvery = 10               // paces between two full exchanges with one member
+	suspicionMax  = 2                // times that where nobody else suspects it too
+	awarenessMost = 3                // times as slow, at most, as one that thinks itself ill judges others: when most die at once, the rest think so
+	exchangeEvery = 60               // paces between two full exchanges with one member: they grow with the members, and news need none
 )
 
 // Group is this sidecar among the others. Its methods may be called by several goroutines.
@@ -123,6 +124,7 @@
 	m.Name = g.c.Name + "/" + peers.Hex(g.told.Process)
 	m.ProbeInterval, m.ProbeTimeout = g.c.Pace, g.c.Pace/2
 	m.SuspicionMult, m.SuspicionMaxTimeoutMult = suspicionMult, suspicionMax
+	m.AwarenessMaxMultiplier = awarenessMost
 	m.PushPullInterval = exchangeEvery * g.c.Pace
 	m.GossipInterval = max(g.c.Pace/5, 20*time.Millisecond)
 	m.TCPTimeout = dialWait
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -111,6 +111,9 @@
 		return
 	}
 	for _, s := range c.file.Settings() {
+		if s.ID() == "sidecar.application" && c.among != nil {
+			continue // the others go by it
+		}
 		if slices.Contains(appfile.ByPlatform(), s.Path[0]) {
 			log.Printf("%s: %s is not used: the platform's configuration says it", s.Place, s.ID())
 		}
