--- a/internal/network/gossip/figures_test.go
+++ b/internal/network/gossip/figures_test.go
@@ -97,6 +97,7 @@
 		})
 		return b
 	}
+	time.Sleep(time.Minute) // what is said of the start is over
 	bytes, used := sent(), cpu()
 	const quiet = time.Minute
 	time.Sleep(quiet)
--- /dev/null
+++ b/internal/network/gossip/wire_test.go
@@ -0,0 +1,75 @@
+package gossip
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+
+	"gingerlead/internal/modules/peers"
+)
+
+// What is written is read back, whatever it holds within the bounds.
+func TestEnvelopeComesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringN(0, 30, mostText)
+		e := envelope{format: format, application: text.Draw(t, "application"), witness: text.Draw(t, "witness"),
+			ask: rapid.Uint64().Draw(t, "ask"), answer: rapid.Uint64().Draw(t, "answer")}
+		for range rapid.IntRange(0, 4).Draw(t, "records") {
+			e.records = append(e.records, peers.Record{Process: rapid.Uint64Min(1).Draw(t, "process"), Name: rapid.StringN(1, 30, mostText).Draw(t, "name"),
+				Born: rapid.Int64().Draw(t, "born"), Zone: text.Draw(t, "zone"), Version: text.Draw(t, "version"),
+				Incarnation: rapid.Uint64().Draw(t, "incarnation"), State: peers.State(rapid.IntRange(1, 5).Draw(t, "state"))})
+		}
+		if r := rapid.SliceOfN(rapid.Byte(), 0, 50).Draw(t, "report"); len(r) > 0 {
+			e.report = r
+		}
+		got, err := decode(e.encode())
+		if err != nil || !reflect.DeepEqual(*got, e) {
+			t.Fatalf("%+v came back as %+v, %v", e, got, err)
+		}
+	})
+}
+
+// What is beyond the bounds, cut short or of another kind is refused; fields that are not known are passed over.
+func TestSpoiltEnvelopes(t *testing.T) {
+	good := envelope{application: "a", records: []peers.Record{{Process: 1, Name: "n", State: peers.Serving}}}
+	for what, b := range map[string][]byte{
+		"nothing":         nil,
+		"half":            good.encode()[:len(good.encode())-1],
+		"no format":       appendText(nil, 2, "a"),
+		"a long name":     (&envelope{records: []peers.Record{{Process: 1, Name: strings.Repeat("x", mostText+1)}}}).encode(),
+		"no process":      (&envelope{records: []peers.Record{{Name: "n"}}}).encode(),
+		"a long witness":  (&envelope{witness: strings.Repeat("x", mostText+1)}).encode(),
+		"a large report":  (&envelope{report: make([]byte, mostBytes+1)}).encode(),
+		"too many":        (&envelope{records: make([]peers.Record, mostOf+1)}).encode(),
+		"no message":      bytes.Repeat([]byte{0xff}, 40),
+		"a group's start": protowire.AppendTag(nil, 9, protowire.StartGroupType),
+	} {
+		if e, err := decode(b); err == nil {
+			t.Errorf("%s was taken: %+v", what, e)
+		}
+	}
+	later := protowire.AppendVarint(protowire.AppendTag(good.encode(), 15, protowire.VarintType), 7)
+	if e, err := decode(later); err != nil || len(e.records) != 1 {
+		t.Errorf("a later version's field: %+v, %v", e, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	e := envelope{application: "a", witness: "w", ask: 3, report: []byte("{}"), records: []peers.Record{{Process: 1, Name: "n", State: peers.Serving}}}
+	f.Add(e.encode())
+	f.Add([]byte{0x08, 0x01})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := decode(b)
+		if err != nil {
+			return
+		}
+		again, err := decode(e.encode())
+		if e.format == format && (err != nil || !reflect.DeepEqual(e.records, again.records)) {
+			t.Errorf("%+v came back as %+v, %v", e, again, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/tool/peers_test.go
@@ -0,0 +1,69 @@
+package tool
+
+import (
+	"bytes"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gingerlead/internal/modules/peers"
+	"gingerlead/internal/network/admin"
+)
+
+func TestPeers(t *testing.T) {
+	address := "unix:" + filepath.Join(t.TempDir(), "s")
+	seen := func(name, state string, counts bool) peers.Seen {
+		return peers.Seen{Name: name, Process: "00000000000000aa", State: state, ForMS: 61500, Address: "10.0.4.7:7946", Zone: "provo", Reached: counts, Counts: counts}
+	}
+	own := peers.Report{Name: "front-0", Confidence: "settled", Reached: 2, Of: 2, Instances: 2, Ordinal: 0, Sharing: 2, Placed: true, Digest: "d1", Twice: []string{"front-1"},
+		Refused: map[string]int{"other key": 3}, Members: []peers.Seen{seen("front-0", "serving", true), seen("front-1", "serving", true), seen("front-2", "gone", false)}}
+	other := own
+	other.Name, other.Confidence, other.Members = "front-1", "cut off", own.Members[1:2]
+	differ := true
+	stop, err := admin.Serve(address, admin.Views{Peers: func(all bool) (peers.Fleet, bool) {
+		f := peers.Fleet{Own: own}
+		if all {
+			if f.Others = []peers.Report{own}; differ {
+				f.Others, f.Silent = []peers.Report{other}, []string{"front-3/00"}
+			}
+		}
+		return f, true
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	out := must(t, "peers", address)
+	for _, want := range []string{"front-2  gone     1m1.5s  no      no", "front-0: settled; 2 of the 2 settled last are in reach", "it is number 0 of 2, and divides limits by 2",
+		"several processes under one name: front-1", "refused, other key: 3"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is missing in\n%s", want, out)
+		}
+	}
+	var text, errs bytes.Buffer
+	if code := Run([]string{"peers", address, "--all"}, &text, &errs); code != Findings {
+		t.Errorf("views that differ: exit %d, %s", code, errs.String())
+	}
+	for _, want := range []string{"front-1: without front-0, is cut off", "front-3/00: gave no answer"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, text.String())
+		}
+	}
+	differ = false
+	if out := must(t, "peers", address, "--all"); !strings.Contains(out, "all 2 agree") {
+		t.Error(out)
+	}
+	if out := must(t, "peers", address, "--json"); !strings.Contains(out, `"confidence": "settled"`) {
+		t.Error(out)
+	}
+	none := "unix:" + filepath.Join(t.TempDir(), "s")
+	stop2, err := admin.Serve(none, admin.Views{Peers: func(bool) (peers.Fleet, bool) { return peers.Fleet{}, false }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop2()
+	errs.Reset()
+	if code := Run([]string{"peers", none}, &text, &errs); code != Findings || !strings.Contains(errs.String(), "peers.peers_listen is not set") {
+		t.Errorf("exit %d, %s", code, errs.String())
+	}
+}
