--- /dev/null
+++ b/internal/sidecar/group_test.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gingerlead"
+	"gingerlead/internal/files/store"
+	"gingerlead/internal/modules/peers"
+	"gingerlead/internal/modules/recall"
+)
+
+// The group that was settled last is there in the next life, and no group is where none was kept.
+func TestGroupIsKept(t *testing.T) {
+	dir := t.TempDir()
+	open := func() *memory {
+		s, err := store.Open(store.Dir(dir), store.Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &memory{table: recall.NewTable(10), store: s, zones: names{}, triedAt: time.Hour}
+	}
+	m := open()
+	if names, addresses := m.group(); names != nil || addresses != nil {
+		t.Errorf("a first life has %v at %v", names, addresses)
+	}
+	m.keepGroup([]string{"front-0", "front-1"}, []string{"10.0.4.7:7946"})
+	if err := m.store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	m = open()
+	defer m.store.Close()
+	if names, addresses := m.group(); !slices.Equal(names, []string{"front-0", "front-1"}) || !slices.Equal(addresses, []string{"10.0.4.7:7946"}) {
+		t.Errorf("the next life has %v at %v", names, addresses)
+	}
+}
+
+// All members give a share the same numbers, whatever their place in it; the Balancer takes each.
+func TestShareIsAGroup(t *testing.T) {
+	names := []string{"front-0", "front-1", "front-2"}
+	b, err := gingerlead.New(gingerlead.Settings{Instances: 9, Classes: []gingerlead.Class{{Effect: gingerlead.Safe}}}, 1, &loop{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first gingerlead.Group
+	for i := range names {
+		g := groupOf(&peers.Share{Instances: 3, Ordinal: i, Sharing: 5, Names: names, Placed: true})
+		if i == 0 {
+			first = g
+		}
+		if !slices.Equal(g.Members, first.Members) || g.Self != g.Members[i] || g.Sharing != 5 || g.Instances != 3 {
+			t.Errorf("member %d has %+v, the first %+v", i, g, first)
+		}
+		if err := b.Regroup(0, g); err != nil {
+			t.Error(err)
+		}
+	}
+}
