--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -25,7 +25,7 @@
 	{"internal/network", "consul admin gossip | http1 http3 | exchange"},
 	{"internal/standin", "authority booking consul disk h3 relay udp"},
 	{"internal/files", "certfile store | atomicfile secretfile"},
-	{"internal/modules", "membership peers reach recall route"},
+	{"internal/modules", "membership peers reach recall route turns"},
 	{"internal/config", "apps | appfile | schema | doc | finding settings"},
 	{"", "."},
 	{"internal/structures", "arcs due odds ring throttle"},
--- /dev/null
+++ b/internal/modules/turns/turns.go
@@ -0,0 +1,113 @@
+// Package turns says whose turn it is, among members that tell one another nothing, to do what is needed once and not once a
+// member: a trial call at an isolated endpoint, a warm-up, asking for a list. It does no I/O and reads no clock.
+//
+// Time is cut into slots by each member's own clock. In each slot the members stand in an order of its own, by rendezvous hash of
+// what is to be done, the slot and the member (Thaler, Ravishankar 1998), and the first Actors of them have a turn. So:
+//
+//   - Members that agree on who they are, and whose clocks agree, have just Actors turns a slot between them.
+//   - With clocks up to S apart those that have a turn at one moment are of at most 1+ceil(S/Slot) slots, so at most
+//     Actors*(1+ceil(S/Slot)).
+//   - One that knows of more or fewer members takes another one's turn only in slots that the difference decides: where n members
+//     each know a part p of n, they have about Actors/p turns a slot between them, whatever n is.
+//   - Who is dead, or has nothing to do it with, wastes its turn, and the next slot is drawn anew: with a share d of such
+//     members, and one actor, m slots go by without a turn of anybody else with probability d^m.
+//
+// It needs no message. It does harm where the members that are known have little to do with those that there are: with a number
+// far too high nobody may have a turn for long.
+package turns
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Order is one member's knowledge of who takes turns. All but Self is the same at members that agree.
+type Order struct {
+	self    uint64
+	members []uint64 // sorted, without repeats; self among them
+	slot    time.Duration
+	actors  int
+}
+
+// New makes an Order. Members are numbers that all agree on, such as hashes of names, in any order; self is added where it is not
+// among them. slot is above 0 and actors at least 1, else it panics: they are constants of whoever calls.
+func New(self uint64, members []uint64, slot time.Duration, actors int) *Order {
+	if slot <= 0 || actors < 1 {
+		panic("turns: no slot or no actors")
+	}
+	all := append(slices.Clone(members), self)
+	slices.Sort(all)
+	return &Order{self: self, members: slices.Compact(all), slot: slot, actors: actors}
+}
+
+// Numbered is New for members that know only how many they are, and their number among them, from 0.
+func Numbered(ordinal, instances int, slot time.Duration, actors int) *Order {
+	var all []uint64
+	for i := range instances {
+		all = append(all, uint64(i))
+	}
+	return New(uint64(ordinal), all, slot, actors)
+}
+
+// slotOf is the slot of a time. Times before the epoch have slots too.
+func (o *Order) slotOf(at time.Duration) int64 {
+	s := int64(at / o.slot)
+	if at%o.slot < 0 {
+		s--
+	}
+	return s
+}
+
+// Mine tells whether this member has a turn at a time, counted from an epoch that all share.
+func (o *Order) Mine(what uint64, at time.Duration) bool { return o.has(what, o.slotOf(at)) }
+
+func (o *Order) has(what uint64, slot int64) bool {
+	if o.actors >= len(o.members) {
+		return true
+	}
+	draw := mix(what ^ mix(uint64(slot)))
+	own, before := mix(draw^mix(o.self)), 0
+	for _, m := range o.members {
+		if m != o.self && cmp.Or(cmp.Compare(mix(draw^mix(m)), own), cmp.Compare(m, o.self)) > 0 {
+			if before++; before >= o.actors {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Next is when this member's next turn begins, from a time on; that time itself in the midst of one. Where it has none within as
+// many slots as give it one with all but one chance in e^8, the end of these is returned, to be asked at again.
+func (o *Order) Next(what uint64, at time.Duration) (begins time.Duration, ok bool) {
+	const surely = 8
+	slot := o.slotOf(at)
+	last := slot + int64(surely*max(1, len(o.members)/o.actors))
+	for s := slot; s <= last; s++ {
+		if o.has(what, s) {
+			return max(at, time.Duration(s)*o.slot), true
+		}
+	}
+	return time.Duration(last+1) * o.slot, false
+}
+
+// Offset spreads what all members are to do after one cause over a time: it is this member's part of it, from 0 to below window.
+// Those of members that agree are window/n apart, in an order of each cause's own, so that nobody is always the last.
+func (o *Order) Offset(what uint64, window time.Duration) time.Duration {
+	own, place := mix(mix(what)^mix(o.self)), 0
+	for _, m := range o.members {
+		if m != o.self && cmp.Or(cmp.Compare(mix(mix(what)^mix(m)), own), cmp.Compare(m, o.self)) > 0 {
+			place++
+		}
+	}
+	return time.Duration(float64(window) * float64(place) / float64(len(o.members)))
+}
+
+// mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014): a bijection, so that members that differ stay apart.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/modules/turns/turns_test.go
@@ -0,0 +1,119 @@
+package turns
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func numbers(n int) (all []uint64) {
+	for i := range n {
+		all = append(all, mix(uint64(i)))
+	}
+	return all
+}
+
+// Members that agree have just as many turns a slot between them as there are actors, and so few more with clocks apart.
+func TestTurnsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, actors := rapid.IntRange(1, 80).Draw(t, "members"), rapid.IntRange(1, 4).Draw(t, "actors")
+		what, at := rapid.Uint64().Draw(t, "what"), time.Duration(rapid.Int64Range(-1e15, 1e15).Draw(t, "at"))
+		skew := time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "skew"))
+		all := numbers(n)
+		mine, apart := 0, 0
+		for i, m := range all {
+			o := New(m, all, time.Second, actors)
+			if o.Mine(what, at) {
+				mine++
+			}
+			if own := skew * time.Duration(i) / time.Duration(n); o.Mine(what, at+own) {
+				apart++
+			}
+		}
+		if want := min(n, actors); mine != want {
+			t.Fatalf("%d turns of %d members, should be %d", mine, n, want)
+		}
+		if most := actors * (1 + int(math.Ceil(float64(skew)/float64(time.Second)))); apart > most {
+			t.Fatalf("%d turns with clocks %v apart, %d at most", apart, skew, most)
+		}
+	})
+}
+
+// Next is the begin of a turn that Mine confirms, with none before it.
+func TestNextIsTheFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "members")
+		o := Numbered(rapid.IntRange(0, n-1).Draw(t, "ordinal"), n, time.Second, 1)
+		what, at := rapid.Uint64().Draw(t, "what"), time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "at"))
+		next, ok := o.Next(what, at)
+		if next < at || ok && !o.Mine(what, next) {
+			t.Fatalf("%v after %v is no turn", next, at)
+		}
+		for x := at; x < next; x += time.Second / 4 {
+			if o.Mine(what, x) {
+				t.Fatalf("a turn at %v, before %v", x, next)
+			}
+		}
+	})
+}
+
+// Whoever knows half or twice as many members as there are takes turns about twice or half as often between them, however many
+// they are; and where half are dead somebody else's turn comes soon.
+func TestWrongNumbersAndDeath(t *testing.T) {
+	const slots = 4000
+	for _, n := range []int{4, 20, 100} {
+		all := numbers(2 * n)
+		turns := func(known func(i int) []uint64, alive int) (mean float64, longest int) {
+			var orders []*Order
+			for i := range alive {
+				orders = append(orders, New(all[i], known(i), time.Second, 1))
+			}
+			total, gap := 0, 0
+			for s := range slots {
+				any := false
+				for _, o := range orders {
+					if o.Mine(7, time.Duration(s)*time.Second) {
+						total++
+						any = true
+					}
+				}
+				if gap++; any {
+					gap = 0
+				}
+				longest = max(longest, gap)
+			}
+			return float64(total) / slots, longest
+		}
+		if mean, _ := turns(func(i int) []uint64 { return all[i/(n/2)*(n/2) : i/(n/2)*(n/2)+n/2] }, n); mean < 1.8 || mean > 2.2 {
+			t.Errorf("%d members that know a half each: %.2f turns a slot", n, mean)
+		}
+		if mean, longest := turns(func(int) []uint64 { return all }, n); mean < 0.45 || mean > 0.55 || longest > 20 {
+			t.Errorf("%d of %d are alive: %.2f turns a slot, none for %d", n, 2*n, mean, longest)
+		}
+	}
+}
+
+// What all do after one cause is spread evenly, in another order for another cause.
+func TestOffsetsAreEven(t *testing.T) {
+	const n = 50
+	all := numbers(n)
+	offsets := func(what uint64) (of []time.Duration) {
+		for _, m := range all {
+			of = append(of, New(m, all, time.Second, 1).Offset(what, n*time.Second))
+		}
+		return of
+	}
+	a, b := offsets(1), offsets(2)
+	if slices.Equal(a, b) {
+		t.Error("the order is the same for two causes")
+	}
+	slices.Sort(a)
+	for i, x := range a {
+		if x.Round(time.Millisecond) != time.Duration(i)*time.Second {
+			t.Errorf("offset %d is %v", i, x)
+		}
+	}
+}
