--- a/internal/network/gossip/gossip.go
+++ b/internal/network/gossip/gossip.go
@@ -51,6 +51,7 @@
 	updateWait    = time.Second
 	askWait       = 2 * time.Second
 	asksWaiting   = 8
+	asksAtOnce    = 4 // connections for it
 	dialWait      = 2 * time.Second
 	rejoinLongest = 20 * time.Second
 	rejoinMost    = 32
@@ -67,6 +68,7 @@
 	began   time.Time
 	list    *memberlist.Memberlist
 	keyring *memberlist.Keyring
+	network memberlist.Transport
 	queue   memberlist.TransmitLimitedQueue
 	nodes   atomic.Int64 // that memberlist knows
 	work    chan func()  // what must not be done from within memberlist
@@ -109,6 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
+	g.network = m.Transport
 	if g.list, err = memberlist.Create(m); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
@@ -160,29 +163,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: %s: %w", g.c.Listen, err)
 	}
-	m.Transport = &bound{NetTransport: t, from: at.IP}
+	m.Transport = newBound(t, at.IP)
 	return m, nil
 }
 
-// bound is memberlist's network, whose connections come from the address that it listens on: the others may let in no other,
-// and a machine may have several.
-type bound struct {
-	*memberlist.NetTransport
-	from net.IP
-}
-
-func (b *bound) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
-	if !b.from.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: b.from}
-	}
-	return d.Dial("tcp", address)
-}
-
-func (b *bound) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return b.DialTimeout(a.Addr, timeout)
-}
-
 func (g *Group) now() time.Duration { return time.Since(g.began) }
 
 // run does what is due, until ctx ends.
@@ -511,9 +495,9 @@
 // Close ends it, and says so to the others.
 func (g *Group) Close() {
 	g.Leave()
-	g.tick()
 	g.stop()
 	<-g.ended
+	g.tick()
 	g.list.Leave(leaveWait)
 	g.list.Shutdown()
 }
@@ -550,12 +534,21 @@
 	}()
 	e := envelope{application: g.c.Application, witness: g.node(), ask: token}
 	ask, waits := e.encode(), map[string]bool{}
+	next := make(chan *memberlist.Node, len(nodes))
 	for _, n := range nodes {
 		if n.Name != g.node() {
 			waits[n.Name] = true
-			go g.list.SendReliable(n, ask) // who does not take it gives no answer
+			next <- n
 		}
 	}
+	close(next)
+	for range asksAtOnce {
+		go func() {
+			for n := range next {
+				g.list.SendReliable(n, ask) // who does not take it gives no answer
+			}
+		}()
+	}
 	late := time.NewTimer(askWait)
 	defer late.Stop()
 	for n := len(waits); n > 0; n-- {
--- a/internal/network/gossip/settings.go
+++ b/internal/network/gossip/settings.go
@@ -46,7 +46,7 @@
 
 func badAddress(text string) string {
 	host, port, err := net.SplitHostPort(text)
-	if err != nil || net.ParseIP(host) == nil || strings.Trim(port, "0123456789") != "" || port == "" {
+	if err != nil || net.ParseIP(host) == nil || strings.Trim(port, "0123456789") != "" || port == "" || port == "0" {
 		return "is not IP:port"
 	}
 	return ""
