--- a/cmd/quincegap/peers_bench_test.go
+++ b/cmd/quincegap/peers_bench_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gingerlead/internal/config/finding"
 	"gingerlead/internal/modules/peers"
+	"gingerlead/internal/rehearsal/audit"
 	"gingerlead/internal/rehearsal/morning"
 	"gingerlead/internal/rehearsal/rehearse"
 )
@@ -38,7 +41,9 @@
 					if m == nil {
 						b.Fatal(list.Err())
 					}
-					r, err := rehearse.Run(context.Background(), m.Plan(0), rehearse.Options{Program: program, Dir: b.TempDir()})
+					dir, begins, events := b.TempDir(), time.Time{}, []audit.Event(nil)
+					r, err := rehearse.Run(context.Background(), m.Plan(0), rehearse.Options{Program: program, Dir: dir,
+						Progress: func(p rehearse.Progress) { begins = time.Now().Add(-p.At) }, Events: func(e []audit.Event) { events = e }})
 					if err != nil {
 						b.Fatal(err)
 					}
@@ -56,6 +61,11 @@
 							uncalled++
 						}
 					}
+					if found == "yes" {
+						known := lastKnown(b, dir, begins)
+						b.ReportMetric(known.Seconds()-10, "known-s")
+						b.ReportMetric(uncalledAfter(events, len(v.Loads), known, 30*time.Second).Seconds(), "uncalled-after-known-s")
+					}
 					b.ReportMetric(100*v.Service, "service-%")
 					b.ReportMetric(100*v.Worst, "worst10s-%")
 					b.ReportMetric(float64(uncalled), "uncalled")
@@ -68,6 +78,49 @@
 	}
 }
 
+// lastKnown is when the last death of the seven was known to the last sidecar that lived on, by their logs.
+func lastKnown(b *testing.B, dir string, begins time.Time) (known time.Duration) {
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil || len(logs) == 0 {
+		b.Fatal("no logs", err)
+	}
+	day := begins.Truncate(24 * time.Hour)
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if strings.Count(string(text), ": serving on") > 1 {
+			continue // it died
+		}
+		for line := range strings.Lines(string(text)) {
+			at, err := time.Parse("15:04:05.000000", line[:min(len(line), 15)])
+			if err != nil || !strings.Contains(line, "INFO peer ") || !strings.Contains(line, "to=gone") {
+				continue
+			}
+			since := day.Add(at.Sub(at.Truncate(24 * time.Hour))).Sub(begins)
+			if since > 10*time.Second && since < 29*time.Second {
+				known = max(known, since)
+			}
+		}
+	}
+	return known
+}
+
+// uncalledAfter is the longest time from a moment on until a box was called, or until the end.
+func uncalledAfter(events []audit.Event, boxes int, from, end time.Duration) (longest time.Duration) {
+	first := make([]time.Duration, boxes)
+	for i := range first {
+		first[i] = end
+	}
+	for _, e := range events {
+		if e.Kind == audit.Sent && e.Box >= 0 && e.Box < boxes && e.At >= from {
+			first[e.Box] = min(first[e.Box], e.At)
+		}
+	}
+	return slices.Max(first) - from
+}
+
 // BenchmarkPeers measures, with processes and the settings' defaults, how long it takes until all have settled after a start, a
 // death, a join and a healed cut into halves, and what the view costs a process in a quiet time.
 //
