--- a/internal/modules/peers/peers.go
+++ b/internal/modules/peers/peers.go
@@ -161,8 +161,10 @@
 			return false
 		}
 		was := m.Record
-		if m.Record = r; was.State != r.State {
-			m.since = now
+		if m.Record = r; was.State != r.State || was.Incarnation != r.Incarnation {
+			m.since = now // a higher incarnation is the member's own: it has denied what was said before
+		}
+		if was.State != r.State {
 			v.note(now, m, was.State, witness, "heard of")
 		}
 		if was.Name != r.Name {
