One place for rendezvous order, lists of addresses, records taken in and test requests

Lists of addresses and names of services were checked twice: appfile. Of peers the rows between view and report, the second way to try found addresses, and a field for a test are gone; records that the view refused are shown; a tick no longer copies the group, the addresses and the members when nothing has moved. Tests share post, cells and halve; the relay has one look at faults. No assertion is changed but TestConnectionsAreBounded's count, which TestStreamsAreBounded now holds at the transport, exactly.

--- a/cmd/quincegap/file_test.go
+++ b/cmd/quincegap/file_test.go
@@ -141,17 +141,24 @@
 
 // book sends a booking and returns the status.
 func (p *process) book(client *http.Client, body string) (int, error) {
-	r, err := http.NewRequest(http.MethodPost, p.url+"/trips", strings.NewReader(body))
+	if p.by != nil {
+		client = &http.Client{Transport: p.by}
+	}
+	n := txn.Add(1)
+	return post(client, p.url, "book-trip", fmt.Sprintf("t%d", n), fmt.Sprintf("k%d", n), body)
+}
+
+// post sends a request, and returns the status and how its answer ended: with a status there may be an error too.
+func post(client *http.Client, url, class, txn, key, body string) (status int, err error) {
+	r, err := http.NewRequest(http.MethodPost, url+"/trips", strings.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
-	n := txn.Add(1)
-	r.Header.Set("X-Txn", fmt.Sprintf("t%d", n))
-	r.Header.Set("X-Lane", "book-trip")
+	r.Header.Set("X-Txn", txn)
+	r.Header.Set("X-Lane", class)
 	r.Header.Set("X-Remaining", "6000m")
-	r.Header.Set("Idempotency-Key", fmt.Sprintf("k%d", n))
-	if p.by != nil {
-		client = &http.Client{Transport: p.by}
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
 	}
 	res, err := client.Do(r)
 	if err != nil {
--- a/cmd/quincegap/memory_test.go
+++ b/cmd/quincegap/memory_test.go
@@ -56,16 +56,16 @@
 	return twice, len(l.runs)
 }
 
-// cells starts two cells of two endpoints.
-func cells(t testing.TB, l *ledger) (targets []booking.Target) {
-	for i := range 4 {
-		e, err := booking.StartEndpoint(fmt.Sprintf("box-%d", i), l.serve(i/2))
+// cells starts some cells of some endpoints each.
+func cells(t testing.TB, l *ledger, n, size int) (targets []booking.Target) {
+	for i := range n * size {
+		e, err := booking.StartEndpoint(fmt.Sprintf("box-%d", i), l.serve(i/size))
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(e.Close)
 		target := e.Target()
-		target.Cell = i / 2
+		target.Cell = i / size
 		targets = append(targets, target)
 	}
 	return targets
@@ -79,26 +79,14 @@
 without_memory = "refuse"
 `
 
-// send asks for something, under ids that the caller chooses.
+// send asks for something, under ids that the caller chooses, on a connection of its own. How the answer's body ends is
+// passed over.
 func send(url, class, txn, key string) (status int, err error) {
-	r, err := http.NewRequest(http.MethodPost, url+"/trips", strings.NewReader("trip"))
-	if err != nil {
-		return 0, err
-	}
-	r.Header.Set("X-Txn", txn)
-	r.Header.Set("X-Lane", class)
-	r.Header.Set("X-Remaining", "6000m")
-	if key != "" {
-		r.Header.Set("Idempotency-Key", key)
-	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := client.Do(r)
-	if err != nil {
-		return 0, err
+	if status, err = post(client, url, class, txn, key, "trip"); status != 0 {
+		err = nil
 	}
-	defer res.Body.Close()
-	io.Copy(io.Discard, res.Body)
-	return res.StatusCode, nil
+	return status, err
 }
 
 // killed plays bookings, keyed and unsafe, at a sidecar that is killed and started again and again. Clients whose
@@ -106,7 +94,7 @@
 // that says that it is harmless.
 func killed(t *testing.T, kills int, memory string) (twice, all int) {
 	l := &ledger{seen: map[string]bool{}, runs: map[string]int{}}
-	d := listing(t, cells(t, l)...)
+	d := listing(t, cells(t, l, 2, 2)...)
 	text := fmt.Sprintf(goodFile, d.Address()) + unsafeClass + memory
 	var at atomic.Pointer[process]
 	at.Store(launch(t, text))
@@ -178,7 +166,7 @@
 // A sidecar that starts while discovery is away goes on with the endpoints that it had.
 func TestListIsRemembered(t *testing.T) {
 	l := &ledger{seen: map[string]bool{}, runs: map[string]int{}}
-	d := listing(t, cells(t, l)...)
+	d := listing(t, cells(t, l, 2, 2)...)
 	text := fmt.Sprintf(goodFile, d.Address()) + fmt.Sprintf("[memory]\nmemory_dir = %q\n", t.TempDir())
 	p := launch(t, text)
 	if status, err := send(p.url, "book-trip", "a", "a"); err != nil || status != http.StatusOK {
@@ -199,7 +187,7 @@
 // Where no more can be remembered, a class goes on or is refused, as its file says.
 func TestMemoryIsFull(t *testing.T) {
 	l := &ledger{seen: map[string]bool{}, runs: map[string]int{}}
-	d := listing(t, cells(t, l)...)
+	d := listing(t, cells(t, l, 2, 2)...)
 	dir := t.TempDir()
 	text := fmt.Sprintf(goodFile, d.Address()) + unsafeClass + fmt.Sprintf("[memory]\nmemory_dir = %q\nremembered_requests = 100\n", dir)
 	p := launch(t, text)
@@ -237,7 +225,7 @@
 // A second sidecar on the same directory does not start.
 func TestMemoryIsTaken(t *testing.T) {
 	l := &ledger{seen: map[string]bool{}, runs: map[string]int{}}
-	d := listing(t, cells(t, l)...)
+	d := listing(t, cells(t, l, 2, 2)...)
 	text := fmt.Sprintf(goodFile, d.Address()) + fmt.Sprintf("[memory]\nmemory_dir = %q\n", t.TempDir())
 	launch(t, text)
 	out, err := startOnce(t, text)
--- a/cmd/quincegap/peers_test.go
+++ b/cmd/quincegap/peers_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/base64"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,7 +22,6 @@
 	"gingerlead/internal/network/admin"
 	"gingerlead/internal/rehearsal/morning"
 	"gingerlead/internal/rehearsal/rehearse"
-	"gingerlead/internal/standin/booking"
 	"gingerlead/internal/standin/relay"
 )
 
@@ -74,18 +72,7 @@
 	l := &ledger{seen: map[string]bool{}, runs: map[string]int{}}
 	g := &ground{t: t, dir: t.TempDir(), net: relay.New(seed), ledger: l, members: make([]*process, n), urls: make([]atomic.Pointer[string], n), began: time.Now()}
 	t.Cleanup(g.net.Close)
-	var targets []booking.Target
-	for i := range 12 {
-		e, err := booking.StartEndpoint(fmt.Sprintf("box-%d", i), l.serve(i/4))
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(e.Close)
-		target := e.Target()
-		target.Cell = i / 4
-		targets = append(targets, target)
-	}
-	d := listing(t, targets...)
+	d := listing(t, cells(t, l, 3, 4)...)
 	key := filepath.Join(g.dir, "key")
 	if err := os.WriteFile(key, []byte(base64.StdEncoding.EncodeToString([]byte("0123456789abcdef"))), 0o600); err != nil {
 		t.Fatal(err)
@@ -203,7 +190,7 @@
 					if key != "" {
 						id += fmt.Sprint("-", try)
 					}
-					status, err := ask(client, *url, class, id, key)
+					status, err := post(client, *url, class, id, key, "trip")
 					switch {
 					case err != nil:
 						got.broken.Add(1) // killed under it, or before: nothing is promised
@@ -229,26 +216,6 @@
 	}
 }
 
-func ask(client *http.Client, url, class, txn, key string) (int, error) {
-	r, err := http.NewRequest(http.MethodPost, url+"/trips", strings.NewReader("trip"))
-	if err != nil {
-		return 0, err
-	}
-	r.Header.Set("X-Txn", txn)
-	r.Header.Set("X-Lane", class)
-	r.Header.Set("X-Remaining", "6000m")
-	if key != "" {
-		r.Header.Set("Idempotency-Key", key)
-	}
-	res, err := client.Do(r)
-	if err != nil {
-		return 0, err
-	}
-	defer res.Body.Close()
-	_, err = io.Copy(io.Discard, res.Body)
-	return res.StatusCode, err
-}
-
 func several(n int) (is []int, names []string) {
 	for i := range n {
 		is, names = append(is, i), append(names, name(i))
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -28,7 +28,7 @@
 	{"internal/modules", "membership peers reach recall route turns"},
 	{"internal/config", "apps | appfile | schema | doc | finding settings"},
 	{"", "."},
-	{"internal/structures", "arcs due odds ring throttle"},
+	{"internal/structures", "arcs | due odds rendezvous ring throttle"},
 }
 
 // pure are the folders whose packages do no I/O, but for those named; forbidden is what they may not import for it. The
--- /dev/null
+++ b/internal/config/appfile/lists.go
@@ -0,0 +1,41 @@
+package appfile
+
+import (
+	"fmt"
+	"net"
+	"strings"
+)
+
+// List is the parts of a value that are divided by commas, without the white space round them.
+func List(text string) (all []string) {
+	for part := range strings.SplitSeq(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			all = append(all, part)
+		}
+	}
+	return all
+}
+
+// BadAddresses says why a text is no list of one to so many host:port, or "".
+func BadAddresses(most int) func(text string) string {
+	return func(text string) string {
+		all := List(text)
+		if len(all) == 0 || len(all) > most {
+			return fmt.Sprintf("names no address, or more than %d", most)
+		}
+		for _, a := range all {
+			if host, port, err := net.SplitHostPort(a); err != nil || host == "" || strings.Trim(port, "0123456789") != "" || port == "" {
+				return "is no list of host:port divided by commas"
+			}
+		}
+		return ""
+	}
+}
+
+// BadService says why a text is no name of a service in a catalogue, or "".
+func BadService(text string) string {
+	if strings.ContainsAny(text, "/?#% \"`\\") || len(text) > 128 {
+		return "is no name of a service"
+	}
+	return ""
+}
--- a/internal/modules/peers/peers.go
+++ b/internal/modules/peers/peers.go
@@ -355,27 +355,6 @@
 	return all
 }
 
-// Row is a member as people see it.
-type Row struct {
-	Record
-	Since   time.Duration // how long in its state here
-	Reached bool
-	Counts  bool // its name is in the group, and is its own
-}
-
-// Rows are all members by name, for people.
-func (v *View) Rows(now time.Duration) (rows []Row) {
-	holds := map[uint64]bool{}
-	for _, r := range v.Present(now) {
-		holds[r.Process] = slices.Contains(v.names, r.Name)
-	}
-	for _, m := range v.members {
-		rows = append(rows, Row{Record: m.Record, Since: now - m.since, Reached: m.reached, Counts: holds[m.Process]})
-	}
-	slices.SortFunc(rows, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Process, b.Process)) })
-	return rows
-}
-
 // Digest is the same at two members whose views are, and hardly ever else. Those that are gone are forgotten at different
 // times, and left out.
 func (v *View) Digest() uint64 {
--- a/internal/modules/peers/peers_test.go
+++ b/internal/modules/peers/peers_test.go
@@ -446,7 +446,10 @@
 	reach := func(a string) bool { return a == "l17" }
 	var now time.Duration
 	for ; now < 10*time.Minute; now += 100 * time.Millisecond {
-		try, _ := r.Next(now, true, reach)
+		if !r.Due(now, true) {
+			continue
+		}
+		try := r.Try(reach)
 		if len(try) > triesAtOnce {
 			t.Fatalf("%v at once", try)
 		}
@@ -461,8 +464,10 @@
 	r.Found([]string{"s1", "s2"})
 	r.Met()
 	for end := now + 2*time.Minute; now < end; now += 100 * time.Millisecond {
-		try, _ := r.Next(now, true, reach)
-		for _, a := range try {
+		if !r.Due(now, true) {
+			continue
+		}
+		for _, a := range r.Try(reach) {
 			tried[a]++
 		}
 	}
@@ -470,14 +475,10 @@
 		t.Errorf("what was found is not tried: %v", tried)
 	}
 	for ; now < 20*time.Minute; now += 100 * time.Millisecond {
-		r.Next(now, false, reach)
+		r.Due(now, false)
 	}
 	lost := now
-	for {
-		if _, due := r.Next(now, true, reach); due {
-			break
-		}
-		now += 100 * time.Millisecond
+	for ; !r.Due(now, true); now += 100 * time.Millisecond {
 	}
 	if now-lost > 3*time.Second {
 		t.Errorf("something went missing, and the next try came %v later", now-lost)
--- a/internal/modules/peers/rejoin.go
+++ b/internal/modules/peers/rejoin.go
@@ -56,37 +56,39 @@
 // triesAtOnce are the addresses of one try: few, for each that is silent costs a time-out.
 const triesAtOnce = 3
 
-// Next gives the addresses to try at a time; due tells that one is, and a search may be made. They are few at once, each in its turn, those in reach left
-// out, for they tell of nobody new. missing tells that somebody is: the view is a part, or nobody was met. The pause has
-// jitter, so that a fleet that is restarted does not knock at one seed member in step.
-func (r *Rejoin) Next(now time.Duration, missing bool, inReach func(address string) bool) (try []string, due bool) {
+// Due tells whether some addresses are to be tried now, and others looked for. missing tells that somebody is: the view is a part,
+// or nobody was met. The pause has jitter, so that a fleet that is restarted does not knock at one seed member in step.
+func (r *Rejoin) Due(now time.Duration, missing bool) bool {
 	if now < r.due {
-		if !missing || r.due-now <= r.pause() {
-			return nil, false
+		if missing && float64(r.due-now) > jitterMost*float64(r.pause()) {
+			r.due = now + r.jitter(r.pause()) // something is missing since: the long pause is over
 		}
-		r.due = now + r.jitter(r.pause()) // something is missing since: the long pause is over
-		return nil, false
+		return false
 	}
 	if !missing {
 		r.vain = 0
+		r.due = now + r.jitter(r.Longest)
+		return true
 	}
+	r.due = now + r.jitter(r.pause())
+	r.vain++
+	return true
+}
+
+// Try gives the addresses to try: few at once, each in its turn, those in reach left out, for they tell of nobody new.
+func (r *Rejoin) Try(inReach func(address string) bool) (try []string) {
 	all := slices.Concat(r.fixed, r.found, r.learnt)
 	for range all {
 		a := all[r.next%len(all)]
 		r.next = (r.next + 1) % len(all)
-		if !inReach(a) {
-			if try = append(try, a); len(try) == triesAtOnce {
-				break
-			}
+		if inReach(a) {
+			continue
+		}
+		if try = append(try, a); len(try) == triesAtOnce {
+			break
 		}
 	}
-	wait := r.Longest
-	if missing {
-		wait = r.pause()
-		r.vain++
-	}
-	r.due = now + r.jitter(wait)
-	return try, true
+	return try
 }
 
 // Met tells that a try has found somebody: the next ones come soon again while something is still missing.
@@ -96,6 +98,9 @@
 	return min(r.Pace<<min(r.vain, 16), r.Longest)
 }
 
+// jitterMost is the most that a pause comes to, of its mean.
+const jitterMost = 1.5
+
 func (r *Rejoin) jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.5 + r.rng.Float64()))
+	return time.Duration(float64(d) * (jitterMost - r.rng.Float64()))
 }
--- a/internal/modules/peers/report.go
+++ b/internal/modules/peers/report.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -49,17 +50,26 @@
 // Hex is a process as people see it.
 func Hex(process uint64) string { return fmt.Sprintf("%016x", process) }
 
-// Report gives the view. Before the first rest its Instances are 0: what a file says holds.
-func (v *View) Report(now time.Duration) Report {
+// Report gives the view; addresses are the source's to tell. Before the first rest its Instances are 0: what a file says holds.
+func (v *View) Report(now time.Duration, address func(process uint64) string) Report {
 	own := v.Self()
 	s, _ := v.Share(now)
 	r := Report{Name: own.Name, Process: Hex(own.Process), Confidence: v.Confidence(now).String(), Instances: s.Instances, Ordinal: s.Ordinal,
-		Sharing: s.Sharing, Placed: s.Placed, Version: v.version, Digest: fmt.Sprintf("%016x", v.Digest()), Twice: v.Twice(now)}
+		Sharing: s.Sharing, Placed: s.Placed, Version: v.version, Digest: fmt.Sprintf("%016x", v.Digest()), Twice: v.Twice(now), Refused: map[string]int{}}
 	r.Reached, r.Of = v.Reach()
-	for _, m := range v.Rows(now) {
-		r.Members = append(r.Members, Seen{Name: m.Name, Process: Hex(m.Process), State: m.State.String(), ForMS: m.Since.Milliseconds(),
-			Incarnation: m.Incarnation, Zone: m.Zone, Version: m.Version, Reached: m.Reached, Counts: m.Counts})
+	if v.refused > 0 {
+		r.Refused["records, spoilt or beyond the most"] = v.refused
 	}
+	holds := map[uint64]bool{} // those that have their name
+	for _, m := range v.Present(now) {
+		holds[m.Process] = true
+	}
+	for _, m := range v.members {
+		r.Members = append(r.Members, Seen{Name: m.Name, Process: Hex(m.Process), State: m.State.String(), ForMS: (now - m.since).Milliseconds(),
+			Incarnation: m.Incarnation, Zone: m.Zone, Version: m.Version, Address: address(m.Process), Reached: m.reached,
+			Counts: holds[m.Process] && slices.Contains(v.names, m.Name)})
+	}
+	slices.SortFunc(r.Members, func(a, b Seen) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Process, b.Process)) })
 	return r
 }
 
--- a/internal/modules/turns/turns.go
+++ b/internal/modules/turns/turns.go
@@ -17,17 +17,16 @@
 package turns
 
 import (
-	"cmp"
-	"slices"
 	"time"
+
+	"gingerlead/internal/structures/rendezvous"
 )
 
-// Order is one member's knowledge of who takes turns. All but Self is the same at members that agree.
+// Order is one member's knowledge of who takes turns. All but the member itself is the same at members that agree.
 type Order struct {
-	self    uint64
-	members []uint64 // sorted, without repeats; self among them
-	slot    time.Duration
-	actors  int
+	row    rendezvous.Row
+	slot   time.Duration
+	actors int
 }
 
 // New makes an Order. Members are numbers that all agree on, such as hashes of names, in any order; self is added where it is not
@@ -36,9 +35,7 @@
 	if slot <= 0 || actors < 1 {
 		panic("turns: no slot or no actors")
 	}
-	all := append(slices.Clone(members), self)
-	slices.Sort(all)
-	return &Order{self: self, members: slices.Compact(all), slot: slot, actors: actors}
+	return &Order{row: rendezvous.New(self, members), slot: slot, actors: actors}
 }
 
 // Numbered is New for members that know only how many they are, and their number among them, from 0.
@@ -63,19 +60,7 @@
 func (o *Order) Mine(what uint64, at time.Duration) bool { return o.has(what, o.slotOf(at)) }
 
 func (o *Order) has(what uint64, slot int64) bool {
-	if o.actors >= len(o.members) {
-		return true
-	}
-	draw := mix(what ^ mix(uint64(slot)))
-	own, before := mix(draw^mix(o.self)), 0
-	for _, m := range o.members {
-		if m != o.self && cmp.Or(cmp.Compare(mix(draw^mix(m)), own), cmp.Compare(m, o.self)) > 0 {
-			if before++; before >= o.actors {
-				return false
-			}
-		}
-	}
-	return true
+	return o.row.Among(rendezvous.Mix(what^rendezvous.Mix(uint64(slot))), o.actors)
 }
 
 // Next is when this member's next turn begins, from a time on; that time itself in the midst of one. Where it has none within as
@@ -83,7 +68,7 @@
 func (o *Order) Next(what uint64, at time.Duration) (begins time.Duration, ok bool) {
 	const surely = 8
 	slot := o.slotOf(at)
-	last := slot + int64(surely*max(1, len(o.members)/o.actors))
+	last := slot + int64(surely*max(1, o.row.Len()/o.actors))
 	for s := slot; s <= last; s++ {
 		if o.has(what, s) {
 			return max(at, time.Duration(s)*o.slot), true
@@ -95,19 +80,5 @@
 // Offset spreads what all members are to do after one cause over a time: it is this member's part of it, from 0 to below window.
 // Those of members that agree are window/n apart, in an order of each cause's own, so that nobody is always the last.
 func (o *Order) Offset(what uint64, window time.Duration) time.Duration {
-	own, place := mix(mix(what)^mix(o.self)), 0
-	for _, m := range o.members {
-		if m != o.self && cmp.Or(cmp.Compare(mix(mix(what)^mix(m)), own), cmp.Compare(m, o.self)) > 0 {
-			place++
-		}
-	}
-	return time.Duration(float64(window) * float64(place) / float64(len(o.members)))
-}
-
-// mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014): a bijection, so that members that differ stay apart.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return time.Duration(float64(window) * float64(o.row.Place(rendezvous.Mix(what))) / float64(o.row.Len()))
 }
--- a/internal/modules/turns/turns_test.go
+++ b/internal/modules/turns/turns_test.go
@@ -11,7 +11,7 @@
 
 func numbers(n int) (all []uint64) {
 	for i := range n {
-		all = append(all, mix(uint64(i)))
+		all = append(all, uint64(i)<<20)
 	}
 	return all
 }
--- a/internal/network/consul/settings.go
+++ b/internal/network/consul/settings.go
@@ -4,10 +4,9 @@
 package consul
 
 import (
-	"net"
-	"strings"
 	"time"
 
+	"gingerlead/internal/config/appfile"
 	"gingerlead/internal/config/schema"
 	"gingerlead/internal/modules/membership"
 )
@@ -48,44 +47,16 @@
 }
 
 // agents are the addresses to ask, in order.
-func (s *Settings) agents() (all []string) {
-	for part := range strings.SplitSeq(s.Agents, ",") {
-		if part = strings.TrimSpace(part); part != "" {
-			all = append(all, part)
-		}
-	}
-	return all
-}
+func (s *Settings) agents() []string { return appfile.List(s.Agents) }
 
 const mostAgents = 16
 
-func badAgents(text string) string {
-	s := Settings{Agents: text}
-	all := s.agents()
-	if len(all) == 0 || len(all) > mostAgents {
-		return "names no agent, or more than 16"
-	}
-	for _, a := range all {
-		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || strings.Trim(port, "0123456789") != "" || port == "" {
-			return "is no list of host:port divided by commas"
-		}
-	}
-	return ""
-}
-
-func badService(text string) string {
-	if strings.ContainsAny(text, "/?#% \"`\\") || len(text) > 128 {
-		return "is no name of a service"
-	}
-	return ""
-}
-
-func text(example string) schema.Text { return schema.Text{Example: example, Bad: badService} }
+func text(example string) schema.Text { return schema.Text{Example: example, Bad: appfile.BadService} }
 
 // Table is [consul].
 var Table = schema.NewTable("consul", "Where Consul is, and what is asked of it; used unless membership.source is platform.",
 	schema.String("agents", func(s *Settings) *string { return &s.Agents },
-		schema.Text{Example: "127.0.0.1:8500", Type: "addresses", Bounds: "host:port, divided by commas, 16 at most", Bad: badAgents}, schema.OnReload,
+		schema.Text{Example: "127.0.0.1:8500", Type: "addresses", Bounds: "host:port, divided by commas, 16 at most", Bad: appfile.BadAddresses(mostAgents)}, schema.OnReload,
 		"Agents to ask, in order: the next one is asked where one does not answer, and the first again a minute later."),
 	schema.String("service", func(s *Settings) *string { return &s.Service }, text("slot-keeper"), schema.OnReload,
 		"The service whose instances are the endpoints."),
--- a/internal/network/gossip/figures_test.go
+++ b/internal/network/gossip/figures_test.go
@@ -108,16 +108,7 @@
 	f.start(n-1, n, nil)
 	joined := f.within(long, "a join", func() bool { return f.agree(peers.Settled) })
 	time.Sleep(time.Minute)
-	var a, b []string
-	for i := range n {
-		if i < n/2 {
-			a = append(a, f.at(i))
-		} else {
-			b = append(b, f.at(i))
-		}
-	}
-	f.net.apart(a, b, true)
-	f.net.apart(b, a, true)
+	f.halve()
 	cut := f.within(long, "a cut", func() bool {
 		for i, g := range f.members {
 			want := n - n/2
@@ -146,6 +137,7 @@
 		f.start(i, n, func(c *Config) { c.Log = said.logger() })
 	}
 	f.within(5*time.Minute, "start", func() bool { return f.agree(peers.Settled) })
+	time.Sleep(time.Second) // a view is as agreed a tick before its member says so
 	f.net.set(func() { f.net.loss = loss })
 	said.take()
 	const length = 10 * time.Minute
--- a/internal/network/gossip/gossip.go
+++ b/internal/network/gossip/gossip.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"gingerlead/internal/config/appfile"
 	"gingerlead/internal/modules/peers"
 )
 
@@ -65,10 +65,10 @@
 // Group is this sidecar among the others. Its methods may be called by several goroutines.
 type Group struct {
 	c       Config
+	process uint64
 	began   time.Time
 	list    *memberlist.Memberlist
 	keyring *memberlist.Keyring
-	network memberlist.Transport
 	queue   memberlist.TransmitLimitedQueue
 	nodes   atomic.Int64  // that memberlist knows
 	work    chan func()   // what must not be done from within memberlist
@@ -100,12 +100,12 @@
 	}
 	g := &Group{c: c, began: time.Now(), work: make(chan func(), asksWaiting), update: make(chan struct{}, 1), ended: make(chan struct{}), at: map[uint64]string{},
 		refused: map[string]int{}, answers: map[uint64]chan peers.Report{}}
-	process := rand.Uint64() | 1
-	self := peers.Record{Process: process, Name: c.Name, Born: time.Now().UnixMilli(), Zone: c.Zone, Version: c.Version, State: peers.Joining}
+	g.process = rand.Uint64() | 1
+	self := peers.Record{Process: g.process, Name: c.Name, Born: time.Now().UnixMilli(), Zone: c.Zone, Version: c.Version, State: peers.Joining}
 	g.view = peers.New(self, c.options(c.Expected), 0)
 	g.view.Resume(0, c.Names)
 	g.told = self
-	g.rejoin = peers.NewRejoin(2*c.Pace, rejoinLongest, rejoinMost, list(c.Join), c.Addresses, process)
+	g.rejoin = peers.NewRejoin(2*c.Pace, rejoinLongest, rejoinMost, appfile.List(c.Join), c.Addresses, g.process)
 	g.queue = memberlist.TransmitLimitedQueue{RetransmitMult: suspicionMult, NumNodes: func() int { return max(1, int(g.nodes.Load())) }}
 	if n := len(g.meta()); n > memberlist.MetaMaxSize {
 		return nil, fmt.Errorf("peers: the names of this sidecar, its application and zone take %d bytes, %d at most", n, memberlist.MetaMaxSize)
@@ -114,7 +114,6 @@
 	if err != nil {
 		return nil, err
 	}
-	g.network = m.Transport
 	if g.list, err = memberlist.Create(m); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
@@ -141,7 +140,7 @@
 // config is memberlist's.
 func (g *Group) config() (*memberlist.Config, error) {
 	m := memberlist.DefaultLANConfig()
-	m.Name = nodeName(g.c.Name, g.told.Process)
+	m.Name = g.node()
 	m.ProbeInterval, m.ProbeTimeout = g.c.Pace, g.c.Pace/2
 	m.SuspicionMult, m.SuspicionMaxTimeoutMult = suspicionMult, suspicionMax
 	m.AwarenessMaxMultiplier = awarenessMost
@@ -226,17 +225,14 @@
 	if moved {
 		g.share, g.shared = share, true
 	}
-	names, addresses := g.view.Group(), g.rejoin.Learnt()
-	keep := g.c.Keep != nil && names != nil && !slices.Equal(names, g.kept)
-	if keep {
-		g.kept = names
+	var keep, addresses []string
+	if moved && g.c.Keep != nil {
+		if names := g.view.Group(); names != nil && !slices.Equal(names, g.kept) {
+			keep, addresses, g.kept = names, g.rejoin.Learnt(), names
+		}
 	}
 	missing := !ok || share.Confidence == peers.Part
-	inReach := map[string]bool{g.c.Listen: true, g.c.Advertise: true}
-	for _, a := range g.at {
-		inReach[a] = true
-	}
-	try, due := g.rejoin.Next(now, missing, func(a string) bool { return inReach[a] })
+	due := g.rejoin.Due(now, missing)
 	changes := g.view.Changes()
 	g.mu.Unlock()
 	g.log(changes)
@@ -244,8 +240,8 @@
 		g.c.Log.Info("peers", "confidence", share.Confidence, "instances", share.Instances, "ordinal", share.Ordinal, "sharing", share.Sharing, "placed", share.Placed)
 		g.c.Changed(share)
 	}
-	if keep {
-		g.c.Keep(names, addresses)
+	if keep != nil {
+		g.c.Keep(keep, addresses)
 	}
 	g.argue(disputed)
 	if fresh {
@@ -254,29 +250,29 @@
 		default: // the one that waits takes this one's news along
 		}
 	}
-	if due && (len(try) > 0 || g.c.Find != nil) && !g.joining.Swap(true) {
+	if due && !g.joining.Swap(true) {
 		go func() {
 			defer g.joining.Store(false)
-			g.join(try, missing)
+			g.join(missing)
 		}()
 	}
 }
 
-// join tries addresses, and looks for others to be tried the next time. While nobody is missing nobody is looked for.
-func (g *Group) join(try []string, missing bool) {
+// join looks for addresses where somebody is missing, and tries some.
+func (g *Group) join(missing bool) {
+	var found []string
+	var err error
 	if g.c.Find != nil && missing {
-		found, err := g.c.Find()
-		if err != nil {
+		if found, err = g.c.Find(); err != nil {
 			g.c.Log.Warn("peers", "trouble", "no addresses were found: "+err.Error())
-		} else {
-			g.mu.Lock()
-			g.rejoin.Found(found)
-			g.mu.Unlock()
-			if len(try) == 0 {
-				try = found[:min(len(found), 3)]
-			}
 		}
 	}
+	g.mu.Lock()
+	if err == nil && found != nil {
+		g.rejoin.Found(found)
+	}
+	try := g.rejoin.Try(g.inReach)
+	g.mu.Unlock()
 	if len(try) == 0 {
 		return
 	}
@@ -287,6 +283,19 @@
 	}
 }
 
+// inReach tells whether an address is a member's that is reached, or the own one. g.mu is held.
+func (g *Group) inReach(address string) bool {
+	if address == g.c.Listen || address == g.c.Advertise {
+		return true
+	}
+	for _, a := range g.at {
+		if a == address {
+			return true
+		}
+	}
+	return false
+}
+
 // argue tells members what is said of them.
 func (g *Group) argue(disputed []peers.Record) {
 	if len(disputed) == 0 {
@@ -368,7 +377,7 @@
 func (g *Group) hear(e *envelope) {
 	for _, r := range e.records {
 		switch news := g.view.Hear(g.now(), r, e.witness); {
-		case news && r.Process == g.told.Process:
+		case news && r.Process == g.process:
 			g.again = true // with the next tick, however much is heard until then
 		case news:
 			g.spread(r)
@@ -390,14 +399,12 @@
 
 // NotifyMsg takes a message of a member.
 func (g *Group) NotifyMsg(b []byte) {
-	e, reason := g.own(b)
-	if reason != "" {
-		g.refuse(reason)
+	e := g.take(b)
+	if e == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.hear(e)
 	if e.ask != 0 {
 		select {
 		case g.work <- func() { g.answer(e.witness, e.ask) }:
@@ -429,15 +436,19 @@
 }
 
 // MergeRemoteState takes all that another knows.
-func (g *Group) MergeRemoteState(b []byte, join bool) {
+func (g *Group) MergeRemoteState(b []byte, join bool) { g.take(b) }
+
+// take takes the records of a message in; nil for one that is refused.
+func (g *Group) take(b []byte) *envelope {
 	e, reason := g.own(b)
 	if reason != "" {
 		g.refuse(reason)
-		return
+		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.hear(e)
+	return e
 }
 
 // NotifyAlive refuses whoever is not of this application, or beyond what may be known.
@@ -474,16 +485,13 @@
 func (g *Group) NotifyUpdate(n *memberlist.Node) { g.alive(n) }
 
 func (g *Group) alive(n *memberlist.Node) {
-	e, reason := g.own(n.Meta)
-	if reason != "" || len(e.records) != 1 {
+	e := g.who(n)
+	if e == nil {
 		return
 	}
-	process := e.records[0].Process
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if process == g.told.Process {
-		return
-	}
+	process := e.records[0].Process
 	g.hear(e)
 	g.at[process] = n.Address()
 	g.rejoin.Learn(n.Address())
@@ -493,19 +501,28 @@
 // NotifyLeave takes a member that memberlist gave up, or that left.
 func (g *Group) NotifyLeave(n *memberlist.Node) {
 	g.nodes.Add(-1)
-	e, reason := g.own(n.Meta)
-	if reason != "" || len(e.records) != 1 {
+	e := g.who(n)
+	if e == nil {
 		return
 	}
-	process := e.records[0].Process
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	process := e.records[0].Process
 	delete(g.at, process)
 	if r, ok := g.view.Lost(g.now(), process); ok {
 		g.spread(r)
 	}
 }
 
+// who reads the one record in a node's metadata; nil for this member itself, and for one that says nothing of itself.
+func (g *Group) who(n *memberlist.Node) *envelope {
+	e, reason := g.own(n.Meta)
+	if reason != "" || len(e.records) != 1 || n.Name == g.node() {
+		return nil
+	}
+	return e
+}
+
 // Keys takes the keys of a file that was read again.
 func (g *Group) Keys(keys [][]byte) error {
 	if g.keyring == nil || len(keys) == 0 {
@@ -550,12 +567,7 @@
 func (g *Group) Report() peers.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.view.Report(g.now())
-	for i := range r.Members {
-		process, _ := strconv.ParseUint(r.Members[i].Process, 16, 64)
-		r.Members[i].Address = g.at[process]
-	}
-	r.Refused = map[string]int{}
+	r := g.view.Report(g.now(), func(process uint64) string { return g.at[process] })
 	for reason, n := range g.refused {
 		r.Refused[reason] = n
 	}
@@ -612,7 +624,7 @@
 	return f
 }
 
-func (g *Group) node() string { return g.list.LocalNode().Name }
+func (g *Group) node() string { return nodeName(g.c.Name, g.process) }
 
 // answer gives whoever asks this member's view.
 func (g *Group) answer(name string, token uint64) {
--- a/internal/network/gossip/model_test.go
+++ b/internal/network/gossip/model_test.go
@@ -74,6 +74,17 @@
 	g.list.Shutdown()
 }
 
+// halve cuts the first half off from the second.
+func (f *fleet) halve() {
+	var all []string
+	for i := range f.members {
+		all = append(all, f.at(i))
+	}
+	half := len(all) / 2
+	f.net.apart(all[:half], all[half:], true)
+	f.net.apart(all[half:], all[:half], true)
+}
+
 func (f *fleet) end() {
 	for i := range f.members {
 		f.kill(i)
@@ -236,16 +247,7 @@
 			f.start(i, n, nil)
 		}
 		f.within(settles, "the start", func() bool { return f.agree(peers.Settled) })
-		var a, b []string
-		for i := range n {
-			if i < n/2 {
-				a = append(a, f.at(i))
-			} else {
-				b = append(b, f.at(i))
-			}
-		}
-		f.net.apart(a, b, true)
-		f.net.apart(b, a, true)
+		f.halve()
 		parts := func() bool {
 			for _, g := range f.members {
 				if s, _ := g.state(); s.Confidence != peers.Part || s.Instances != n/2 || s.Sharing != n {
@@ -431,14 +433,9 @@
 		}
 		f.within(settles, "one fleet", side(0, 5, peers.Settled))
 		f.within(settles, "the other", side(5, 5, peers.Settled))
-		go f.members[0].join([]string{f.at(5)}, false)
+		go f.members[0].list.Join([]string{f.at(5)})
 		f.within(settles, "joined", func() bool { return f.agree(peers.Settled) })
-		var a, b []string
-		for i := range 5 {
-			a, b = append(a, f.at(i)), append(b, f.at(5+i))
-		}
-		f.net.apart(a, b, true)
-		f.net.apart(b, a, true)
+		f.halve()
 		f.within(settles, "parted", side(0, 10, peers.Part))
 		f.within(settles, "parted", side(5, 10, peers.Part))
 		for i := range 5 {
--- a/internal/network/gossip/settings.go
+++ b/internal/network/gossip/settings.go
@@ -35,15 +35,6 @@
 	leastKey    = 16 // bytes: AES-128
 )
 
-func list(text string) (all []string) {
-	for part := range strings.SplitSeq(text, ",") {
-		if part = strings.TrimSpace(part); part != "" {
-			all = append(all, part)
-		}
-	}
-	return all
-}
-
 func badAddress(text string) string {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil || strings.Trim(port, "0123456789") != "" || port == "" || port == "0" {
@@ -52,26 +43,6 @@
 	return ""
 }
 
-func badJoin(text string) string {
-	all := list(text)
-	if len(all) == 0 || len(all) > mostJoin {
-		return "names no address, or more than 64"
-	}
-	for _, a := range all {
-		if host, port, err := net.SplitHostPort(a); err != nil || host == "" || strings.Trim(port, "0123456789") != "" || port == "" {
-			return "is no list of host:port divided by commas"
-		}
-	}
-	return ""
-}
-
-func badService(text string) string {
-	if strings.ContainsAny(text, "/?#% \"`\\") || len(text) > 128 {
-		return "is no name of a service"
-	}
-	return ""
-}
-
 func badZone(text string) string {
 	if len(text) > 64 {
 		return "is longer than 64 bytes"
@@ -88,9 +59,9 @@
 		schema.Text{Example: "192.0.2.7:7946", Type: "address", Bounds: "IP:port", Bad: badAddress}, schema.AtStart,
 		"The address that the others are told, where it is not peers_listen."),
 	schema.String("peers_join", func(s *Settings) *string { return &s.Join },
-		schema.Text{Example: "10.0.4.8:7946, 10.0.4.9:7946", Type: "addresses", Bounds: "host:port, divided by commas, 64 at most", Bad: badJoin}, schema.AtStart,
+		schema.Text{Example: "10.0.4.8:7946, 10.0.4.9:7946", Type: "addresses", Bounds: "host:port, divided by commas, 64 at most", Bad: appfile.BadAddresses(mostJoin)}, schema.AtStart,
 		"Some of the others; the rest is learnt from them. Without it this one waits to be found."),
-	schema.String("peers_service", func(s *Settings) *string { return &s.Service }, schema.Text{Example: "booking-front-peers", Bad: badService}, schema.AtStart,
+	schema.String("peers_service", func(s *Settings) *string { return &s.Service }, schema.Text{Example: "booking-front-peers", Bad: appfile.BadService}, schema.AtStart,
 		"A service in Consul (consul.agents) whose instances are the others' peers_listen; asked while somebody is missing."),
 	schema.SecretFile("peers_key_file", func(s *Settings) *string { return &s.KeyFile }, schema.Token, "/etc/quincegap/peers.key", schema.OnReload,
 		"A file with the key that all share: 16, 24 or 32 random bytes in base64, or several divided by commas, of which the first "+
@@ -125,7 +96,7 @@
 		report("forget_after", "%s is not above ten times settle_after, %s (%s)", schema.FormatDuration(s.ForgetAfter),
 			schema.FormatDuration(s.SettleAfter), f.Place("peers", "settle_after"))
 	}
-	for _, a := range list(s.Join) {
+	for _, a := range appfile.List(s.Join) {
 		if a == s.Advertise { // that it is peers_listen is seen where all addresses are compared
 			report("peers_join", "%s is this sidecar's own address", a)
 		}
@@ -146,7 +117,7 @@
 
 // ParseKeys reads the keys of a file's text. No error carries any of it.
 func ParseKeys(text string) (keys [][]byte, err error) {
-	for i, part := range list(text) {
+	for i, part := range appfile.List(text) {
 		key, err := base64.StdEncoding.DecodeString(part)
 		if err != nil {
 			return nil, fmt.Errorf("key %d is not in base64 (RFC 4648, section 4)", i+1)
--- a/internal/network/gossip/transport.go
+++ b/internal/network/gossip/transport.go
@@ -21,8 +21,8 @@
 	done    chan struct{}
 	once    sync.Once
 
-	mu         sync.Mutex
-	open, most int
+	mu   sync.Mutex
+	open int
 }
 
 func newBound(t *memberlist.NetTransport, from net.IP) *bound {
@@ -59,7 +59,6 @@
 		return false
 	}
 	b.open++
-	b.most = max(b.most, b.open)
 	return true
 }
 
--- a/internal/network/gossip/transport_test.go
+++ b/internal/network/gossip/transport_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"io"
+	"log"
 	"log/slog"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"gingerlead/internal/modules/peers"
 )
 
@@ -52,13 +56,56 @@
 			t.Fatal("a member never got in")
 		}
 	}
-	n := a.network.(*bound)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.most > mostStreams || n.most == 0 {
-		t.Errorf("%d connections at once, %d at most", n.most, mostStreams)
-	}
 	for _, c := range held {
 		c.Close()
 	}
 }
+
+// Of those that come at once so many are passed on, the others closed; each that ends makes room for another.
+func TestStreamsAreBounded(t *testing.T) {
+	n, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{"127.0.0.1"}, Logger: log.New(io.Discard, "", 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newBound(n, net.IPv4(127, 0, 0, 1))
+	defer b.Shutdown()
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(n.GetAutoBindPort()))
+	closed := make(chan struct{}, 100)
+	dial := func() {
+		c, err := b.DialTimeout(address, 30*time.Second)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		t.Cleanup(func() { c.Close() })
+		go func() {
+			c.Read(make([]byte, 1))
+			closed <- struct{}{}
+		}()
+	}
+	var taken []net.Conn
+	for range mostStreams {
+		dial()
+		taken = append(taken, <-b.StreamCh())
+	}
+	for range 10 * mostStreams {
+		dial()
+	}
+	for range 10 * mostStreams {
+		<-closed
+	}
+	select {
+	case <-b.StreamCh():
+		t.Error("one beyond the bound was passed on")
+	case <-closed:
+		t.Error("one within it was closed")
+	default:
+	}
+	taken[0].Close()
+	taken[0].Close() // memberlist may close twice, which makes room for one
+	<-closed
+	dial()
+	<-b.StreamCh()
+	dial()
+	<-closed
+}
--- a/internal/rehearsal/fleet/subsets.go
+++ b/internal/rehearsal/fleet/subsets.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gingerlead"
+	"gingerlead/internal/structures/rendezvous"
 )
 
 // A scheme shares endpoints out among instances. Its endpoints are all alike.
@@ -156,14 +157,6 @@
 	return got
 }
 
-// hash spreads an id over 64 bits (the finalizer of SplitMix64).
-func hash(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // arcs have each endpoint at a point of a circle, by its hash, and each instance an arc of it, by its ordinal.
 type arcs struct {
 	sorted
@@ -174,7 +167,7 @@
 	got := map[uint32]float64{}
 	_, from := math.Modf(float64(i) * callers / float64(s.instances))
 	for _, id := range s.ids {
-		off := float64(hash(uint64(id)))/math.MaxUint64 - from
+		off := float64(rendezvous.Mix(uint64(id)))/math.MaxUint64 - from
 		if off < 0 {
 			off++
 		}
@@ -223,16 +216,16 @@
 	for i := range s.instances {
 		s.got = append(s.got, map[uint32]float64{})
 		for k := range points {
-			ring = append(ring, point{hash(uint64(i)<<32 | uint64(k)), i})
+			ring = append(ring, point{rendezvous.Mix(uint64(i)<<32 | uint64(k)), i})
 		}
 	}
 	slices.SortFunc(ring, func(a, b point) int { return cmp.Compare(a.at, b.at) })
 	most := int(math.Ceil(1.125 * callers * float64(len(s.ids)) / float64(s.instances)))
 	order := slices.Clone(s.ids)
-	slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(hash(uint64(a)), hash(uint64(b))) })
+	slices.SortFunc(order, func(a, b uint32) int { return cmp.Compare(rendezvous.Mix(uint64(a)), rendezvous.Mix(uint64(b))) })
 	for _, id := range order {
 		for k := range callers {
-			at := hash(uint64(id) | uint64(k+1)<<40)
+			at := rendezvous.Mix(uint64(id) | uint64(k+1)<<40)
 			from, _ := slices.BinarySearchFunc(ring, at, func(p point, at uint64) int { return cmp.Compare(p.at, at) })
 			for step := range ring {
 				g := s.got[ring[(from+step)%len(ring)].instance]
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -116,10 +116,10 @@
 	n.running.Wait()
 }
 
-// fault is what happens now from an IP address to a member. n.mu is held.
-func (n *Net) fault(from net.IP, to string) Fault {
+// fault is what happens now from one member to another. n.mu is held.
+func (n *Net) fault(from, to string) Fault {
 	f := n.all
-	f.Cut = f.Cut || n.faults[[2]string{n.names[from.String()], to}].Cut
+	f.Cut = f.Cut || n.faults[[2]string{from, to}].Cut
 	return f
 }
 
@@ -137,7 +137,7 @@
 			continue // refused by a member that is dead
 		}
 		n.mu.Lock()
-		f, times := n.fault(from.IP, name), 1
+		f, times := n.fault(n.names[from.IP.String()], name), 1
 		if f.Cut || n.rng.Float64() < f.Loss {
 			times = 0
 		} else if n.rng.Float64() < f.Double {
@@ -168,8 +168,6 @@
 
 func (n *Net) stream(name string, c net.Conn, member string) {
 	defer c.Close()
-	from := c.RemoteAddr().(*net.TCPAddr).IP
-	sender := &net.UDPAddr{IP: from}
 	to, err := net.DialTimeout("tcp", member, time.Second)
 	if err != nil {
 		return
@@ -181,11 +179,12 @@
 		return
 	}
 	n.closers = append(n.closers, c, to)
+	from := n.names[c.RemoteAddr().(*net.TCPAddr).IP.String()]
 	n.mu.Unlock()
 	back := make(chan struct{})
 	go func() {
 		defer close(back)
-		n.copy(c, to, func() Fault { return n.back(name, sender.IP) })
+		n.copy(c, to, func() Fault { return n.fault(name, from) })
 		c.Close()
 	}()
 	n.copy(to, c, func() Fault { return n.fault(from, name) })
@@ -195,13 +194,6 @@
 	<-back
 }
 
-// back is what happens to what a member answers. n.mu is held.
-func (n *Net) back(from string, to net.IP) Fault {
-	f := n.all
-	f.Cut = f.Cut || n.faults[[2]string{from, n.names[to.String()]}].Cut
-	return f
-}
-
 // copy passes pieces on; while there is a cut they wait, as they would for being sent again.
 func (n *Net) copy(to io.Writer, from io.Reader, fault func() Fault) {
 	buf := make([]byte, 16<<10)
--- a/internal/structures/arcs/arcs.go
+++ b/internal/structures/arcs/arcs.go
@@ -3,7 +3,11 @@
 // or goes moves no other. It decides nothing.
 package arcs
 
-import "math"
+import (
+	"math"
+
+	"gingerlead/internal/structures/rendezvous"
+)
 
 // Share is an owner's: of each item as many owners as Copies have it, whatever the ids. The items are shared out in
 // as many rounds. In each they stand on a circle, by a hash of the id and the round, and the owners of the round
@@ -24,40 +28,20 @@
 // numbers score highest with it (rendezvous hashing: Thaler, Ravishankar 1998), so that of all items only those that one
 // had move when it goes, each to one other owner, and only those that one gets move when it comes. With arcs by their
 // place in a row half of all would. An owner's number of items is by chance, as with arcs.
-type Group struct {
-	self   uint64
-	others []uint64
-}
+type Group struct{ row rendezvous.Row }
 
 // NewGroup is the group of an owner: its own number, and all, itself among them or not, in any order.
-func NewGroup(self uint64, all []uint64) *Group {
-	g := &Group{self: self}
-	for _, m := range all {
-		if m != self {
-			g.others = append(g.others, m)
-		}
-	}
-	return g
-}
+func NewGroup(self uint64, all []uint64) *Group { return &Group{rendezvous.New(self, all)} }
 
 // has tells whether this owner is one of an item's. Copies that are no whole number leave each item with the whole ones,
 // and a part of the items with one more.
 func (g *Group) has(id uint32, copies float64) bool {
-	item := hash(uint64(id))
-	if whole := math.Floor(copies); float64(item>>11)/(1<<53) < copies-whole {
-		copies = whole + 1
-	} else {
-		copies = whole
+	item := rendezvous.Mix(uint64(id))
+	whole := int(copies)
+	if float64(item>>11)/(1<<53) < copies-float64(whole) {
+		whole++
 	}
-	own, rank := hash(item^g.self), 0.0
-	for _, m := range g.others {
-		if hash(item^m) > own {
-			if rank++; rank >= copies {
-				return false
-			}
-		}
-	}
-	return copies > 0
+	return g.row.Among(item, whole)
 }
 
 // Has tells whether the owner has an item.
@@ -91,15 +75,6 @@
 
 // within tells whether an item lies on an arc of a round's circle, up to the circle's end.
 func within(id uint32, round, from, length float64) bool {
-	at := float64(hash(uint64(id)|uint64(round+1)<<32)>>11) / (1 << 53)
+	at := float64(rendezvous.Mix(uint64(id)|uint64(round+1)<<32)>>11) / (1 << 53)
 	return at >= from-1e-9 && at < min(from+length-1e-9, 1)
 }
-
-// hash spreads an id over 64 bits: the finalizer of SplitMix64 (Steele, Lea, Flood: Fast Splittable Pseudorandom
-// Number Generators, 2014).
-func hash(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/internal/structures/arcs/arcs_test.go
+++ b/internal/structures/arcs/arcs_test.go
@@ -109,7 +109,7 @@
 
 func group(n int) (all []uint64) {
 	for i := range n {
-		all = append(all, hash(uint64(i)+1000))
+		all = append(all, uint64(i)+1000)
 	}
 	return all
 }
