Random schedules pause members too, and no two disjoint groups are ever settled in them

Now a member may stand still for up to 20 s, and every half second of each schedule no two members may be settled in groups that have nobody in common.

--- a/internal/network/gossip/model_test.go
+++ b/internal/network/gossip/model_test.go
@@ -119,6 +119,26 @@
 	return true
 }
 
+// oneSettled fails where two members are settled in groups that have nobody in common.
+func (f *fleet) oneSettled() {
+	f.t.Helper()
+	var first []string
+	for i, g := range f.members {
+		if g == nil {
+			continue
+		}
+		s, ok := g.state()
+		if !ok || s.Confidence != peers.Settled {
+			continue
+		}
+		if first == nil {
+			first = s.Names
+		} else if !slices.ContainsFunc(s.Names, func(n string) bool { return slices.Contains(first, n) }) {
+			f.t.Fatalf("%d is settled in %v, another one in %v\n%s", i, s.Names, first, strings.Join(f.story, "\n"))
+		}
+	}
+}
+
 // within waits until something holds, and returns how long it took; it fails where it does not in time.
 func (f *fleet) within(d time.Duration, what string, holds func() bool) time.Duration {
 	f.t.Helper()
@@ -163,8 +183,8 @@
 	return n
 }
 
-// Whatever was cut, delayed, lost, killed and started anew: once it is over, all have one view, settled, in a stated time;
-// and at no time are two sides of a cut of halves settled.
+// Whatever was cut, delayed, lost, paused, killed and started anew: once it is over, all have one view, settled, in a stated time;
+// and at no time are two settled in groups that have nobody in common, as two sides of a cut of halves would be.
 func TestRandomSchedules(t *testing.T) {
 	for seed := range uint64(soaked(8)) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -195,7 +215,7 @@
 		all[i] = f.at(i)
 	}
 	for range 2 + rng.IntN(5) {
-		switch rng.IntN(6) {
+		switch rng.IntN(7) {
 		case 0:
 			k := 1 + rng.IntN(n-1)
 			rng.Shuffle(n, func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -221,12 +241,18 @@
 			f.kill(i)
 			f.start(i, n, nil)
 		case 5:
+			i, last := rng.IntN(n), time.Duration(rng.IntN(20000))*time.Millisecond
+			f.say("%s stands still for %v", f.at(i), last)
+			f.net.set(func() { f.net.still[f.at(i)] = time.Now().Add(last) })
+		case 6:
 			f.say("healed")
 			f.net.set(func() { clear(f.net.cut) })
 		}
-		time.Sleep(time.Duration(rng.IntN(15000)) * time.Millisecond)
+		for end := time.Now().Add(time.Duration(rng.IntN(15000)) * time.Millisecond); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+			f.oneSettled()
+		}
 	}
-	f.net.set(func() { clear(f.net.cut); f.net.loss, f.net.late = 0, 2*time.Millisecond })
+	f.net.set(func() { clear(f.net.cut); clear(f.net.still); f.net.loss, f.net.late = 0, 2*time.Millisecond })
 	for i := range n {
 		if f.members[i] == nil {
 			f.start(i, n, nil)
--- a/internal/network/gossip/network_test.go
+++ b/internal/network/gossip/network_test.go
@@ -19,6 +19,7 @@
 	loss  float64
 	late  time.Duration          // most that a packet takes
 	cut   map[[2]string]bool     // from, to
+	still map[string]time.Time   // until when one stands still: what comes to it and from it waits
 	bytes map[string]int         // sent, by address
 	tape  map[string][]recording // packets kept, to be played again
 	keeps bool
@@ -30,7 +31,7 @@
 }
 
 func newNetwork(seed uint64) *network {
-	return &network{rng: rand.New(rand.NewPCG(seed, 9)), ends: map[string]*end{}, late: 2 * time.Millisecond, cut: map[[2]string]bool{},
+	return &network{rng: rand.New(rand.NewPCG(seed, 9)), ends: map[string]*end{}, late: 2 * time.Millisecond, cut: map[[2]string]bool{}, still: map[string]time.Time{},
 		bytes: map[string]int{}, tape: map[string][]recording{}}
 }
 
@@ -94,6 +95,11 @@
 	return nil
 }
 
+// waits is how long what goes from one to another waits for those that stand still. n.mu is held.
+func (n *network) waits(from, to string) time.Duration {
+	return max(0, time.Until(n.still[from]), time.Until(n.still[to]))
+}
+
 // passes tells whether something gets from one to another now. n.mu is held.
 func (n *network) passes(from, to string) bool { return !n.cut[[2]string{from, to}] }
 
@@ -116,7 +122,7 @@
 
 // deliver brings a packet after a while. n.mu is held.
 func (n *network) deliver(from, to string, text []byte) {
-	time.AfterFunc(time.Duration(n.rng.Float64()*float64(n.late)), func() {
+	time.AfterFunc(n.waits(from, to)+time.Duration(n.rng.Float64()*float64(n.late)), func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if o := n.ends[to]; o != nil {
@@ -138,9 +144,12 @@
 	n := e.n
 	n.mu.Lock()
 	o := n.ends[to]
-	passes := n.passes(e.address, to) && n.passes(to, e.address)
+	wait := n.waits(e.address, to)
+	passes := n.passes(e.address, to) && n.passes(to, e.address) && wait < timeout
 	n.mu.Unlock()
-	if !passes {
+	if passes {
+		time.Sleep(wait)
+	} else {
 		time.Sleep(timeout)
 		return nil, errUnreached
 	}
