Confidence goes with the group, and members compare digests with each probe

Seen: in a soak of 934 random schedules with pauses, 5 had two members settled in groups with nobody in common, and one of 50 members was not one within 60 s. Causes: Confidence() judged by the present reach while Share had the group of the last rest, so from a change to the next tick a member was settled in the group it had while cut off; and after a cut one member reached 48 others, for whom it was dead, which neither finds out before the next full exchange (up to 60 s there). Confidence is now that of the last rest, and changing once anything has changed. Acks of probes carry the view's digest; a view at rest that meets another one exchanges all with it, once in 10 paces. Full exchanges by chance: every 240 paces.

--- a/internal/modules/peers/group.go
+++ b/internal/modules/peers/group.go
@@ -158,12 +158,13 @@
 	v.resumed, v.resumeAt = true, now
 }
 
-// Confidence is how far the view can be relied on at a time.
+// Confidence is how far the view, and the group of its last rest, can be relied on at a time. It never says more than that
+// rest did: what has changed since is no part of the group.
 func (v *View) Confidence(now time.Duration) Confidence {
-	if v.moving(now) {
+	switch {
+	case v.open || now-v.ticked > v.o.SettleFor: // the latter: this process stood still
 		return Changing
-	}
-	if n, of := v.Reach(); 2*n <= of {
+	case v.part:
 		return Part
 	}
 	return Settled
@@ -215,18 +216,22 @@
 		v.resumed = false
 		v.unsettle(now)
 	}
-	c := v.Confidence(now)
-	if c == Settled {
+	if v.moving(now) {
+		return
+	}
+	n, of := v.Reach()
+	part := 2*n <= of
+	if !part {
 		for name, at := range v.lost {
 			if now-at >= v.o.LossFor {
 				delete(v.lost, name)
 			}
 		}
 	}
-	if c == Changing || !v.open && v.part == (c == Part) {
+	if !v.open && v.part == part {
 		return
 	}
-	v.open, v.part = false, c == Part
+	v.open, v.part = false, part
 	v.names, v.damped = []string{}, 0
 	for name, t := range v.turns {
 		if t.damped {
@@ -236,7 +241,7 @@
 		}
 	}
 	slices.Sort(v.names)
-	if c == Settled {
+	if !part {
 		v.settle(now)
 	}
 	v.version++
--- a/internal/modules/peers/peers.go
+++ b/internal/modules/peers/peers.go
@@ -88,6 +88,7 @@
 	DampFor     time.Duration // in which a name that comes and goes is taken for gone; longer than SettleFor
 	LossFor     time.Duration // in which all of those at the other side of a cut are surely found to be lost
 	ResumeFor   time.Duration // in which the group of an earlier life counts
+	ExchangeFor time.Duration // between two full exchanges for a difference
 	Expected    int           // members that a file names; the first group has more than half of them. 0 or 1: none are expected
 	Most        int           // processes that are kept, those that are gone among them
 }
@@ -102,19 +103,20 @@
 
 // View is one process's. It is not safe for concurrent use.
 type View struct {
-	self    uint64
-	o       Options
-	members map[uint64]*member
-	version uint64
-	refused int
-	changes []Change
-	ticked  time.Duration
+	self      uint64
+	o         Options
+	members   map[uint64]*member
+	version   uint64
+	refused   int
+	changes   []Change
+	ticked    time.Duration
+	exchanged time.Duration // when a difference was last acted on
 	group
 }
 
 // New makes the view of a process that knows itself alone. self.Incarnation may be 0.
 func New(self Record, o Options, now time.Duration) *View {
-	v := &View{self: self.Process, o: o, members: map[uint64]*member{}, ticked: now}
+	v := &View{self: self.Process, o: o, members: map[uint64]*member{}, ticked: now, exchanged: now}
 	v.group = newGroup(now)
 	v.members[self.Process] = &member{Record: self, since: now, known: now, reached: true}
 	v.turn(now, self.Name)
@@ -355,16 +357,16 @@
 	return all
 }
 
-// Digest is the same at two members whose views are, and hardly ever else. Those that are gone are forgotten at different
-// times, and left out.
-func (v *View) Digest() uint64 {
+// Digest is the same at two members who count the same processes as there, and hardly ever else.
+func (v *View) Digest(now time.Duration) uint64 {
 	h := fnv.New64a()
 	var b [8]byte
-	for _, r := range v.Records() {
-		if r.State == Gone {
+	for _, p := range slices.Sorted(maps.Keys(v.members)) {
+		m := v.members[p]
+		if !v.there(now, m) {
 			continue
 		}
-		for _, x := range []uint64{r.Process, r.Incarnation, uint64(r.State)} {
+		for _, x := range []uint64{p, m.Incarnation, uint64(m.State)} {
 			binary.LittleEndian.PutUint64(b[:], x)
 			h.Write(b[:])
 		}
@@ -372,6 +374,16 @@
 	return h.Sum64()
 }
 
+// Differs takes another member's digest, and tells whether all that both know is to be exchanged with it. News that are on
+// their way make digests differ for a moment; so only those of a view at rest count, and at most once in so long.
+func (v *View) Differs(now time.Duration, digest uint64) bool {
+	if v.open || now-v.exchanged < v.o.ExchangeFor || digest == v.Digest(now) {
+		return false
+	}
+	v.exchanged = now
+	return true
+}
+
 // Version grows with each change of the view.
 func (v *View) Version() uint64 { return v.version }
 
--- a/internal/modules/peers/peers_test.go
+++ b/internal/modules/peers/peers_test.go
@@ -11,7 +11,7 @@
 )
 
 var options = Options{SuspectFor: 2 * time.Second, ForgetAfter: time.Minute, SettleFor: 3 * time.Second, DampFor: 20 * time.Second,
-	LossFor: time.Minute, ResumeFor: 30 * time.Second, Most: 64}
+	LossFor: time.Minute, ResumeFor: 30 * time.Second, ExchangeFor: 5 * time.Second, Most: 64}
 
 func record(process uint64, s State) Record {
 	return Record{Process: process, Name: fmt.Sprintf("n%02d", process), Zone: "a", Version: "1", Incarnation: 1, State: s}
@@ -94,7 +94,7 @@
 		for _, i := range rapid.Permutation(again).Draw(t, "order") {
 			b.hear(i)
 		}
-		if !slices.Equal(a.Records(), b.Records()) || a.Digest() != b.Digest() {
+		if !slices.Equal(a.Records(), b.Records()) || a.Digest(0) != b.Digest(0) {
 			t.Fatalf("%v and %v", a.Records(), b.Records())
 		}
 	})
@@ -375,6 +375,52 @@
 	}
 }
 
+// A view is never more confident than the group that goes with it: between a change and the next rest it is changing.
+func TestConfidenceGoesWithTheGroup(t *testing.T) {
+	b := among(4, options)
+	for p := uint64(2); p <= 4; p++ {
+		b.Lost(b.now, p)
+		b.pass(options.SettleFor)
+	}
+	if s, _ := b.Share(b.now); s.Confidence != Part || len(s.Names) != 1 {
+		t.Fatalf("alone: %+v", s)
+	}
+	// They come back over longer than a view stays open.
+	for p := uint64(2); p <= 4; p++ {
+		b.back(p, 2)
+		if s, _ := b.Share(b.now); s.Confidence != Changing {
+			t.Errorf("%d is back, and not in the group: %+v", p, s)
+		}
+		b.pass(options.SettleFor / 2)
+	}
+	b.pass(restLatest * options.SettleFor)
+	b.Lost(b.now, 4)
+	if s, _ := b.Share(b.now); s.Confidence != Changing {
+		t.Errorf("one went: %+v", s)
+	}
+}
+
+// Views that differ are exchanged, once in ExchangeFor, and not while news are on their way.
+func TestDiffers(t *testing.T) {
+	b, same := among(4, options), among(4, options)
+	if b.pass(options.ExchangeFor); b.Differs(b.now, same.Digest(same.now)) {
+		t.Error("two views that are the same differ")
+	}
+	same.Lost(same.now, 3)
+	other := same.Digest(same.now)
+	if !b.Differs(b.now, other) || b.Differs(b.now, other) {
+		t.Error("a difference is acted on once")
+	}
+	b.pass(options.ExchangeFor)
+	b.join(9)
+	if b.Differs(b.now, other) {
+		t.Error("a view that is open differs")
+	}
+	if b.pass(options.SettleFor); !b.Differs(b.now, other) {
+		t.Error("a difference that stays is acted on again")
+	}
+}
+
 // Two processes under one name are seen, and the later one gets no place, whatever their clocks say.
 func TestNameTwice(t *testing.T) {
 	first, second := record(1, Serving), record(2, Joining)
--- a/internal/modules/peers/report.go
+++ b/internal/modules/peers/report.go
@@ -55,7 +55,7 @@
 	own := v.Self()
 	s, _ := v.Share(now)
 	r := Report{Name: own.Name, Process: Hex(own.Process), Confidence: v.Confidence(now).String(), Instances: s.Instances, Ordinal: s.Ordinal,
-		Sharing: s.Sharing, Placed: s.Placed, Version: v.version, Digest: fmt.Sprintf("%016x", v.Digest()), Twice: v.Twice(now), Refused: map[string]int{}}
+		Sharing: s.Sharing, Placed: s.Placed, Version: v.version, Digest: fmt.Sprintf("%016x", v.Digest(now)), Twice: v.Twice(now), Refused: map[string]int{}}
 	r.Reached, r.Of = v.Reach()
 	if v.refused > 0 {
 		r.Refused["records, spoilt or beyond the most"] = v.refused
--- a/internal/network/gossip/gossip.go
+++ b/internal/network/gossip/gossip.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -59,7 +60,7 @@
 	suspicionMult = 4                // paces, times the logarithm of the members, until a suspect that denies nothing is gone,
 	suspicionMax  = 2                // times that where nobody else suspects it too
 	awarenessMost = 3                // times as slow, at most, as one that thinks itself ill judges others: when most die at once, the rest think so
-	exchangeEvery = 60               // paces between two full exchanges with one member: they grow with the members, and news need none
+	exchangeEvery = 240              // paces between two full exchanges with one member: they grow with the members, and a difference is found by digests
 )
 
 // Group is this sidecar among the others. Its methods may be called by several goroutines.
@@ -85,6 +86,7 @@
 	logged  time.Time         // last complaint of memberlist's that was passed on
 	told    peers.Record      // what was spread of this one
 	again   bool              // it is to be spread once more
+	differs string            // the address of a member whose view does
 	argued  time.Duration     // when members that are said to be gone, and are reached, were last told so
 	share   peers.Share
 	shared  bool
@@ -147,7 +149,7 @@
 	m.PushPullInterval = exchangeEvery * g.c.Pace
 	m.GossipInterval = max(g.c.Pace/5, 20*time.Millisecond)
 	m.TCPTimeout = dialWait
-	m.Delegate, m.Events, m.Alive, m.Merge = g, g, g, g
+	m.Delegate, m.Events, m.Alive, m.Merge, m.Ping = g, g, g, g, g
 	m.Logger = log.New(complaints{g}, "", 0)
 	m.DNSConfigPath = ""
 	if len(g.c.Keys) > 0 {
@@ -233,6 +235,8 @@
 	}
 	missing := !ok || share.Confidence == peers.Part
 	due := g.rejoin.Due(now, missing)
+	differs := g.differs
+	g.differs = ""
 	changes := g.view.Changes()
 	g.mu.Unlock()
 	g.log(changes)
@@ -250,10 +254,15 @@
 		default: // the one that waits takes this one's news along
 		}
 	}
-	if due && !g.joining.Swap(true) {
+	if (due || differs != "") && !g.joining.Swap(true) {
 		go func() {
 			defer g.joining.Store(false)
-			g.join(missing)
+			if differs != "" {
+				g.list.Join([]string{differs}) // a full exchange; with one that is gone by now it fails
+			}
+			if due {
+				g.join(missing)
+			}
 		}()
 	}
 }
@@ -451,6 +460,26 @@
 	return e
 }
 
+// AckPayload goes with each answer to a probe: the digest of the own view.
+func (g *Group) AckPayload() []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return binary.LittleEndian.AppendUint64(nil, g.view.Digest(g.now()))
+}
+
+// NotifyPingComplete takes the digest of one that was probed. After a cut one may reach all others and be dead for them, which
+// none of them finds out by asking for it.
+func (g *Group) NotifyPingComplete(n *memberlist.Node, _ time.Duration, payload []byte) {
+	if len(payload) != 8 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.view.Differs(g.now(), binary.LittleEndian.Uint64(payload)) {
+		g.differs = n.Address()
+	}
+}
+
 // NotifyAlive refuses whoever is not of this application, or beyond what may be known.
 func (g *Group) NotifyAlive(n *memberlist.Node) error {
 	_, reason := g.own(n.Meta)
--- a/internal/network/gossip/settings.go
+++ b/internal/network/gossip/settings.go
@@ -137,13 +137,14 @@
 // member has to hear that it was taken for gone, and to deny it.
 func (s *Settings) options(expected int) peers.Options {
 	return peers.Options{SuspectFor: suspectPaces * s.Pace, ForgetAfter: s.ForgetAfter, SettleFor: s.SettleAfter, DampFor: dampSettles * s.SettleAfter, LossFor: lossPaces * s.Pace,
-		ResumeFor: resumeSettles * s.SettleAfter, Expected: expected, Most: s.Most}
+		ResumeFor: resumeSettles * s.SettleAfter, ExchangeFor: differPaces * s.Pace, Expected: expected, Most: s.Most}
 }
 
 // lossPaces is above what memberlist takes to find all of one half of its most members lost, one after another: a suspicion of
 // suspicionMult*suspicionMax*log10(members) paces, and the probes before it.
 const (
 	suspectPaces  = 20
+	differPaces   = 10
 	lossPaces     = 120
 	dampSettles   = 20
 	resumeSettles = 60
