--- a/internal/network/gossip/model_test.go
+++ b/internal/network/gossip/model_test.go
@@ -178,7 +178,7 @@
 
 func soaked(n int) int {
 	if os.Getenv("SOAK") != "" {
-		return 150 * n
+		return 375 * n
 	}
 	return n
 }
