Links between processes, kinds of ends, and the way to an endpoint, first form

The thin path needs one link to a neighbour that carries many requests, a closed list of ends with its table of answers, and an endpoint's own sidecar that alone lets requests on.

--- /dev/null
+++ b/internal/mesh/cue/hub.go
@@ -0,0 +1,240 @@
+package cue
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"gingerlead/internal/mesh/script"
+)
+
+// Hub holds a process's links: those that it dialled, by address, and those that it accepted.
+type Hub struct {
+	Log     *logrus.Logger
+	self    Hello
+	start   time.Time
+	most    int // bytes of one ask that this process has room for
+	mu      sync.Mutex
+	links   map[string]*Link
+	taken   map[*Link]bool
+	serve   map[uint64]func(*Call)
+	lost    func(address, why string)
+	closing bool
+}
+
+// NewHub makes a hub. most bounds the bytes of one ask that it takes.
+func NewHub(self Hello, start time.Time, most int, log *logrus.Logger) *Hub {
+	self.Version = version
+	h := &Hub{Log: log, self: self, start: start, most: most, links: map[string]*Link{}, taken: map[*Link]bool{},
+		serve: map[uint64]func(*Call){}}
+	go h.watch()
+	return h
+}
+
+// Now is the process's steady clock.
+func (h *Hub) Now() time.Duration { return time.Since(h.start) }
+
+// Self is how this process greets others.
+func (h *Hub) Self() Hello { return h.self }
+
+func (h *Hub) room(n int) bool { return n <= h.most }
+
+// OnLost has f called, without locks, when a link that this process dialled ends.
+func (h *Hub) OnLost(f func(address, why string)) { h.lost = f }
+
+// Serve has f called for each ask of a method, on the link's reader: it must not block.
+func (h *Hub) Serve(method uint64, f func(*Call)) { h.serve[method] = f }
+
+// Handle declares a method by its function; the function may block. A message that can't be read ends the link, with its
+// cause in the log.
+func Handle[Q, A any, PQ interface {
+	*Q
+	script.Message
+}, PA interface {
+	*A
+	script.Message
+}](h *Hub, method uint64, f func(ctx context.Context, from *Hello, q *Q) *A) {
+	h.Serve(method, func(c *Call) {
+		var q Q
+		if err := script.Read(c.Body, PQ(&q)); err != nil {
+			h.Log.WithField("peer", c.link.peer).WithField("method", method).Warn("cue: " + err.Error())
+			c.link.fail(err.Error())
+			return
+		}
+		go func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if a := f(ctx, c.From, &q); a != nil {
+				c.Answer(PA(a))
+			} else {
+				c.AnswerBytes(nil)
+			}
+		}()
+	})
+}
+
+// Send asks an address; done is called once, never before Send returns. expire is on this process's clock, 0 for never: the
+// other side does not begin later.
+func (h *Hub) Send(address string, method uint64, body []byte, expire time.Duration,
+	done func(body []byte, err error)) *Ask {
+	a := &Ask{method: method, body: body, expire: expire, done: done}
+	h.link(address).ask(a)
+	return a
+}
+
+// Request asks an address and waits for the answer.
+func Request[A any, PA interface {
+	*A
+	script.Message
+}](ctx context.Context, h *Hub, address string, method uint64, q script.Message) (*A, error) {
+	type result struct {
+		body []byte
+		err  error
+	}
+	ch := make(chan result, 1)
+	a := h.Send(address, method, script.Write(nil, q), 0, func(body []byte, err error) { ch <- result{body, err} })
+	select {
+	case r := <-ch:
+		if r.err != nil {
+			return nil, r.err
+		}
+		var m A
+		if err := script.Read(r.body, PA(&m)); err != nil {
+			return nil, trace.Wrap(err, "answer of %s to method %d", address, method)
+		}
+		return &m, nil
+	case <-ctx.Done():
+		a.Withdraw()
+		return nil, ctx.Err()
+	}
+}
+
+// link is the link to an address, dialled if there is none.
+func (h *Hub) link(address string) *Link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.links[address]; l != nil {
+		return l
+	}
+	l := newLink(h, address)
+	h.links[address] = l
+	go h.dial(l)
+	return l
+}
+
+func (h *Hub) dial(l *Link) {
+	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
+	conn, err := d.Dial("tcp4", l.peer)
+	if err != nil {
+		l.fail(err.Error())
+		return
+	}
+	h.run(l, conn)
+}
+
+// run starts a link on its connection.
+func (h *Hub) run(l *Link, conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(bufferBytes)
+	}
+	l.mu.Lock()
+	l.conn = conn
+	l.urgent.PushFront(envelope{kind: uint64(hello), body: script.Write(nil, &h.self)})
+	l.heard = h.Now()
+	dead := l.dead
+	l.mu.Unlock()
+	if dead {
+		conn.Close()
+		return
+	}
+	l.rouse()
+	go l.write()
+	l.read()
+}
+
+// Listen takes links from others until the listener is closed.
+func (h *Hub) Listen(n net.Listener) error {
+	for {
+		conn, err := n.Accept()
+		if err != nil {
+			h.mu.Lock()
+			closing := h.closing
+			h.mu.Unlock()
+			if closing {
+				return nil
+			}
+			return trace.Wrap(err)
+		}
+		l := newLink(h, conn.RemoteAddr().String())
+		h.mu.Lock()
+		h.taken[l] = true
+		h.mu.Unlock()
+		go h.run(l, conn)
+	}
+}
+
+func (h *Hub) gone(l *Link, why string, up bool) {
+	h.mu.Lock()
+	mine := h.links[l.peer] == l
+	if mine {
+		delete(h.links, l.peer)
+	}
+	delete(h.taken, l)
+	closing := h.closing
+	h.mu.Unlock()
+	if mine && !closing && h.lost != nil {
+		h.lost(l.peer, why)
+	}
+}
+
+func (h *Hub) handle(c *Call) {
+	if f := h.serve[c.method]; f != nil {
+		f(c)
+		return
+	}
+	c.AnswerBytes(nil) // of a later version: the zero answer, which says nothing
+}
+
+// watch looks after the silence of all links.
+func (h *Hub) watch() {
+	for range time.Tick(lookEvery) {
+		now := h.Now()
+		h.mu.Lock()
+		all := make([]*Link, 0, len(h.links)+len(h.taken))
+		for _, l := range h.links {
+			all = append(all, l)
+		}
+		for l := range h.taken {
+			all = append(all, l)
+		}
+		closing := h.closing
+		h.mu.Unlock()
+		if closing {
+			return
+		}
+		for _, l := range all {
+			l.look(now)
+		}
+	}
+}
+
+// Close ends all links.
+func (h *Hub) Close() {
+	h.mu.Lock()
+	h.closing = true
+	all := make([]*Link, 0, len(h.links)+len(h.taken))
+	for _, l := range h.links {
+		all = append(all, l)
+	}
+	for l := range h.taken {
+		all = append(all, l)
+	}
+	h.mu.Unlock()
+	for _, l := range all {
+		l.fail("closed")
+	}
+}
--- /dev/null
+++ b/internal/mesh/cue/link.go
@@ -0,0 +1,425 @@
+package cue
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gammazero/deque"
+	"github.com/gravitational/trace"
+
+	"gingerlead/internal/mesh/script"
+)
+
+// Times of a link.
+const (
+	dialMost    = 600 * time.Millisecond  // until a connection that is not up counts as failed
+	quietMost   = 300 * time.Millisecond  // without a word, while something is awaited: a ping goes out
+	restMost    = 2 * time.Second         // the same while nothing is
+	silentMost  = 1000 * time.Millisecond // after a ping without a word: the link is dead
+	wokenAfter  = 500 * time.Millisecond  // between two looks that should be closer: this process stood still
+	lookEvery   = 100 * time.Millisecond
+	bufferBytes = 128 << 10 // of a socket: what is in it can't be overtaken
+)
+
+// ErrLost says that a link ended before the answer. Sent tells whether the whole of the ask may have reached the other side,
+// which begins nothing before.
+type ErrLost struct {
+	Peer string
+	Why  string
+	Sent bool
+}
+
+func (e *ErrLost) Error() string { return "link to " + e.Peer + " lost: " + e.Why }
+
+// Ask is one question on its way. Its answer comes once.
+type Ask struct {
+	link   *Link
+	stream uint64
+	method uint64
+	body   []byte
+	expire time.Duration
+	done   func(body []byte, err error)
+	off    int
+	sent   bool
+	in     []byte
+	quit   bool
+}
+
+// Call is an ask as the one who is asked has it.
+type Call struct {
+	link    *Link
+	stream  uint64
+	From    *Hello
+	Body    []byte
+	Expires time.Duration // on this process's clock; 0 for never
+	method  uint64
+	quit    func()
+	over    bool // the asker has given up or is gone
+}
+
+// OnWithdrawn has f called, once, when the asker has given up or is gone; at once if that is so already.
+func (c *Call) OnWithdrawn(f func()) {
+	c.link.mu.Lock()
+	c.quit = f
+	over := c.over
+	c.link.mu.Unlock()
+	if over {
+		f()
+	}
+}
+
+// withdrawn is to be called without the lock.
+func (c *Call) withdrawn() {
+	c.link.mu.Lock()
+	f, again := c.quit, c.over
+	c.over = true
+	c.link.mu.Unlock()
+	if f != nil && !again {
+		f()
+	}
+}
+
+type reply struct {
+	stream uint64
+	body   []byte
+	off    int
+}
+
+// Link is a connection to one neighbour. Whoever dialled asks, whoever accepted answers.
+type Link struct {
+	hub   *Hub
+	peer  string // address, for people
+	conn  net.Conn
+	mu    sync.Mutex
+	wake  chan struct{}
+	dead  bool
+	up    bool
+	why   string
+	from  Hello
+	next  uint64
+	asks  map[uint64]*Ask
+	calls map[uint64]*Call
+	parts map[uint64]*Call // not whole yet
+
+	urgent  deque.Deque[envelope]
+	streams deque.Deque[any] // *Ask and *reply with something left to write
+
+	heard   time.Duration // a word, last
+	pinged  time.Duration // an unanswered ping; 0 for none
+	offset  time.Duration // the least seen of: own clock less the clock in a frame, as it came
+	offsets bool
+	looked  time.Duration
+}
+
+func newLink(h *Hub, peer string) *Link {
+	return &Link{hub: h, peer: peer, wake: make(chan struct{}, 1), asks: map[uint64]*Ask{}, calls: map[uint64]*Call{},
+		parts: map[uint64]*Call{}, heard: h.Now(), looked: h.Now()}
+}
+
+func (l *Link) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ask puts a question in line. Called with no lock of the link's held.
+func (l *Link) ask(a *Ask) {
+	l.mu.Lock()
+	if l.dead || len(l.asks) >= asksMost {
+		why := l.why
+		if !l.dead {
+			why = "too many asks at once"
+		}
+		l.mu.Unlock()
+		go a.done(nil, &ErrLost{Peer: l.peer, Why: why})
+		return
+	}
+	l.next++
+	a.link, a.stream = l, l.next
+	l.asks[a.stream] = a
+	l.streams.PushBack(a)
+	if len(l.asks) == 1 {
+		l.heard = l.hub.Now() // silence counts from when something is awaited
+	}
+	l.mu.Unlock()
+	l.rouse()
+}
+
+// Withdraw gives an ask up: what has not gone out never will, and its answer says so; of what has, the other side tells how
+// far it came.
+func (a *Ask) Withdraw() {
+	l := a.link
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	if a.quit || l.asks[a.stream] != a {
+		l.mu.Unlock()
+		return
+	}
+	a.quit = true
+	if a.off > 0 || a.sent {
+		l.urgent.PushBack(envelope{kind: uint64(withdraw), stream: a.stream})
+	}
+	if !a.sent {
+		delete(l.asks, a.stream)
+		l.mu.Unlock()
+		l.rouse()
+		go a.done(nil, &ErrLost{Peer: l.peer, Why: "withdrawn"})
+		return
+	}
+	l.mu.Unlock()
+	l.rouse()
+}
+
+// Answer answers a call. The second answer to a call, and one to a caller that is gone, goes nowhere.
+func (c *Call) Answer(m script.Message) { c.AnswerBytes(script.Write(nil, m)) }
+
+// AnswerBytes is Answer for what is written already.
+func (c *Call) AnswerBytes(body []byte) {
+	l := c.link
+	l.mu.Lock()
+	if l.dead || l.calls[c.stream] != c {
+		l.mu.Unlock()
+		return
+	}
+	delete(l.calls, c.stream)
+	l.streams.PushBack(&reply{stream: c.stream, body: body})
+	l.mu.Unlock()
+	l.rouse()
+}
+
+// fail ends a link, once.
+func (l *Link) fail(why string) {
+	l.mu.Lock()
+	if l.dead {
+		l.mu.Unlock()
+		return
+	}
+	l.dead, l.why = true, why
+	asks, calls := l.asks, l.calls
+	l.asks, l.calls, l.parts = map[uint64]*Ask{}, map[uint64]*Call{}, map[uint64]*Call{}
+	l.streams.Clear()
+	l.urgent.Clear()
+	up := l.up
+	l.mu.Unlock()
+	if l.conn != nil {
+		if t, ok := l.conn.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // what has not arrived yet never shall
+		}
+		l.conn.Close()
+	}
+	l.rouse()
+	l.hub.gone(l, why, up)
+	for _, c := range calls {
+		c.withdrawn()
+	}
+	for _, a := range asks {
+		a.done(nil, &ErrLost{Peer: l.peer, Why: why, Sent: a.sent})
+	}
+}
+
+// write is the link's one writer.
+func (l *Link) write() {
+	var buf []byte
+	for range l.wake {
+		for {
+			buf = buf[:0]
+			l.mu.Lock()
+			if l.dead {
+				l.mu.Unlock()
+				return
+			}
+			now := l.hub.Now()
+			for l.urgent.Len() > 0 && len(buf) < 4*pieceMost {
+				e := l.urgent.PopFront()
+				e.clock = now
+				buf = appendFrame(buf, &e)
+			}
+			for l.streams.Len() > 0 && len(buf) < 4*pieceMost {
+				buf = l.piece(buf, now)
+			}
+			l.mu.Unlock()
+			if len(buf) == 0 {
+				break
+			}
+			if _, err := l.conn.Write(buf); err != nil {
+				l.fail(err.Error())
+				return
+			}
+		}
+		if cap(buf) > 8*pieceMost {
+			buf = nil
+		}
+	}
+}
+
+// piece writes the next piece of the message whose turn it is.
+func (l *Link) piece(buf []byte, now time.Duration) []byte {
+	e := envelope{clock: now}
+	var off *int
+	x := l.streams.PopFront()
+	switch m := x.(type) {
+	case *Ask:
+		if m.quit && !m.sent {
+			return buf
+		}
+		m.sent = len(m.body)-m.off <= pieceMost // the other side begins when it has the whole
+		e.kind, e.stream, e.method, e.expires, e.body, off = uint64(ask), m.stream, m.method, m.expire, m.body, &m.off
+	case *reply:
+		e.kind, e.stream, e.body, off = uint64(answer), m.stream, m.body, &m.off
+	}
+	e.body = e.body[*off:]
+	if len(e.body) > pieceMost {
+		e.body = e.body[:pieceMost]
+		l.streams.PushBack(x)
+	} else {
+		e.last = true
+	}
+	*off += len(e.body)
+	return appendFrame(buf, &e)
+}
+
+// read is the link's one reader; it ends with the link.
+func (l *Link) read() {
+	r := bufio.NewReaderSize(l.conn, 8<<10)
+	for {
+		var e envelope
+		if err := readFrame(r, &e); err != nil {
+			l.fail(err.Error())
+			return
+		}
+		if err := l.take(&e); err != nil {
+			l.hub.Log.WithField("peer", l.peer).WithField("name", l.from.Name).Warn("cue: " + err.Error())
+			l.fail(err.Error())
+			return
+		}
+	}
+}
+
+// take is the one function by which a frame changes a link.
+func (l *Link) take(e *envelope) error {
+	now := l.hub.Now()
+	l.mu.Lock()
+	l.heard, l.pinged = now, 0
+	if d := now - e.clock; !l.offsets || d < l.offset {
+		l.offset, l.offsets = d, true
+	}
+	switch kind(e.kind) {
+	case hello:
+		defer l.mu.Unlock()
+		if l.up {
+			return trace.BadParameter("a second hello")
+		}
+		if err := script.Read(e.body, &l.from); err != nil {
+			return trace.Wrap(err, "hello")
+		}
+		if l.from.Version != version {
+			return trace.BadParameter("speaks version %d, this is %d", l.from.Version, version)
+		}
+		l.up = true
+	case ping:
+		l.urgent.PushBack(envelope{kind: uint64(pong)})
+		l.mu.Unlock()
+		l.rouse()
+	case pong:
+		l.mu.Unlock()
+	case ask:
+		return l.asked(e)
+	case withdraw:
+		c := l.calls[e.stream]
+		delete(l.parts, e.stream)
+		l.mu.Unlock()
+		if c != nil {
+			c.withdrawn()
+		}
+	case answer:
+		a := l.asks[e.stream]
+		if a == nil {
+			l.mu.Unlock()
+			return nil // of an ask that ended meanwhile
+		}
+		if len(a.in)+len(e.body) > messageMost {
+			l.mu.Unlock()
+			return trace.LimitExceeded("an answer of over %d bytes", messageMost)
+		}
+		if a.in == nil {
+			a.in = e.body
+		} else {
+			a.in = append(a.in, e.body...)
+		}
+		if e.last {
+			delete(l.asks, e.stream)
+		}
+		l.mu.Unlock()
+		if e.last {
+			a.done(a.in, nil)
+		}
+	default:
+		l.mu.Unlock() // of a later version
+	}
+	return nil
+}
+
+// asked takes a piece of an ask; the lock is held, and let go.
+func (l *Link) asked(e *envelope) error {
+	c := l.parts[e.stream]
+	if c == nil {
+		if len(l.calls)+len(l.parts) >= asksMost {
+			l.mu.Unlock()
+			return trace.LimitExceeded("over %d asks at once", asksMost)
+		}
+		c = &Call{link: l, stream: e.stream, From: &l.from, method: e.method}
+		if e.expires != 0 {
+			c.Expires = e.expires + l.offset
+		}
+		c.Body = e.body
+	} else {
+		c.Body = append(c.Body, e.body...)
+	}
+	if len(c.Body) > messageMost || !l.hub.room(len(c.Body)) {
+		l.mu.Unlock()
+		return trace.LimitExceeded("an ask of over %d bytes", len(c.Body))
+	}
+	if !e.last {
+		l.parts[e.stream] = c
+		l.mu.Unlock()
+		return nil
+	}
+	delete(l.parts, e.stream)
+	l.calls[e.stream] = c
+	l.mu.Unlock()
+	l.hub.handle(c)
+	return nil
+}
+
+// look sees to a link's silence; called every lookEvery.
+func (l *Link) look(now time.Duration) {
+	l.mu.Lock()
+	woken := now-l.looked > wokenAfter
+	l.looked = now
+	if woken { // what the others said meanwhile is still to be read
+		l.heard, l.pinged = now, 0
+	}
+	quiet := restMost
+	if len(l.asks) > 0 {
+		quiet = quietMost
+	}
+	switch {
+	case l.dead || l.conn == nil:
+		l.mu.Unlock()
+	case l.pinged != 0 && now-l.pinged > silentMost:
+		l.mu.Unlock()
+		l.fail("silent")
+	case l.pinged == 0 && now-l.heard > quiet:
+		l.pinged = now
+		l.urgent.PushBack(envelope{kind: uint64(ping)})
+		l.mu.Unlock()
+		l.rouse()
+	default:
+		l.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/mesh/curtain/curtain.go
@@ -0,0 +1,89 @@
+// Package curtain holds the closed list of how a request can end, and the table from each to its answer. Every part of the
+// system names an end by one of these, and the sidecar beside the client answers by the table alone.
+package curtain
+
+import "time"
+
+// Kind is how a request, or one attempt of it, ended.
+type Kind uint64
+
+// The kinds. Their numbers are spoken between processes and never change.
+const (
+	Answered Kind = 1 + iota // the endpoint's answer, as it came
+
+	// Surely not run, and now never will be.
+	Full        // the endpoint has no room in time
+	Leaving     // the endpoint drains
+	Mistaken    // another endpoint, or none, is at that place now
+	Unreachable // no connection came about, or the ask did not go out whole
+	TurnedAway  // the endpoint itself said that it did not run it
+	Late        // its time was up before it began
+	Withdrawn   // given up by who asked, before it began
+	Overloaded  // nobody can serve it in time
+	Quota       // beyond its tenant's limit
+	Unready     // this process has no configuration yet
+	Ending      // this process is about to end
+
+	// May have run.
+	Lost   // the connection ended after it had gone out
+	Spoilt // what came back is not its answer
+	Silent // no answer in time
+
+	// The request itself.
+	NoRoute
+	NoKey
+	Malformed
+	TooLarge
+	HeadTooLarge
+	Slow // it did not come whole in time; not run
+)
+
+// Entry is a kind's line of the table.
+type Entry struct {
+	Name    string
+	Status  int  // of the answer
+	NotRun  bool // surely not, and never will
+	Blame   bool // the endpoint, or its sidecar, may be down: it is isolated
+	ComesTo bool // somebody else may serve it
+	Back    time.Duration
+}
+
+var table = map[Kind]Entry{
+	Answered:     {"answered", 200, false, false, false, 0},
+	Full:         {"full", 503, true, false, true, 250 * time.Millisecond},
+	Leaving:      {"leaving", 503, true, false, true, 100 * time.Millisecond},
+	Mistaken:     {"mistaken", 503, true, true, true, 100 * time.Millisecond},
+	Unreachable:  {"unreachable", 503, true, true, true, 200 * time.Millisecond},
+	TurnedAway:   {"turned away", 503, true, false, true, 250 * time.Millisecond},
+	Late:         {"late", 503, true, false, false, 300 * time.Millisecond},
+	Withdrawn:    {"withdrawn", 503, true, false, false, 300 * time.Millisecond},
+	Overloaded:   {"overloaded", 503, true, false, false, 300 * time.Millisecond},
+	Quota:        {"quota", 429, true, false, false, time.Second},
+	Unready:      {"unready", 503, true, false, false, 300 * time.Millisecond},
+	Ending:       {"ending", 503, true, false, false, 100 * time.Millisecond},
+	Lost:         {"lost", 502, false, true, true, 0},
+	Spoilt:       {"spoilt", 502, false, false, true, 0},
+	Silent:       {"silent", 504, false, false, false, 0},
+	NoRoute:      {"no route", 404, true, false, false, 0},
+	NoKey:        {"no key", 401, true, false, false, 0},
+	Malformed:    {"malformed", 400, true, false, false, 0},
+	TooLarge:     {"too large", 413, true, false, false, 0},
+	HeadTooLarge: {"head too large", 431, true, false, false, 0},
+	Slow:         {"slow", 408, true, false, false, 0},
+}
+
+// Entry is a kind's line; one that is not of the list, from a later version, counts as may have run.
+func (k Kind) Entry() Entry {
+	if e, ok := table[k]; ok {
+		return e
+	}
+	return Entry{Name: "unknown", Status: 502}
+}
+
+func (k Kind) String() string { return k.Entry().Name }
+
+// NotRun tells whether a request that ended so has surely not run, and never will.
+func (k Kind) NotRun() bool { return k.Entry().NotRun }
+
+// Back is when a client that is refused should ask again, for kinds that are worth asking again; 0 for others.
+func (k Kind) Back() time.Duration { return k.Entry().Back }
--- /dev/null
+++ b/internal/mesh/stagedoor/message.go
@@ -0,0 +1,79 @@
+package stagedoor
+
+import (
+	"time"
+
+	"gingerlead/internal/mesh/curtain"
+	"gingerlead/internal/mesh/script"
+)
+
+// MethodPerform is the ask that brings a request to the sidecar beside its endpoint.
+const MethodPerform = 1
+
+// Perform is a request on its way from the sidecar beside the client to the one beside the endpoint.
+type Perform struct {
+	Endpoint   string // the life that was chosen
+	Service    string
+	Method     string
+	URI        string // path and query as they came
+	Host       string
+	Header     []string // names and values in turn
+	Body       []byte
+	HasBody    bool // also an empty one, that came with a length
+	Attempt    string
+	Caller     string // service of the machine where the request began
+	Subscriber string // tenant; empty for none
+	Priority   int
+	Inner      bool
+	Repeatable bool
+	Aim        time.Duration // left until an answer is worth little, when it was sent
+	Left       time.Duration // left until the client gives up, when it was sent
+}
+
+// Fields names the fields of a Perform.
+func (p *Perform) Fields(v *script.Visitor) {
+	v.Text(1, &p.Endpoint)
+	v.Text(2, &p.Service)
+	v.Text(3, &p.Method)
+	v.Text(4, &p.URI)
+	v.Text(5, &p.Host)
+	v.Texts(6, &p.Header)
+	v.Bytes(7, &p.Body)
+	v.Bool(8, &p.HasBody)
+	v.Text(9, &p.Attempt)
+	v.Text(10, &p.Caller)
+	v.Text(11, &p.Subscriber)
+	v.Small(12, &p.Priority)
+	v.Bool(13, &p.Inner)
+	v.Bool(14, &p.Repeatable)
+	v.Time(15, &p.Aim)
+	v.Time(16, &p.Left)
+}
+
+// Outcome is how a Perform ended.
+type Outcome struct {
+	Kind    curtain.Kind
+	Status  int
+	Header  []string // names and values in turn, as the endpoint gave them, without those of one connection
+	Body    []byte
+	Work    time.Duration // at the endpoint
+	Slots   int           // of the endpoint,
+	Running int           // and how many of them are in use,
+	Waiting int           // and how many wait
+	Back    time.Duration // when to ask again, by the endpoint's own word; 0 for none
+	Arrived bool          // it reached the endpoint, run or not
+}
+
+// Fields names the fields of an Outcome.
+func (o *Outcome) Fields(v *script.Visitor) {
+	v.Uint(1, (*uint64)(&o.Kind))
+	v.Small(2, &o.Status)
+	v.Texts(3, &o.Header)
+	v.Bytes(4, &o.Body)
+	v.Time(5, &o.Work)
+	v.Small(6, &o.Slots)
+	v.Small(7, &o.Running)
+	v.Small(8, &o.Waiting)
+	v.Time(9, &o.Back)
+	v.Bool(10, &o.Arrived)
+}
