Membership by partial views and the directory of endpoints, first form

Cause: the system's processes know only three seeds at their start and nobody tells them of endpoints.

--- /dev/null
+++ b/internal/mesh/callboard/board.go
@@ -0,0 +1,304 @@
+// Package callboard is the directory of endpoints: soft state under leases, alike at those who tell, at the homes of a service
+// and at its callers. It does no I/O: time is handed in, on a steady clock with any start.
+package callboard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gingerlead/internal/mesh/script"
+)
+
+// State of an endpoint, the worse the higher.
+type State uint8
+
+// The states.
+const (
+	Serving State = iota
+	Draining
+	Crashed // ended without a word
+	Gone    // deregistered, ended in order, or replaced
+)
+
+// Endpoint is one life of an endpoint, as it is told.
+type Endpoint struct {
+	ID       string
+	Service  string
+	Host     string // where the sidecar beside it is reached
+	HostLife uint64
+	App      string // its own address
+	Zone     string
+	Slots    int
+	State    State
+	Cold     time.Duration // left at the time of telling
+	Sequence uint64        // callSequence of the newest beat that this rests on
+	Edition  uint64        // raised by its teller at each change beyond Sequence, over all the lives it tells of
+	Lease    time.Duration // left at the time of telling
+}
+
+// Fields names them.
+func (e *Endpoint) Fields(v *script.Visitor) {
+	v.Text(1, &e.ID)
+	v.Text(2, &e.Service)
+	v.Text(3, &e.Host)
+	v.Fixed(4, &e.HostLife)
+	v.Text(5, &e.App)
+	v.Text(6, &e.Zone)
+	v.Small(7, &e.Slots)
+	state := uint64(e.State)
+	v.Uint(8, &state)
+	e.State = State(min(state, uint64(Gone)))
+	v.Time(9, &e.Cold)
+	v.Uint(10, &e.Sequence)
+	v.Uint(11, &e.Edition)
+	v.Time(12, &e.Lease)
+}
+
+// Bounds are the settings; what is zero has its default.
+type Bounds struct {
+	Lease     time.Duration // of a record
+	Tombstone time.Duration // how long an ended life is remembered
+	Tombs     int           // and how many
+	Quiet     time.Duration // a life that is not renewed for so long yields to another one at its address
+	Retry     time.Duration // what was not acknowledged is told again
+	Ask       time.Duration // between two asks of a subscriber
+	Hold      time.Duration // how long an ask holds at the home
+	Width     int           // homes asked for each service
+}
+
+// Filled are the bounds with their defaults.
+func (b Bounds) Filled() Bounds {
+	fill(&b.Lease, 9*time.Second)
+	fill(&b.Tombstone, time.Minute)
+	fill(&b.Tombs, 4096)
+	fill(&b.Quiet, b.Lease/2)
+	fill(&b.Retry, 300*time.Millisecond)
+	fill(&b.Ask, 2*time.Second)
+	fill(&b.Hold, 6*time.Second)
+	fill(&b.Width, 2)
+	return b
+}
+
+func fill[T comparable](x *T, to T) {
+	var zero T
+	if *x == zero {
+		*x = to
+	}
+}
+
+// post is a record on the board.
+type post struct {
+	Endpoint
+	lease, cold time.Duration // their ends
+	renewed     time.Duration
+	ended       time.Duration // when it came to be Gone or Crashed
+	drained     bool          // a draining mark was seen in this life
+	absent      State         // Crashed: its lease ran out here; Gone: another life answers at its address; else Serving
+	version     uint64        // of the board at its last change or renewal
+}
+
+// shown is the state to the outside.
+func (p *post) shown() State {
+	s := max(p.State, p.absent)
+	if s == Serving && p.drained {
+		s = Draining
+	}
+	return s
+}
+
+func (p *post) told(now time.Duration) Endpoint {
+	e := p.Endpoint
+	e.State, e.Lease, e.Cold = p.shown(), max(p.lease-now, 0), max(p.cold-now, 0)
+	return e
+}
+
+// Board is what one process knows of endpoints.
+type Board struct {
+	bounds  Bounds
+	posts   map[string]*post
+	apps    map[string][]*post
+	version uint64
+	floor   map[string]uint64 // by service: what was forgotten had this version at most
+	tombs   []string          // Gone, the oldest first
+}
+
+// New makes an empty board.
+func New(bounds Bounds) *Board {
+	return &Board{bounds: bounds.Filled(), posts: map[string]*post{}, apps: map[string][]*post{}, floor: map[string]uint64{}}
+}
+
+// Tell merges a record; changed tells whether more than its lease, its sequence and its cold time did.
+func (b *Board) Tell(now time.Duration, e Endpoint) (changed bool) {
+	if e.ID == "" {
+		return false
+	}
+	p := b.posts[e.ID]
+	if p == nil {
+		p = &post{Endpoint: e, lease: now + e.Lease, cold: now + e.Cold, renewed: now, drained: e.State == Draining}
+		b.posts[e.ID] = p
+		b.apps[e.App] = append(b.apps[e.App], p)
+		changed = true
+	} else {
+		was, before := p.shown(), p.Endpoint
+		p.merge(now, e)
+		changed = was != p.shown() || before.Edition != p.Edition || before.Slots != p.Slots || before.HostLife != p.HostLife
+	}
+	b.touch(now, p, changed)
+	return b.supersede(now, e.App) || changed
+}
+
+// merge is the one place where what is told changes a post.
+func (p *post) merge(now time.Duration, e Endpoint) {
+	p.drained = p.drained || e.State == Draining
+	order := cmp.Or(cmp.Compare(e.Sequence, p.Sequence), cmp.Compare(e.Edition, p.Edition), cmp.Compare(e.State, p.State))
+	switch {
+	case p.State == Gone:
+		return
+	case e.State == Gone:
+		p.State = Gone
+		p.Sequence, p.Edition = max(p.Sequence, e.Sequence), max(p.Edition, e.Edition)
+		return
+	case order > 0:
+		app := p.App // of one life it stays
+		p.Endpoint, p.cold = e, now+e.Cold
+		p.App = app
+	}
+	if order >= 0 && now+e.Lease > p.lease {
+		p.lease, p.renewed, p.absent = now+e.Lease, now, Serving
+	}
+}
+
+func (b *Board) touch(now time.Duration, p *post, changed bool) {
+	b.version++
+	p.version = b.version
+	if !changed {
+		return
+	}
+	switch p.shown() {
+	case Gone, Crashed:
+		if p.ended == 0 {
+			p.ended = now
+			b.tombs = append(b.tombs, p.ID)
+		}
+	default:
+		p.ended = 0
+	}
+	for len(b.tombs) > b.bounds.Tombs {
+		b.bury()
+	}
+}
+
+// bury forgets the oldest of the ended.
+func (b *Board) bury() {
+	p := b.posts[b.tombs[0]]
+	b.tombs = b.tombs[1:]
+	if p == nil || p.ended == 0 {
+		return
+	}
+	delete(b.posts, p.ID)
+	b.floor[p.Service] = max(b.floor[p.Service], p.version)
+	if rest := slices.DeleteFunc(b.apps[p.App], func(o *post) bool { return o == p }); len(rest) > 0 {
+		b.apps[p.App] = rest
+	} else {
+		delete(b.apps, p.App)
+	}
+}
+
+// supersede ends those at an address whose own teller has told of a later life there.
+func (b *Board) supersede(now time.Duration, app string) (changed bool) {
+	at := b.apps[app]
+	for _, p := range at {
+		for _, q := range at {
+			if p.ID != q.ID && p.HostLife == q.HostLife && p.Edition < q.Edition && p.State != Gone {
+				p.State, changed = Gone, true
+				b.touch(now, p, true)
+			}
+		}
+	}
+	return changed
+}
+
+// Expire ends leases that ran out, lets lives yield to renewed ones at their address, and forgets what ended long ago. It
+// returns those that changed.
+func (b *Board) Expire(now time.Duration) (changed []Endpoint) {
+	for _, id := range b.ids() {
+		p := b.posts[id]
+		if p.shown() >= Crashed {
+			continue
+		}
+		switch {
+		case now >= p.lease:
+			p.absent = Crashed
+		case b.outlived(now, p):
+			p.absent = Gone
+		default:
+			continue
+		}
+		b.touch(now, p, true)
+		changed = append(changed, p.told(now))
+	}
+	for len(b.tombs) > 0 {
+		if p := b.posts[b.tombs[0]]; p != nil && p.ended != 0 && now-p.ended < b.bounds.Tombstone {
+			break
+		}
+		b.bury()
+	}
+	return changed
+}
+
+func (b *Board) outlived(now time.Duration, p *post) bool {
+	return now-p.renewed >= b.bounds.Quiet && slices.ContainsFunc(b.apps[p.App], func(q *post) bool {
+		return q != p && q.shown() < Crashed && now-q.renewed < b.bounds.Quiet
+	})
+}
+
+func (b *Board) ids() []string {
+	ids := make([]string, 0, len(b.posts))
+	for id := range b.posts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (b *Board) pick(now time.Duration, keep func(*post) bool) (out []Endpoint) {
+	for _, id := range b.ids() {
+		if p := b.posts[id]; keep(p) {
+			out = append(out, p.told(now))
+		}
+	}
+	return out
+}
+
+// List is what is known of a service's endpoints, those that ended too while they are remembered, with leases and cold times
+// as left now.
+func (b *Board) List(now time.Duration, service string) []Endpoint {
+	return b.pick(now, func(p *post) bool { return p.Service == service })
+}
+
+// All is what is known of all.
+func (b *Board) All(now time.Duration) []Endpoint {
+	return b.pick(now, func(*post) bool { return true })
+}
+
+// Since is what of a service changed or was renewed after a version of this board, and the version now. If ok is false, what
+// was forgotten in between matters, and this is the whole list.
+func (b *Board) Since(now time.Duration, service string, version uint64) (changed []Endpoint, to uint64, ok bool) {
+	if version < b.floor[service] || version > b.version {
+		return b.List(now, service), b.version, false
+	}
+	return b.pick(now, func(p *post) bool { return p.Service == service && p.version > version }), b.version, true
+}
+
+// At is the endpoint at an address: of several the best, then the one renewed last.
+func (b *Board) At(now time.Duration, app string) (Endpoint, bool) {
+	at := b.apps[app]
+	if len(at) == 0 {
+		return Endpoint{}, false
+	}
+	best := slices.MinFunc(at, func(p, q *post) int {
+		return cmp.Or(cmp.Compare(p.shown()/Crashed, q.shown()/Crashed), cmp.Compare(q.renewed, p.renewed), cmp.Compare(p.ID, q.ID))
+	})
+	return best.told(now), true
+}
--- /dev/null
+++ b/internal/mesh/company/member.go
@@ -0,0 +1,132 @@
+// Package company is who is there: each process keeps a partial view of the others and shuffles it with neighbours. It does no
+// I/O: time, randomness and messages are handed in, on a steady clock with any start.
+package company
+
+import (
+	"time"
+
+	"gingerlead/internal/mesh/script"
+)
+
+// Role is what a member does.
+type Role uint8
+
+// The roles.
+const (
+	Access Role = iota // a sidecar beside an endpoint
+	Core               // holds the configuration
+)
+
+// Member is one life of one process.
+type Member struct {
+	Life    uint64 // random, new at each start
+	Address string // ip:port where its peers reach it
+	Zone    string
+	Region  string
+	Role    Role
+	Service string // of the endpoint beside it
+	App     string // that endpoint's address
+	Beat    uint64 // its own counter, which it raises at each pace
+	Seed    bool
+	Age     time.Duration // how long ago its beat was new, as far as the teller knows
+}
+
+// Fields names them.
+func (m *Member) Fields(v *script.Visitor) {
+	v.Fixed(1, &m.Life)
+	v.Text(2, &m.Address)
+	v.Text(3, &m.Zone)
+	v.Text(4, &m.Region)
+	role := uint64(m.Role)
+	v.Uint(5, &role)
+	m.Role = Role(role)
+	v.Text(6, &m.Service)
+	v.Text(7, &m.App)
+	v.Uint(8, &m.Beat)
+	v.Bool(9, &m.Seed)
+	age := uint64(max(m.Age, 0) / time.Millisecond)
+	v.Uint(10, &age)
+	if v.Reading() {
+		m.Age = time.Duration(min(age, uint64(time.Hour/time.Millisecond))) * time.Millisecond
+	}
+}
+
+// alike tells whether two records of a life say the same, but for what is newer.
+func alike(a, b Member) bool {
+	a.Beat, a.Age = b.Beat, b.Age
+	return a == b
+}
+
+// Gone says that a life ended; it is believed while no beat beyond this one is known.
+type Gone struct {
+	Life    uint64
+	Address string
+	Beat    uint64
+}
+
+// Fields names them.
+func (g *Gone) Fields(v *script.Visitor) {
+	v.Fixed(1, &g.Life)
+	v.Text(2, &g.Address)
+	v.Uint(3, &g.Beat)
+}
+
+// Shuffle is a part of one member's view, for a neighbour.
+type Shuffle struct {
+	From    Member
+	Members []Member
+	Gone    []Gone
+	Reply   bool
+	Version uint64 // newest configuration that the sender holds; only carried here
+}
+
+// Fields names them.
+func (s *Shuffle) Fields(v *script.Visitor) {
+	v.Message(1, &s.From)
+	script.Messages(v, 2, &s.Members)
+	script.Messages(v, 3, &s.Gone)
+	v.Bool(4, &s.Reply)
+	v.Uint(5, &s.Version)
+}
+
+// Bounds are the settings; what is zero has its default.
+type Bounds struct {
+	Pace    time.Duration // between two shuffles that are begun here
+	Far     time.Duration // between two tries of a seed or of one that was dropped
+	Suspect time.Duration // age of a beat from which its member is suspected,
+	Drop    time.Duration // and dropped
+	Grace   time.Duration // from a broken connection until it is dropped, unless its beat advances
+	Wake    time.Duration // a tick that comes so late means that this process was frozen
+	Own     int           // members kept of the own zone,
+	Other   int           // of each other zone,
+	Cores   int           // and core members
+	Carry   int           // members in a shuffle
+	Told    int           // Gone in a shuffle
+	Dead    int           // lives remembered as ended
+	Small   int           // fewer others than this: seeds are asked at each pace
+}
+
+// Filled are the bounds with their defaults.
+func (b Bounds) Filled() Bounds {
+	fill(&b.Pace, 500*time.Millisecond)
+	fill(&b.Far, 5*time.Second)
+	fill(&b.Suspect, 6*time.Second)
+	fill(&b.Drop, 10*time.Second)
+	fill(&b.Grace, 2*time.Second)
+	fill(&b.Wake, 3*time.Second)
+	fill(&b.Own, 256)
+	fill(&b.Other, 32)
+	fill(&b.Cores, 64)
+	fill(&b.Carry, 40)
+	fill(&b.Told, 16)
+	fill(&b.Dead, 256)
+	fill(&b.Small, 4)
+	return b
+}
+
+func fill[T comparable](x *T, to T) {
+	var zero T
+	if *x == zero {
+		*x = to
+	}
+}
--- /dev/null
+++ b/internal/mesh/company/view.go
@@ -0,0 +1,501 @@
+package company
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"gingerlead/internal/structures/rendezvous"
+)
+
+// entry is a live member as it is known here.
+type entry struct {
+	Member
+	seen  time.Duration // when its beat was new, by the ages told
+	asked time.Duration // when it was last shuffled with
+	state state
+	since time.Duration // of the state
+	order uint64        // of arrival
+}
+
+// state of an entry: it changes in shift alone.
+type state uint8
+
+const (
+	fresh     state = iota
+	suspected       // its beat has not advanced for long
+	missed          // a connection to it broke
+	rung            // and it was asked since
+)
+
+func (e *entry) shift(now time.Duration, to state) {
+	if e.state != to {
+		if !(e.state == missed && to == rung) {
+			e.since = now
+		}
+		e.state = to
+	}
+}
+
+// ended is a life that was dropped. One that another life at its address replaced comes back only by its own word.
+type ended struct {
+	beat     uint64
+	address  string
+	replaced bool
+	at       time.Duration
+}
+
+// View is what one process knows of the others.
+type View struct {
+	bounds  Bounds
+	rng     *rand.Rand
+	self    Member
+	members map[uint64]*entry
+	at      map[string]*entry
+	dead    map[uint64]ended
+	deadAge []uint64 // lives in dead, the oldest first
+	former  []string // addresses of those dropped
+	seeds   []string
+	regions map[string]string // of each zone ever heard of
+	joined  bool              // seeds were asked
+	next    time.Duration     // pace
+	far     time.Duration
+	last    time.Duration // tick
+	woken   time.Duration // ages are judged from here
+	ticked  bool
+	arrived uint64
+}
+
+// New makes the view of a process that knows nobody.
+func New(self Member, bounds Bounds, rng *rand.Rand) *View {
+	v := &View{bounds: bounds.Filled(), rng: rng, self: self, members: map[uint64]*entry{}, at: map[string]*entry{},
+		dead: map[uint64]ended{}, regions: map[string]string{}}
+	v.self.Beat = max(v.self.Beat, 1)
+	v.Place(self.Zone, self.Region)
+	return v
+}
+
+// Place says which region a zone is in.
+func (v *View) Place(zone, region string) {
+	if len(v.regions) < 1024 && region != "" {
+		v.regions[zone] = region
+	}
+}
+
+// Self is this process as others are told of it.
+func (v *View) Self() Member { return v.self }
+
+// Seeds names the seeds as the settings have them now.
+func (v *View) Seeds(_ time.Duration, addrs []string) {
+	if !slices.Equal(v.seeds, addrs) {
+		v.seeds, v.joined = slices.Clone(addrs), false
+	}
+}
+
+// Next is when Tick has something to do.
+func (v *View) Next() time.Duration { return v.next }
+
+// Tick gives whom to shuffle with now, and what to send them. It may be called at any time.
+func (v *View) Tick(now time.Duration) (to []string, s *Shuffle) {
+	if !v.ticked || now-v.last > v.bounds.Wake {
+		v.wake(now)
+	}
+	v.ticked, v.last = true, now
+	v.expire(now)
+	var first *entry
+	if now >= v.next {
+		v.next = now + v.bounds.Pace*time.Duration(85+v.rng.IntN(31))/100
+		v.self.Beat++
+		if first = v.neighbour(); first != nil {
+			to = v.ask(now, to, first)
+		}
+		switch {
+		case !v.joined:
+			to, v.joined, v.far = append(to, v.others(v.seeds)...), true, now
+		case len(v.members) < v.bounds.Small && len(v.seeds) > 0:
+			to = append(to, v.others([]string{v.seeds[v.rng.IntN(len(v.seeds))]})...)
+		}
+		if now-v.far >= v.bounds.Far {
+			v.far = now
+			if from := slices.Concat(v.former, v.seeds); len(from) > 0 {
+				to = append(to, v.others([]string{from[v.rng.IntN(len(from))]})...)
+			}
+		}
+	}
+	for _, e := range v.sorted() {
+		if e.state == missed && e != first {
+			e.shift(now, rung)
+			to = v.ask(now, to, e)
+		}
+	}
+	if len(to) == 0 {
+		return nil, nil
+	}
+	zone := v.self.Zone
+	if first != nil {
+		zone = first.Zone
+	}
+	slices.Sort(to)
+	return slices.Compact(to), v.shuffle(now, zone)
+}
+
+func (v *View) ask(now time.Duration, to []string, e *entry) []string {
+	e.asked = now
+	return append(to, e.Address)
+}
+
+func (v *View) others(addrs []string) []string {
+	return slices.DeleteFunc(slices.Clone(addrs), func(a string) bool { return a == v.self.Address })
+}
+
+// wake starts all ages anew, for the judgement here; the ages that are told stay what they are.
+func (v *View) wake(now time.Duration) {
+	v.woken = now
+	for _, e := range v.members {
+		if e.state != fresh {
+			e.since = now
+		}
+	}
+}
+
+func (v *View) expire(now time.Duration) {
+	for _, e := range v.sorted() {
+		age := now - max(e.seen, v.woken)
+		switch {
+		case e.state >= missed && now-e.since >= v.bounds.Grace:
+			v.drop(e)
+			v.bury(now, e.Life, ended{beat: e.Beat, address: e.Address})
+		case age >= v.bounds.Drop:
+			v.drop(e)
+		case age >= v.bounds.Suspect && e.state == fresh:
+			e.shift(now, suspected)
+		}
+	}
+}
+
+// drop forgets an entry; its address is tried again now and then.
+func (v *View) drop(e *entry) {
+	v.remove(e)
+	if !slices.Contains(v.former, e.Address) {
+		v.former = append(v.former, e.Address)
+		if len(v.former) > v.bounds.Dead {
+			v.former = slices.Delete(v.former, 0, 1)
+		}
+	}
+}
+
+func (v *View) remove(e *entry) {
+	delete(v.members, e.Life)
+	if v.at[e.Address] == e {
+		delete(v.at, e.Address)
+	}
+}
+
+func (v *View) bury(now time.Duration, life uint64, d ended) {
+	old, known := v.dead[life]
+	if !known {
+		v.deadAge = append(v.deadAge, life)
+		if len(v.deadAge) > v.bounds.Dead {
+			delete(v.dead, v.deadAge[0])
+			v.deadAge = slices.Delete(v.deadAge, 0, 1)
+		}
+		d.at = now
+	} else {
+		d.at = old.at
+		if d.beat > old.beat {
+			d.at = now
+		}
+		d.beat, d.replaced = max(d.beat, old.beat), d.replaced || old.replaced
+	}
+	v.dead[life] = d
+}
+
+func (v *View) unbury(life uint64) {
+	delete(v.dead, life)
+	if i := slices.Index(v.deadAge, life); i >= 0 {
+		v.deadAge = slices.Delete(v.deadAge, i, i+1)
+	}
+}
+
+// neighbour is the one least recently asked, mostly within the zone.
+func (v *View) neighbour() (best *entry) {
+	near := v.rng.IntN(4) > 0
+	for range 2 {
+		for _, e := range v.sorted() {
+			if near && e.Zone != v.self.Zone && len(v.members) > v.bounds.Carry {
+				continue
+			}
+			if e.state == fresh && (best == nil || e.asked < best.asked) {
+				best = e
+			}
+		}
+		if best != nil {
+			break
+		}
+		near = false
+	}
+	return best
+}
+
+// sorted are the entries in an order that does not hang on the map's, the order shuffled by the members' lives.
+func (v *View) sorted() []*entry {
+	all := make([]*entry, 0, len(v.members))
+	for _, e := range v.members {
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b *entry) int {
+		return cmp.Compare(rendezvous.Mix(a.Life^v.self.Life), rendezvous.Mix(b.Life^v.self.Life))
+	})
+	return all
+}
+
+// shuffle makes a message for a neighbour of a zone.
+func (v *View) shuffle(now time.Duration, zone string) *Shuffle {
+	s := &Shuffle{From: v.self}
+	all := v.sorted()
+	v.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if len(all) > v.bounds.Carry {
+		all = v.choose(all, zone)
+	}
+	for _, e := range all {
+		m := e.Member
+		m.Age = max(now-e.seen, 0)
+		if m.Age < v.bounds.Drop {
+			s.Members = append(s.Members, m)
+		}
+	}
+	for i := len(v.deadAge) - 1; i >= 0 && len(s.Gone) < v.bounds.Told; i-- {
+		if d := v.dead[v.deadAge[i]]; now-d.at < 2*v.bounds.Drop {
+			s.Gone = append(s.Gone, Gone{Life: v.deadAge[i], Address: d.address, Beat: d.beat})
+		}
+	}
+	return s
+}
+
+// choose takes as many as a shuffle carries: for a neighbour in the own zone mostly members of that zone, for another one
+// rather those that it does not know better itself; half of each kind those whose beats are newest.
+func (v *View) choose(all []*entry, zone string) []*entry {
+	want := v.bounds.Carry
+	rank := func(e *entry) int {
+		same := e.Zone == zone
+		if zone != v.self.Zone {
+			same = !same
+		}
+		if same {
+			return 0
+		}
+		return 1
+	}
+	var parts [2][]*entry
+	for _, e := range all {
+		parts[rank(e)] = append(parts[rank(e)], e)
+	}
+	first := max(want*3/4, want-len(parts[1]))
+	out := newest(parts[0], min(first, len(parts[0])))
+	return append(out, newest(parts[1], min(want-len(out), len(parts[1])))...)
+}
+
+func newest(from []*entry, n int) []*entry {
+	half := n / 2 // these at random, as they lie
+	slices.SortFunc(from[half:], func(a, b *entry) int { return cmp.Compare(b.seen, a.seen) })
+	return from[:n]
+}
+
+// Take merges a shuffle. There is a reply to one that is not itself a reply; changed tells whether Members would differ in
+// more than beats.
+func (v *View) Take(now time.Duration, s *Shuffle) (reply *Shuffle, changed bool) {
+	changed = v.hear(now, s.From, true)
+	for i := range s.Gone {
+		changed = v.told(now, s.Gone[i]) || changed
+	}
+	for i := range s.Members {
+		changed = v.hear(now, s.Members[i], false) || changed
+	}
+	if !s.Reply && s.From.Life != v.self.Life {
+		reply = v.shuffle(now, s.From.Zone)
+		reply.Reply = true
+	}
+	return reply, changed
+}
+
+// told hears that a life ended.
+func (v *View) told(now time.Duration, g Gone) bool {
+	if g.Life == v.self.Life {
+		v.self.Beat = max(v.self.Beat, g.Beat+1)
+		return false
+	}
+	e := v.members[g.Life]
+	if e != nil && e.Beat > g.Beat {
+		return false
+	}
+	v.bury(now, g.Life, ended{beat: g.Beat, address: g.Address})
+	if e != nil {
+		v.drop(e)
+	}
+	return e != nil
+}
+
+// hear merges a member's record, from itself or from another.
+func (v *View) hear(now time.Duration, m Member, direct bool) (changed bool) {
+	age := max(m.Age, 0)
+	if direct {
+		age = 0
+	}
+	if m.Life == 0 || m.Life == v.self.Life || m.Address == "" || m.Address == v.self.Address || age >= v.bounds.Drop {
+		return false
+	}
+	m.Age = 0
+	seen := now - age
+	if d, dead := v.dead[m.Life]; dead && (m.Beat <= d.beat || d.replaced && !direct) {
+		return false
+	}
+	if e := v.members[m.Life]; e != nil {
+		switch {
+		case m.Beat == e.Beat:
+			e.seen = min(e.seen, seen)
+		case m.Beat > e.Beat:
+			changed = !alike(e.Member, m)
+			if e.Address != m.Address {
+				return false // a life has one address
+			}
+			e.Member, e.seen = m, max(e.seen, seen)
+			e.shift(now, fresh)
+		}
+		return changed
+	}
+	if o := v.at[m.Address]; o != nil {
+		if !direct && seen <= o.seen {
+			return false
+		}
+		v.remove(o)
+		v.bury(now, o.Life, ended{beat: o.Beat, address: o.Address, replaced: true})
+	} else if !v.room(m) {
+		return false
+	}
+	v.unbury(m.Life)
+	v.arrived++
+	e := &entry{Member: m, seen: seen, order: v.arrived, asked: -time.Hour + time.Duration(v.rng.IntN(int(time.Minute)))}
+	v.members[m.Life], v.at[m.Address] = e, e
+	v.Place(m.Zone, m.Region)
+	v.former = slices.DeleteFunc(v.former, func(a string) bool { return a == m.Address })
+	return true
+}
+
+// room tells whether there is room for a new member, and makes some among those of other zones.
+func (v *View) room(m Member) bool {
+	var same []*entry
+	for _, e := range v.sorted() {
+		if e.Role == m.Role && (m.Role == Core || e.Zone == m.Zone) {
+			same = append(same, e)
+		}
+	}
+	switch {
+	case m.Role == Core:
+		return len(same) < v.bounds.Cores
+	case m.Zone == v.self.Zone:
+		return len(same) < v.bounds.Own
+	case len(same) >= v.bounds.Other:
+		v.remove(same[v.rng.IntN(len(same))])
+	}
+	return true
+}
+
+// Lost says that a connection to an address broke, or that its pings went unanswered.
+func (v *View) Lost(now time.Duration, address string) {
+	if e := v.at[address]; e != nil && e.state < missed {
+		e.shift(now, missed)
+	}
+}
+
+// Met says that a life was heard at an address directly.
+func (v *View) Met(now time.Duration, address string, life uint64) {
+	e := v.at[address]
+	if e == nil || v.dead[life].replaced {
+		return
+	}
+	if e.Life == life {
+		e.seen = max(e.seen, now)
+		e.shift(now, fresh)
+		return
+	}
+	v.remove(e)
+	v.bury(now, e.Life, ended{beat: e.Beat, address: address, replaced: true})
+}
+
+// Members are the live ones, this one among them, by address.
+func (v *View) Members() []Member {
+	all := append(make([]Member, 0, 1+len(v.members)), v.self)
+	for _, e := range v.members {
+		all = append(all, e.Member)
+	}
+	slices.SortFunc(all, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Life, b.Life))
+	})
+	return all
+}
+
+// At is the member at an IP address: the sidecar of an endpoint before others, then the one heard of last.
+func (v *View) At(ip string) (Member, bool) {
+	if host(v.self.Address) == ip && v.self.Role == Access {
+		return v.self, true
+	}
+	var best *entry
+	for _, e := range v.members {
+		if host(e.Address) == ip && (best == nil || cmp.Or(cmp.Compare(best.Role, e.Role), cmp.Compare(e.order, best.order)) > 0) {
+			best = e
+		}
+	}
+	if best == nil {
+		return v.self, host(v.self.Address) == ip
+	}
+	return best.Member, true
+}
+
+func host(address string) string {
+	h, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return h
+}
+
+// Homes are the first members of a zone, by rendezvous hash of service and life; if the zone has none, those of its region,
+// and if that has none, of all.
+func (v *View) Homes(service, zone string, n int) []Member {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(service))
+	item := rendezvous.Mix(h.Sum64())
+	all := v.Members()
+	among := filter(all, func(m *Member) bool { return m.Zone == zone })
+	if region := v.regions[zone]; len(among) == 0 && region != "" {
+		among = filter(all, func(m *Member) bool { return m.Region == region })
+	}
+	if len(among) == 0 {
+		among = all
+	}
+	score := func(m *Member) uint64 { return rendezvous.Mix(item ^ rendezvous.Mix(m.Life)) }
+	slices.SortFunc(among, func(a, b Member) int { return cmp.Compare(score(&b), score(&a)) })
+	return among[:min(n, len(among))]
+}
+
+func filter(all []Member, keep func(*Member) bool) (out []Member) {
+	for i := range all {
+		if keep(&all[i]) {
+			out = append(out, all[i])
+		}
+	}
+	return out
+}
+
+// Zones are those with live members, in order.
+func (v *View) Zones() []string {
+	var zones []string
+	for _, m := range v.Members() {
+		zones = append(zones, m.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
