--- a/api.go
+++ b/api.go
@@ -107,16 +107,44 @@
 	Fall        time.Duration
 }
 
+// figure is a number that is set, and the least it may be.
+type figure struct {
+	key   string
+	value float64
+	least float64
+}
+
+// checkFigures names the first that is too low.
+func checkFigures(figures []figure) error {
+	for _, f := range figures {
+		if f.value < f.least {
+			return fmt.Errorf("settings: %s: below %v", f.key, f.least)
+		}
+	}
+	return nil
+}
+
+// checkNames names what of a class under a key is unknown; figures gives its numbers.
+func (c *Class) checkNames(key string) error {
+	switch {
+	case c.Effect != Safe && c.Effect != Keyed && c.Effect != Unsafe:
+		return fmt.Errorf("settings: %seffect: unknown effect %q", key, c.Effect)
+	case c.Effect == Keyed && c.Scope != ScopeAll && c.Scope != ScopeZone && c.Scope != ScopeCell:
+		return fmt.Errorf("settings: %sscope: unknown scope %q", key, c.Scope)
+	}
+	return nil
+}
+
+func (c *Class) figures(key string) []figure {
+	return []figure{{key + "aim", float64(c.Aim), 0}, {key + "deadline", float64(c.Deadline), 0},
+		{key + "window", float64(c.Window), 0}}
+}
+
 // check names the first setting that cannot be acted on.
 func (s *Settings) check() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("settings: classes: none given")
 	}
-	type figure struct {
-		key   string
-		value float64
-		least float64
-	}
 	figures := []figure{
 		{"instances", float64(s.Instances), 1}, {"ordinal", float64(s.Ordinal), 0},
 		{"subsetMost", float64(s.SubsetMost), 0},
@@ -131,19 +159,13 @@
 	}
 	for i, c := range s.Classes {
 		key := fmt.Sprintf("classes[%d].", i)
-		figures = append(figures, figure{key + "aim", float64(c.Aim), 0},
-			figure{key + "deadline", float64(c.Deadline), 0}, figure{key + "window", float64(c.Window), 0})
-		switch {
-		case c.Effect != Safe && c.Effect != Keyed && c.Effect != Unsafe:
-			return fmt.Errorf("settings: %seffect: unknown effect %q", key, c.Effect)
-		case c.Effect == Keyed && c.Scope != ScopeAll && c.Scope != ScopeZone && c.Scope != ScopeCell:
-			return fmt.Errorf("settings: %sscope: unknown scope %q", key, c.Scope)
+		if err := c.checkNames(key); err != nil {
+			return err
 		}
+		figures = append(figures, c.figures(key)...)
 	}
-	for _, f := range figures {
-		if f.value < f.least {
-			return fmt.Errorf("settings: %s: below %v", f.key, f.least)
-		}
+	if err := checkFigures(figures); err != nil {
+		return err
 	}
 	if s.ColdFrom > 1 {
 		return fmt.Errorf("settings: coldFrom: %v is not a share", s.ColdFrom)
--- a/balancer.go
+++ b/balancer.go
@@ -134,7 +134,7 @@
 	listed   []*endpoint // in the order of their ids
 	weighted bool        // the listed weights tell endpoints apart
 	requests map[RequestID]*request
-	classes  []class
+	classes  []*class
 	kinds    []pace // by machine kind
 	speeds   speeds
 	tenants  []bucket
@@ -195,7 +195,7 @@
 	b.window, b.sharing = cmp.Or(set.Fall, time.Second), float64(set.Instances)
 	b.tick = max(tickQuanta*set.Quantum, time.Millisecond)
 	for _, c := range set.Classes {
-		b.classes = append(b.classes, class{Class: c, tail: tailStart})
+		b.addClass(c)
 	}
 	return b, nil
 }
@@ -213,7 +213,7 @@
 
 // Request takes a new request.
 func (b *Balancer) Request(now time.Duration, q Request) {
-	c := &b.classes[q.Class]
+	c := b.classes[q.Class]
 	low, spare := b.beyondShare(now, q)
 	r := &request{id: q.ID, class: c, deadline: min(now+q.Left, b.endsAt), low: low,
 		most: b.set.most(&q), each: q.Each, from: b.not(q.Not), times: cmp.Or(q.Times, 1),
@@ -366,17 +366,15 @@
 // their time alone cost the dearest class as many answers as the cheapest.
 func (b *Balancer) rateClasses() {
 	all, work := 0.0, 0.0
-	worst := &b.classes[0]
-	for i := range b.classes {
-		c := &b.classes[i]
+	worst := b.classes[0]
+	for _, c := range b.classes {
 		all += c.asked * c.mean * b.density(c)
 		work += c.asked * c.mean
 		if c.asked >= classAsked && (worst.asked < classAsked || c.good*worst.asked < worst.good*c.asked) {
 			worst = c
 		}
 	}
-	for i := range b.classes {
-		c := &b.classes[i]
+	for _, c := range b.classes {
 		c.value = 0
 		if all > 0 {
 			c.value = b.set.GoalWhole * b.density(c) * work / all
@@ -400,9 +398,9 @@
 	if c.asked++; c.asked < classMemory {
 		return
 	}
-	for i := range b.classes {
-		b.classes[i].asked /= 2
-		b.classes[i].good /= 2
+	for _, c := range b.classes {
+		c.asked /= 2
+		c.good /= 2
 	}
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -942,7 +942,7 @@
 			d.ask(read)
 			d.end(d.last(), OK, 100*ms)
 			if i%10 == 0 {
-				d.b.tally(&d.b.classes[read])
+				d.b.tally(d.b.classes[read])
 			}
 			d.pass(100 * ms)
 		}
@@ -1256,7 +1256,7 @@
 		d.serve(200, nil)
 		overdue := func(tails float64) sent {
 			d.ask(read)
-			call, c := d.last(), &d.b.classes[read]
+			call, c := d.last(), d.b.classes[read]
 			for end := d.now + seconds(tails*c.tail*c.mean); d.now < end; {
 				d.serve(1, nil)
 			}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -96,7 +96,7 @@
 				b.few = few
 				got := map[EndpointID]float64{}
 				for range picks {
-					r := &request{class: &b.classes[read], attempts: c.attempts, from: b.listed[1]}
+					r := &request{class: b.classes[read], attempts: c.attempts, from: b.listed[1]}
 					e, trial := b.pick(h.now, r)
 					if e == nil || trial {
 						t.Fatal("nothing, or a trial")
--- a/state.go
+++ b/state.go
@@ -317,7 +317,7 @@
 
 // settled tells whether the base latencies rest on enough to set limits by.
 func (b *Balancer) settled() bool {
-	return slices.ContainsFunc(b.classes, func(c class) bool { return c.windows > baseSkip })
+	return slices.ContainsFunc(b.classes, func(c *class) bool { return c.windows > baseSkip })
 }
 
 func (b *Balancer) unhold(i int) {
