Front, control plane and the access program, first form

The near side's desk with the decision module, membership and directory over links, and the program that puts them together.

--- /dev/null
+++ b/internal/mesh/backstage/config.go
@@ -0,0 +1,107 @@
+package backstage
+
+import (
+	"context"
+
+	"gingerlead/internal/mesh/company"
+	"gingerlead/internal/mesh/cue"
+	"gingerlead/internal/mesh/playbill"
+	"gingerlead/internal/mesh/script"
+)
+
+// Committed takes a configuration that a majority is known to have on disk, and spreads the news of it. Older ones than the one
+// known change nothing.
+func (c *Crew) Committed(version uint64, text []byte) {
+	c.settings.Lock()
+	defer c.settings.Unlock()
+	c.mu.Lock()
+	old := version <= c.conf.Version
+	c.mu.Unlock()
+	if old {
+		return
+	}
+	conf, err := playbill.Read(text)
+	if err != nil { // of a later version of this program, that allows more
+		c.o.Log.WithField("version", version).Error("backstage: a committed configuration can't be read: " + err.Error())
+		return
+	}
+	if c.o.Configure != nil {
+		c.o.Configure(conf)
+	}
+	c.mu.Lock()
+	c.conf = configuration{Version: version, Text: text}
+	if c.o.Role == company.Access {
+		c.services = c.services[:0]
+		for _, s := range conf.Services {
+			c.services = append(c.services, s.Name)
+		}
+	}
+	to := c.hear()
+	c.mu.Unlock()
+	for _, address := range to {
+		c.send(address, methodNotice, &notice{Version: version}, nil)
+	}
+	c.step()
+}
+
+// Configuration is the newest that this process knows to be committed; 0 for none.
+func (c *Crew) Configuration() (version uint64, text []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conf.Version, c.conf.Text
+}
+
+// hear picks those who hear of a new version from here: the core, and a few at random.
+func (c *Crew) hear() (to []string) {
+	self := c.o.Hub.Self().Address
+	var rest []string
+	for _, m := range c.view.Members() {
+		switch {
+		case m.Address == self:
+		case m.Role == company.Core && c.o.Role == company.Core:
+			to = append(to, m.Address)
+		default:
+			rest = append(rest, m.Address)
+		}
+	}
+	for i := 0; i < noticesTo && len(rest) > 0; i++ {
+		n := int(c.random() % uint64(len(rest)))
+		to = append(to, rest[n])
+		rest[n] = rest[len(rest)-1]
+		rest = rest[:len(rest)-1]
+	}
+	return to
+}
+
+// heard fetches a newer version from whoever has it.
+func (c *Crew) heard(from string, version uint64) {
+	c.mu.Lock()
+	now := c.o.Hub.Now()
+	if version <= c.conf.Version || version <= c.fetching && now < c.fetchUntil {
+		c.mu.Unlock()
+		return
+	}
+	c.fetching, c.fetchUntil = version, now+fetchMost
+	mine := c.conf.Version
+	c.mu.Unlock()
+	c.send(from, methodConfig, &configuration{Version: mine}, func(body []byte) {
+		var got configuration
+		if len(body) > 0 && script.Read(body, &got) == nil && got.Version > 0 && len(got.Text) > 0 {
+			go c.Committed(got.Version, got.Text)
+		}
+	})
+}
+
+func (c *Crew) noticed(_ context.Context, from *cue.Hello, n *notice) *taken {
+	c.heard(from.Address, n.Version)
+	return &taken{true}
+}
+
+func (c *Crew) asked(_ context.Context, _ *cue.Hello, have *configuration) *configuration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conf.Version <= have.Version {
+		return &configuration{Version: c.conf.Version}
+	}
+	return &configuration{Version: c.conf.Version, Text: c.conf.Text}
+}
--- /dev/null
+++ b/internal/mesh/boxoffice/boxoffice.go
@@ -0,0 +1,96 @@
+// Package boxoffice holds the sums that must hold over all sidecars together: tenants' quotas and the budget of repeats. Each
+// sidecar keeps to its own part, so that no message is needed for a request, and a part that is cut off can't add to more than
+// the whole. It does no I/O; time is an argument.
+package boxoffice
+
+import "time"
+
+const slices = 20 // that a window is counted in
+
+// window counts what happened within a sliding time.
+type window struct {
+	each   time.Duration
+	counts [slices + 1]float64
+	at     int64 // the slice that counts now
+	sum    float64
+}
+
+func (w *window) move(now time.Duration) {
+	at := int64(now / w.each)
+	if at-w.at > slices {
+		w.counts, w.sum = [slices + 1]float64{}, 0
+		w.at = at
+	}
+	for w.at < at {
+		w.at++
+		i := w.at % (slices + 1)
+		w.sum -= w.counts[i]
+		w.counts[i] = 0
+	}
+}
+
+func (w *window) add(now time.Duration, n float64) {
+	w.move(now)
+	w.counts[w.at%(slices+1)] += n
+	w.sum += n
+}
+
+// Repeats is this sidecar's part of the budget of repeats of one service: a share of its own requests, and a part of the
+// fleet's slack.
+type Repeats struct {
+	requests, repeats window
+}
+
+// Tunables of repeats. Inner calls of a repeat are repeats at the service that they go to, and calls are up to three deep
+// today: so each sidecar uses a part of the ratio at each service.
+const (
+	ratioPart = 0.4
+	slackPart = 0.6
+)
+
+// NewRepeats makes a budget over a sliding window.
+func NewRepeats(over time.Duration) *Repeats {
+	each := max(over/slices, time.Millisecond)
+	return &Repeats{requests: window{each: each}, repeats: window{each: each}}
+}
+
+// Request counts one of this sidecar's own requests for the service.
+func (r *Repeats) Request(now time.Duration) { r.requests.add(now, 1) }
+
+// Take takes a repeat out of the budget, if it is there. ratio and slack are the fleet's; sidecars share the slack.
+func (r *Repeats) Take(now time.Duration, ratio, slack float64, sidecars int) bool {
+	r.requests.move(now)
+	r.repeats.move(now)
+	if r.repeats.sum+1 > ratioPart*ratio*r.requests.sum+slackPart*slack/float64(max(sidecars, 1)) {
+		return false
+	}
+	r.repeats.add(now, 1)
+	return true
+}
+
+// Quota is this sidecar's part of a tenant's limit.
+type Quota struct {
+	level float64
+	at    time.Duration
+	begun bool
+}
+
+// Take takes a request out of a quota of which this sidecar has a share; a limit of 0 is none. It says also how long until the
+// next one is there.
+func (q *Quota) Take(now time.Duration, rate, burst, share float64) (ok bool, wait time.Duration) {
+	if rate <= 0 {
+		return true, 0
+	}
+	rate, most := rate*share, max(burst*share, 1)
+	if !q.begun {
+		q.level, q.begun = most, true
+	} else {
+		q.level = min(q.level+rate*(now-q.at).Seconds(), most)
+	}
+	q.at = now
+	if q.level < 1 {
+		return false, time.Duration((1 - q.level) / rate * float64(time.Second))
+	}
+	q.level--
+	return true, 0
+}
--- /dev/null
+++ b/internal/mesh/foyer/foyer.go
@@ -0,0 +1,227 @@
+// Package foyer is where clients come in: it takes their requests, finds the route, the tenant and the service by the
+// configuration in force, and has the decision module pick the endpoint. One lock holds all of a sidecar's choices; nothing
+// that blocks is done under it.
+package foyer
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"gingerlead"
+	"gingerlead/internal/mesh/boxoffice"
+	"gingerlead/internal/mesh/callboard"
+	"gingerlead/internal/mesh/callsheet"
+	"gingerlead/internal/mesh/cue"
+	"gingerlead/internal/mesh/curtain"
+	"gingerlead/internal/mesh/playbill"
+	"gingerlead/internal/mesh/stagedoor"
+)
+
+// Options are what a desk is made of.
+type Options struct {
+	Hub     *cue.Hub
+	Door    *stagedoor.Door // to the endpoint on this machine
+	Bounds  callsheet.Bounds
+	Service string // of the endpoint on this machine: where requests begin
+	Log     *logrus.Logger
+	Seed    uint64
+	Refresh func(service string) // asks for the endpoints of a service anew
+}
+
+// Desk takes clients' requests.
+type Desk struct {
+	o        Options
+	conf     atomic.Pointer[playbill.Config]
+	mu       sync.Mutex
+	casts    map[string]*cast
+	zones    map[string]int
+	queue    []func(now time.Duration)
+	next     uint64
+	quotas   map[string]*boxoffice.Quota
+	sidecars int
+	open     atomic.Int64 // requests under way
+	ending   atomic.Bool
+}
+
+// request is one client's request.
+type request struct {
+	id       gingerlead.RequestID
+	route    *playbill.Route
+	cast     *cast
+	perform  stagedoor.Perform
+	aim      time.Duration
+	deadline time.Duration
+	attempts int
+	arrivals int
+	out      *attempt
+	last     *stagedoor.Outcome
+	mayRun   bool
+	done     bool
+	answered chan result
+}
+
+// attempt is one sending of a request.
+type attempt struct {
+	request  *request
+	to       gingerlead.EndpointID
+	number   int
+	at       time.Duration
+	quit     bool
+	withdraw func()
+}
+
+// result is what a client is answered.
+type result struct {
+	kind    curtain.Kind
+	outcome *stagedoor.Outcome // of Answered
+	back    time.Duration
+}
+
+// New makes a desk that knows no configuration yet.
+func New(o Options) *Desk {
+	return &Desk{o: o, casts: map[string]*cast{}, zones: map[string]int{}, quotas: map[string]*boxoffice.Quota{}, sidecars: 1}
+}
+
+// Now is the steady clock.
+func (d *Desk) Now() time.Duration { return d.o.Hub.Now() }
+
+// do runs f with the lock held, and then what it has put off.
+func (d *Desk) do(f func(now time.Duration)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d.Now())
+	for len(d.queue) > 0 {
+		g := d.queue[0]
+		d.queue = d.queue[1:]
+		g(d.Now())
+	}
+}
+
+func (d *Desk) later(f func(now time.Duration)) { d.queue = append(d.queue, f) }
+
+func (d *Desk) zone(name string) int {
+	n, ok := d.zones[name]
+	if !ok {
+		n = len(d.zones)
+		d.zones[name] = n
+	}
+	return n
+}
+
+func (d *Desk) cast(service string) *cast {
+	c := d.casts[service]
+	if c == nil {
+		var err error
+		if c, err = newCast(d, service, d.o.Seed+uint64(len(d.casts))); err != nil {
+			d.o.Log.Error("foyer: " + err.Error())
+			return nil
+		}
+		d.casts[service] = c
+	}
+	return c
+}
+
+// Configure puts a configuration in force; an older one than the one in force changes nothing.
+func (d *Desk) Configure(c *playbill.Config) {
+	d.do(func(time.Duration) {
+		if now := d.conf.Load(); now != nil && now.Version >= c.Version {
+			return
+		}
+		d.conf.Store(c)
+		quotas := map[string]*boxoffice.Quota{}
+		for i := range c.Tenants {
+			name := c.Tenants[i].Name
+			if quotas[name] = d.quotas[name]; quotas[name] == nil {
+				quotas[name] = &boxoffice.Quota{}
+			}
+		}
+		d.quotas = quotas
+	})
+}
+
+// Config is the configuration in force; nil for none.
+func (d *Desk) Config() *playbill.Config { return d.conf.Load() }
+
+// Told takes what is known of a service's endpoints, all of them.
+func (d *Desk) Told(service string, all []callboard.Endpoint) {
+	d.do(func(now time.Duration) {
+		if c := d.cast(service); c != nil {
+			c.told(now, all)
+		}
+	})
+}
+
+// Sidecars says how many sidecars share what the fleet may do.
+func (d *Desk) Sidecars(n int) {
+	d.do(func(time.Duration) { d.sidecars = max(n, 1) })
+}
+
+// Open is how many requests are under way.
+func (d *Desk) Open() int { return int(d.open.Load()) }
+
+// End has connections closed after their answers from now on.
+func (d *Desk) End() { d.ending.Store(true) }
+
+// submit has a request served; its result comes once on the channel.
+func (d *Desk) submit(r *request, priority int) {
+	d.do(func(now time.Duration) {
+		c := d.cast(r.perform.Service)
+		if c == nil {
+			r.answered <- result{kind: curtain.Overloaded}
+			return
+		}
+		d.next++
+		r.id, r.cast = gingerlead.RequestID(itoa(d.next)), c
+		c.requests[r.id] = r
+		c.repeats.Request(now)
+		c.balancer.Request(now, gingerlead.Request{ID: r.id, Class: c.class(r.route), Left: r.deadline - now,
+			Times: 1 / float64(int(1)<<min(max(priority, 0), 16))})
+	})
+}
+
+// answer gives a request its result, once; the lock is held.
+func (d *Desk) answer(r *request, res result) {
+	if !r.done {
+		r.done = true
+		r.answered <- res
+	}
+}
+
+// lapse gives a request up: its client has gone, or its time is up.
+func (d *Desk) lapse(r *request) {
+	d.do(func(now time.Duration) {
+		c := r.cast
+		if c == nil || r.done {
+			return
+		}
+		kind := curtain.Late
+		if r.mayRun || r.out != nil {
+			kind = curtain.Silent
+		}
+		a := r.out
+		d.answer(r, result{kind: kind, back: kind.Back()})
+		c.balancer.Lapsed(now, r.id)
+		if a != nil && !a.quit && a.withdraw != nil {
+			a.quit = true
+			d.later(func(time.Duration) { a.withdraw() })
+		}
+		if r.out == nil {
+			delete(c.requests, r.id)
+		}
+	})
+}
+
+func asLost(err error) (*cue.ErrLost, bool) {
+	var lost *cue.ErrLost
+	if errors.As(err, &lost) {
+		return lost, true
+	}
+	if err != nil {
+		return &cue.ErrLost{Sent: true}, true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/mesh/foyer/http.go
@@ -0,0 +1,238 @@
+package foyer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"gingerlead/internal/mesh/boxoffice"
+	"gingerlead/internal/mesh/curtain"
+	"gingerlead/internal/mesh/playbill"
+	"gingerlead/internal/mesh/stagedoor"
+)
+
+// Bounds of what clients may do beyond those of the configuration.
+const (
+	headMost    = 256 << 10 // bytes of a head that are read at all
+	headTime    = 5 * time.Second
+	restTime    = 90 * time.Second // that a connection stands idle
+	lapseMargin = 4 * time.Millisecond
+)
+
+// Server is the clients' server.
+func (d *Desk) Server() *http.Server {
+	return &http.Server{Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headTime, IdleTimeout: restTime,
+		MaxHeaderBytes: headMost, ErrorLog: nil}
+}
+
+// own are headers that the system alone sets, whatever a client sent.
+var own = map[string]bool{"Key": true, "Attempt-Id": true, "Time-Remaining": true, "Target-Endpoint": true,
+	"Subscriber-Id": true, "Calling-Service": true, "Host": true, "Base-Version": true, "Not-Executed": true}
+
+// serve takes one request from its head to its answer.
+func (d *Desk) serve(w http.ResponseWriter, q *http.Request) {
+	d.open.Add(1)
+	defer d.open.Add(-1)
+	conf := d.conf.Load()
+	if conf == nil {
+		d.end(w, result{kind: curtain.Unready})
+		return
+	}
+	r, kind := d.admit(conf, q)
+	if kind == 0 {
+		kind = d.body(conf, w, q, r)
+	}
+	if kind != 0 {
+		d.end(w, result{kind: kind, back: d.back(r, kind)})
+		return
+	}
+	d.submit(r, r.perform.Priority)
+	timer := time.NewTimer(r.deadline - d.Now() - lapseMargin)
+	defer timer.Stop()
+	select {
+	case res := <-r.answered:
+		d.end(w, res)
+	case <-timer.C:
+		d.lapse(r)
+		d.end(w, <-r.answered)
+	case <-q.Context().Done():
+		d.lapse(r)
+		<-r.answered
+	}
+}
+
+// admit finds a request's route, tenant and service; the kind says why it is turned away, 0 for not at all.
+func (d *Desk) admit(conf *playbill.Config, q *http.Request) (*request, curtain.Kind) {
+	now := d.Now()
+	r := &request{answered: make(chan result, 1)}
+	if headBytes(q) > conf.Limits.HeaderMax {
+		return r, curtain.HeadTooLarge
+	}
+	if q.RequestURI == "" || q.RequestURI[0] != '/' || q.Method == http.MethodConnect {
+		return r, curtain.Malformed
+	}
+	if r.route = conf.Match(q.Host, q.URL.EscapedPath()); r.route == nil {
+		return r, curtain.NoRoute
+	}
+	p := &r.perform
+	p.Priority = r.route.Priority
+	keys := q.Header["Key"]
+	if conf.Keyed {
+		var tenant *playbill.Tenant
+		if len(keys) == 1 {
+			tenant = conf.Holder(keys[0])
+		}
+		switch {
+		case tenant != nil:
+			p.Subscriber, p.Priority = tenant.Name, tenant.Priority
+			if back := d.quota(now, tenant); back > 0 {
+				r.deadline = back // for Retry-After
+				return r, curtain.Quota
+			}
+		case !r.route.Public:
+			return r, curtain.NoKey
+		}
+	}
+	ids := q.Header["Attempt-Id"]
+	if len(ids) != 1 || ids[0] == "" {
+		return r, curtain.Malformed
+	}
+	p.Attempt, p.Method, p.URI, p.Host = ids[0], q.Method, q.RequestURI, q.Host
+	p.Caller, p.Repeatable, p.Inner = d.o.Service, r.route.Kind.Repeatable(), conf.Keyed && len(keys) == 0
+	left := r.route.Timeout
+	if ms, err := strconv.ParseFloat(q.Header.Get("Time-Remaining"), 64); err == nil && ms >= 0 && ms < 1e9 {
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	r.deadline = now + left
+	r.aim = min(r.deadline, now+r.route.Target)
+	if r.route.Target <= 0 {
+		r.aim = r.deadline
+	}
+	p.Service = r.route.Draw(d.random())
+	hop := map[string]bool{}
+	for _, v := range q.Header["Connection"] {
+		for _, name := range splitComma(v) {
+			hop[textproto.CanonicalMIMEHeaderKey(name)] = true
+		}
+	}
+	for name, values := range q.Header {
+		if own[name] || hop[name] || stagedoor.HopHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			p.Header = append(p.Header, name, v)
+		}
+	}
+	return r, 0
+}
+
+// quota takes a request out of a tenant's quota; if it is not there it says when it will be.
+func (d *Desk) quota(now time.Duration, t *playbill.Tenant) (back time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.quotas[t.Name]
+	if q == nil { // of a configuration that has just gone out of force
+		q = &boxoffice.Quota{}
+		d.quotas[t.Name] = q
+	}
+	ok, wait := q.Take(now, t.Rate, t.Burst, (1+d.o.Bounds.QuotaOverage/2)/float64(d.sidecars))
+	if ok {
+		return 0
+	}
+	return max(wait, time.Millisecond)
+}
+
+func (d *Desk) back(r *request, k curtain.Kind) time.Duration {
+	if k == curtain.Quota {
+		return max(r.deadline, 50*time.Millisecond)
+	}
+	return k.Back()
+}
+
+func headBytes(q *http.Request) (n int64) {
+	n = int64(len(q.Method) + len(q.RequestURI) + len(q.Host) + 20)
+	for name, values := range q.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v) + 4)
+		}
+	}
+	return n
+}
+
+// body reads a request's body whole: only then can it go to an endpoint, and to another one after that.
+func (d *Desk) body(conf *playbill.Config, w http.ResponseWriter, q *http.Request, r *request) curtain.Kind {
+	p := &r.perform
+	p.HasBody = q.ContentLength > 0 || len(q.TransferEncoding) > 0 || q.ContentLength == 0 && len(q.Header["Content-Length"]) > 0
+	if q.Body == nil || q.Body == http.NoBody {
+		return 0
+	}
+	if q.ContentLength > conf.Limits.BodyMax {
+		return curtain.TooLarge
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(r.deadline - d.Now()))
+	if q.ContentLength >= 0 {
+		p.Body = make([]byte, 0, q.ContentLength)
+	}
+	body, err := readAll(http.MaxBytesReader(w, q.Body, conf.Limits.BodyMax), p.Body)
+	var large *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &large):
+		return curtain.TooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return curtain.Slow
+	case err != nil:
+		return curtain.Malformed
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	p.Body = body
+	return 0
+}
+
+func readAll(r io.Reader, b []byte) ([]byte, error) {
+	for {
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err == io.EOF {
+			return b, nil
+		}
+		if err != nil {
+			return b, err
+		}
+	}
+}
+
+// end writes the answer, by the table alone.
+func (d *Desk) end(w http.ResponseWriter, res result) {
+	h := w.Header()
+	if d.ending.Load() {
+		h.Set("Connection", "close")
+	}
+	if res.kind == curtain.Answered {
+		o := res.outcome
+		h["Content-Type"], h["Date"] = nil, nil
+		for i := 0; i+1 < len(o.Header); i += 2 {
+			h[o.Header[i]] = append(h[o.Header[i]], o.Header[i+1])
+		}
+		if o.Status != http.StatusNoContent && o.Status != http.StatusNotModified {
+			h["Content-Length"] = []string{strconv.Itoa(len(o.Body))}
+		}
+		w.WriteHeader(o.Status)
+		_, _ = w.Write(o.Body)
+		return
+	}
+	e := res.kind.Entry()
+	h["Date"], h["Content-Type"] = nil, nil
+	if back := max(res.back, e.Back); back > 0 && e.NotRun {
+		h.Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(e.Status)
+}
