promptbook, trunk, prompter: the core agrees on the operator's word

The operator's configurations have to survive lost disks, and one of two changes on a base wins. promptbook: one register by CASPaxos, voters that lost their disk recover under a new life, so that promises from before the loss don't count with those after. trunk: records on goleveldb, synced, with CRC32C. prompter: disk on one goroutine, rounds over a Transport, the operator's calls over HTTP.

--- /dev/null
+++ b/internal/mesh/promptbook/word.go
@@ -0,0 +1,150 @@
+// Package promptbook is the agreement of the core on the operator's word: one register, whose value only changes by
+// proposals that read it first (CASPaxos). A few voters hold it, any process of the core may propose, and there is no
+// leader. Nothing here does I/O or knows the time.
+//
+// # How a value is chosen
+//
+// A proposer picks a ballot that no one used and asks the voters to promise it (Prepare). A voter that does tells what it
+// accepted last and takes part in no lower ballot any more. With promises of a majority the proposer knows the newest word
+// that may have been chosen, decides on it, and asks the voters to accept a word under its ballot (Accept). A word that a
+// majority accepted under one ballot is committed. Two majorities meet, so every later ballot finds it.
+//
+// # Why a refused change never comes in force
+//
+// A change (base, version, body) is refused only after a word W with base != W.Version or version <= W.Version is committed
+// (accepted by a majority under one ballot). Every word that is committed later is made from W by a chain of changes, each
+// accepted only if its base is the version before it, with a version above that. So versions only grow after W. The refused
+// change could come in force later only if its base were the version of a later word, but its base is below W.Version,
+// or it is W.Version and then version <= W.Version, below all that follow. An accept of it that is still on its way, or
+// that a minority took, has a ballot below that of W, and every later ballot finds W or a successor under a higher one.
+//
+// A base above W.Version is left: no one can have been told of it, as W is the newest word, so that it's no proper order.
+// Such a change is refused as well, and the refusal is written into the next word (Barred), to hold for it too.
+//
+// # Lost disks
+//
+// See Recovery.
+package promptbook
+
+import (
+	"cmp"
+	"crypto/sha256"
+
+	"gingerlead/internal/mesh/playbill"
+	"gingerlead/internal/mesh/script"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Ballot orders attempts. No two attempts have the same one: Node names a proposer and its life, N grows within it.
+type Ballot struct {
+	N    uint64
+	Node string
+}
+
+// Compare orders ballots.
+func (b Ballot) Compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.Node, o.Node))
+}
+
+// Fields implements script.Message.
+func (b *Ballot) Fields(v *script.Visitor) {
+	v.Uint(1, &b.N)
+	v.Text(2, &b.Node)
+}
+
+// Sum is the SHA-256 of a body.
+type Sum = [sha256.Size]byte
+
+// Past is a version that was in force, or still is.
+type Past struct {
+	Version uint64
+	Sum     Sum
+}
+
+// Fields implements script.Message.
+func (p *Past) Fields(v *script.Visitor) {
+	v.Uint(1, &p.Version)
+	sumField(v, 2, &p.Sum)
+}
+
+func sumField(v *script.Visitor, num protowire.Number, sum *Sum) {
+	b := sum[:]
+	v.Bytes(num, &b)
+	if v.Reading() {
+		copy(sum[:], b)
+	}
+}
+
+// pastMax is how many versions a word remembers, itself the last.
+const pastMax = 64
+
+// Word is what the operator said: the newest configuration, and the sums of those before it. The zero Word is that of an
+// empty register.
+type Word struct {
+	Version playbill.Version
+	Body    []byte
+	Past    []Past // the last versions that were accepted, this one the last
+	Barred  []Sum  // changes that were refused although their base may still come
+}
+
+// Fields implements script.Message.
+func (w *Word) Fields(v *script.Visitor) {
+	v.Uint(1, (*uint64)(&w.Version))
+	v.Bytes(2, &w.Body)
+	script.Messages(v, 3, &w.Past)
+	script.Each(v, 4, &w.Barred, func(v *script.Visitor, s *Sum) { sumField(v, 1, s) })
+}
+
+// Change is what an operator wants: Body in place of version Base.
+type Change struct {
+	Base, Version playbill.Version
+	Body          []byte
+	sum           Sum
+}
+
+// NewChange makes a change.
+func NewChange(base, version playbill.Version, body []byte) *Change {
+	return &Change{Base: base, Version: version, Body: body, sum: sha256.Sum256(body)}
+}
+
+// Verdict is what became of a change.
+type Verdict uint8
+
+// Verdicts. Unclear: the change may come in force later, or not.
+const (
+	Unclear Verdict = iota
+	Taken
+	Lost
+)
+
+func (v Verdict) String() string { return [...]string{"unclear", "taken", "lost"}[v] }
+
+// judge decides on a change when w is the newest word, and tells the word that has to be committed before the verdict
+// holds: w itself, or another.
+func (c *Change) judge(w *Word) (Verdict, *Word) {
+	for _, p := range w.Past {
+		if p.Version == uint64(c.Version) && p.Sum == c.sum {
+			return Taken, w
+		}
+	}
+	for _, s := range w.Barred {
+		if s == c.sum {
+			return Lost, w
+		}
+	}
+	switch {
+	case c.Version <= w.Version || c.Base < w.Version || c.Version <= c.Base:
+		return Lost, w
+	case c.Base > w.Version:
+		next := *w
+		next.Barred = append(last(w.Barred, pastMax-1), c.sum)
+		return Lost, &next
+	}
+	next := Word{Version: c.Version, Body: c.Body, Barred: w.Barred}
+	next.Past = append(last(w.Past, pastMax-1), Past{uint64(c.Version), c.sum})
+	return Taken, &next
+}
+
+// last copies the last n elements.
+func last[T any](list []T, n int) []T { return append([]T{}, list[max(0, len(list)-n):]...) }
--- /dev/null
+++ b/internal/mesh/prompter/http.go
@@ -0,0 +1,94 @@
+package prompter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"gingerlead/internal/mesh/playbill"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	bodyMax  = 32 << 20
+	callTime = 900 * time.Millisecond // callers wait for a second
+	retryIn  = "0.2"
+)
+
+// call is one of the operator's calls.
+type call struct {
+	pattern string
+	serve   func(d *Desk, w http.ResponseWriter, r *http.Request)
+}
+
+// Handler serves the operator's calls.
+func (d *Desk) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for _, c := range []call{replaceCall, retrieveCall} {
+		mux.HandleFunc(c.pattern, func(w http.ResponseWriter, r *http.Request) { c.serve(d, w, r) })
+	}
+	return mux
+}
+
+var replaceCall = call{"POST /configuration/replace", (*Desk).serveReplace}
+
+func (d *Desk) serveReplace(w http.ResponseWriter, r *http.Request) {
+	base, err := playbill.ParseVersion(r.Header.Get("Base-Version"))
+	if err != nil {
+		tell(w, http.StatusBadRequest, trace.Wrap(err, "Base-Version"))
+		return
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		tell(w, http.StatusRequestEntityTooLarge, trace.LimitExceeded("the body: expected %d bytes at most", large.Limit))
+		return
+	case err != nil:
+		tell(w, http.StatusBadRequest, trace.Wrap(err, "the body"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	v := d.Replace(ctx, base, raw)
+	d.o.Log.WithField("outcome", v.Outcome).WithField("base", base).WithField("reason", v.Reason).Info("configuration sent")
+	tell(w, map[Outcome]int{Taken: http.StatusOK, Lost: http.StatusPreconditionFailed, Invalid: http.StatusBadRequest,
+		Unclear: http.StatusServiceUnavailable}[v.Outcome], v.Reason)
+}
+
+var retrieveCall = call{"GET /configuration/retrieve", (*Desk).serveRetrieve}
+
+func (d *Desk) serveRetrieve(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTime)
+	defer cancel()
+	word, err := d.Newest(ctx)
+	switch {
+	case err != nil:
+		tell(w, http.StatusServiceUnavailable, err)
+	case word.Version == 0:
+		tell(w, http.StatusNotFound, trace.NotFound("no configuration was accepted yet"))
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(word.Body) // who asked may have gone
+	}
+}
+
+// tell answers with a status and, if there is one, the reason.
+func tell(w http.ResponseWriter, status int, reason error) {
+	w.Header().Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryIn)
+	}
+	w.WriteHeader(status)
+	body := struct {
+		Error string `json:"error,omitempty"`
+	}{}
+	if reason != nil {
+		body.Error = trace.UserMessage(reason)
+	}
+	_ = json.NewEncoder(w).Encode(body) // who asked may have gone
+}
