--- /dev/null
+++ b/internal/mesh/backstage/book.go
@@ -0,0 +1,43 @@
+package backstage
+
+import (
+	"context"
+	"net"
+
+	"github.com/gravitational/trace"
+
+	"gingerlead/internal/mesh/cue"
+)
+
+// Book carries the core's agreement between its processes. Nodes are named by their control addresses, as in the settings.
+type Book struct{ crew *Crew }
+
+// Book declares the call by which other core processes reach serve.
+func (c *Crew) Book(serve func(ctx context.Context, request []byte) ([]byte, error)) {
+	cue.Handle(c.o.Hub, methodBook, func(ctx context.Context, _ *cue.Hello, q *bytes) *bytes {
+		body, err := serve(ctx, q.Body)
+		if err != nil {
+			return nil
+		}
+		return &bytes{Body: body}
+	})
+}
+
+// Transport is the way to other core processes.
+func (c *Crew) Transport() Book { return Book{c} }
+
+// Ask asks one of them.
+func (b Book) Ask(ctx context.Context, node string, request []byte) ([]byte, error) {
+	host, _, err := net.SplitHostPort(node)
+	if err != nil {
+		return nil, trace.BadParameter("node %q is no address", node)
+	}
+	a, err := cue.Request[bytes](ctx, b.crew.o.Hub, b.crew.o.Sheet.Peer(host), methodBook, &bytes{Body: request})
+	if err != nil {
+		return nil, err
+	}
+	if len(a.Body) == 0 {
+		return nil, trace.ConnectionProblem(nil, "%s can't say", node)
+	}
+	return a.Body, nil
+}
