--- a/internal/mesh/backstage/book.go
+++ b/internal/mesh/backstage/book.go
@@ -28,11 +28,11 @@
 
 // Ask asks one of them.
 func (b Book) Ask(ctx context.Context, node string, request []byte) ([]byte, error) {
-	host, _, err := net.SplitHostPort(node)
-	if err != nil {
+	peer := b.crew.peer(node)
+	if peer == "" {
 		return nil, trace.BadParameter("node %q is no address", node)
 	}
-	a, err := cue.Request[bytes](ctx, b.crew.o.Hub, b.crew.o.Sheet.Peer(host), methodBook, &bytes{Body: request})
+	a, err := cue.Request[bytes](ctx, b.crew.o.Hub, peer, methodBook, &bytes{Body: request})
 	if err != nil {
 		return nil, err
 	}
@@ -41,3 +41,12 @@
 	}
 	return a.Body, nil
 }
+
+// peer is the internal address of the process with a control address; empty if it is no address.
+func (c *Crew) peer(control string) string {
+	host, _, err := net.SplitHostPort(control)
+	if err != nil {
+		return ""
+	}
+	return c.o.Sheet.Peer(host)
+}
--- a/internal/mesh/backstage/config.go
+++ b/internal/mesh/backstage/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"gingerlead/internal/mesh/boxoffice"
 	"gingerlead/internal/mesh/company"
 	"gingerlead/internal/mesh/cue"
 	"gingerlead/internal/mesh/playbill"
@@ -28,6 +29,11 @@
 	if c.o.Configure != nil {
 		c.o.Configure(conf)
 	}
+	limits := map[string]boxoffice.Limit{}
+	for i := range conf.Tenants {
+		limits[conf.Tenants[i].Name] = boxoffice.Limit{Rate: conf.Tenants[i].Rate, Burst: conf.Tenants[i].Burst}
+	}
+	c.limits.Store(&limits)
 	c.mu.Lock()
 	c.conf = configuration{Version: version, Text: text}
 	if c.o.Role == company.Access {
--- a/internal/mesh/backstage/crew.go
+++ b/internal/mesh/backstage/crew.go
@@ -7,10 +7,12 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"gingerlead/internal/mesh/boxoffice"
 	"gingerlead/internal/mesh/callboard"
 	"gingerlead/internal/mesh/callsheet"
 	"gingerlead/internal/mesh/company"
@@ -63,6 +65,7 @@
 	sidecars    int
 	life        map[string]uint64 // of homes that were told
 	settings    sync.Mutex        // one configuration after the other
+	limits      atomic.Pointer[map[string]boxoffice.Limit]
 }
 
 // New makes a crew and declares its calls.
--- a/internal/mesh/boxoffice/boxoffice.go
+++ b/internal/mesh/boxoffice/boxoffice.go
@@ -5,25 +5,25 @@
 
 import "time"
 
-const slices = 20 // that a window is counted in
+const parts = 20 // that a window is counted in
 
 // window counts what happened within a sliding time.
 type window struct {
 	each   time.Duration
-	counts [slices + 1]float64
+	counts [parts + 1]float64
 	at     int64 // the slice that counts now
 	sum    float64
 }
 
 func (w *window) move(now time.Duration) {
 	at := int64(now / w.each)
-	if at-w.at > slices {
-		w.counts, w.sum = [slices + 1]float64{}, 0
+	if at-w.at > parts {
+		w.counts, w.sum = [parts + 1]float64{}, 0
 		w.at = at
 	}
 	for w.at < at {
 		w.at++
-		i := w.at % (slices + 1)
+		i := w.at % (parts + 1)
 		w.sum -= w.counts[i]
 		w.counts[i] = 0
 	}
@@ -31,7 +31,7 @@
 
 func (w *window) add(now time.Duration, n float64) {
 	w.move(now)
-	w.counts[w.at%(slices+1)] += n
+	w.counts[w.at%(parts+1)] += n
 	w.sum += n
 }
 
@@ -50,7 +50,7 @@
 
 // NewRepeats makes a budget over a sliding window.
 func NewRepeats(over time.Duration) *Repeats {
-	each := max(over/slices, time.Millisecond)
+	each := max(over/parts, time.Millisecond)
 	return &Repeats{requests: window{each: each}, repeats: window{each: each}}
 }
 
@@ -67,30 +67,3 @@
 	r.repeats.add(now, 1)
 	return true
 }
-
-// Quota is this sidecar's part of a tenant's limit.
-type Quota struct {
-	level float64
-	at    time.Duration
-	begun bool
-}
-
-// Take takes a request out of a quota of which this sidecar has a share; a limit of 0 is none. It says also how long until the
-// next one is there.
-func (q *Quota) Take(now time.Duration, rate, burst, share float64) (ok bool, wait time.Duration) {
-	if rate <= 0 {
-		return true, 0
-	}
-	rate, most := rate*share, max(burst*share, 1)
-	if !q.begun {
-		q.level, q.begun = most, true
-	} else {
-		q.level = min(q.level+rate*(now-q.at).Seconds(), most)
-	}
-	q.at = now
-	if q.level < 1 {
-		return false, time.Duration((1 - q.level) / rate * float64(time.Second))
-	}
-	q.level--
-	return true, 0
-}
--- /dev/null
+++ b/internal/mesh/boxoffice/message.go
@@ -0,0 +1,75 @@
+package boxoffice
+
+import (
+	"time"
+
+	"gingerlead/internal/mesh/script"
+)
+
+// Wish is what a sidecar wants of the teller for one tenant.
+type Wish struct {
+	Tenant string
+	Tokens float64       // for requests that wait, and those of the next moments
+	Demand float64       // requests a second of late
+	Share  float64       // requests a second that it may let in on its own, as last granted,
+	Left   time.Duration // and for how long yet
+}
+
+// Wishes are all of a sidecar's; sent often enough that silence tells something.
+type Wishes struct {
+	Who     string // address of the sidecar that wants them; another one may bring them on
+	Life    uint64
+	Wishes  []Wish
+	Brought bool // by another
+}
+
+// Ticket is what is granted to one of them.
+type Ticket struct {
+	Tenant string
+	Tokens float64       // good until valid after the wish was sent
+	Share  float64       // requests a second while nobody can be reached,
+	Left   time.Duration // for so long after the wish was sent
+	Back   time.Duration // if tokens are short: when there will be one
+}
+
+// Tickets are the teller's answer.
+type Tickets struct {
+	Granted bool // false: this process is not the teller
+	Epoch   uint64
+	Teller  string // who is, as far as it knows
+	Tickets []Ticket
+}
+
+// Fields names them.
+func (w *Wish) Fields(v *script.Visitor) {
+	v.Text(1, &w.Tenant)
+	v.Float(2, &w.Tokens)
+	v.Float(3, &w.Demand)
+	v.Float(4, &w.Share)
+	v.Time(5, &w.Left)
+}
+
+// Fields names them.
+func (w *Wishes) Fields(v *script.Visitor) {
+	v.Text(1, &w.Who)
+	v.Fixed(2, &w.Life)
+	script.Messages(v, 3, &w.Wishes)
+	v.Bool(4, &w.Brought)
+}
+
+// Fields names them.
+func (t *Ticket) Fields(v *script.Visitor) {
+	v.Text(1, &t.Tenant)
+	v.Float(2, &t.Tokens)
+	v.Float(3, &t.Share)
+	v.Time(4, &t.Left)
+	v.Time(5, &t.Back)
+}
+
+// Fields names them.
+func (t *Tickets) Fields(v *script.Visitor) {
+	v.Bool(1, &t.Granted)
+	v.Uint(2, &t.Epoch)
+	v.Text(3, &t.Teller)
+	script.Messages(v, 4, &t.Tickets)
+}
--- /dev/null
+++ b/internal/mesh/boxoffice/purse.go
@@ -0,0 +1,203 @@
+package boxoffice
+
+import "time"
+
+// Tunables of a sidecar's purse.
+const (
+	beat       = 200 * time.Millisecond // between two wishes, so that the teller knows that it is there
+	urgent     = 15 * time.Millisecond  // the same while requests wait
+	ahead      = 300 * time.Millisecond // of demand, that tokens are drawn for beforehand
+	demandOver = time.Second            // that demand is smoothed over
+	idleAfter  = 10 * time.Second       // a tenant without requests is not asked for
+	waitMost   = 60 * time.Millisecond  // that a request waits for a token
+	backMost   = 2 * time.Second
+	backLeast  = 30 * time.Millisecond
+	waitersMax = 1024 // of one tenant
+)
+
+// Purse is what one sidecar holds of the tenants' limits.
+type Purse struct {
+	tenants map[string]*pocket
+	got     time.Duration // the last tickets
+	met     bool
+	sent    time.Duration
+	out     bool
+}
+
+type pocket struct {
+	limit   Limit
+	demand  float64
+	at      time.Duration // demand
+	tokens  float64
+	until   time.Duration
+	share   float64
+	shareTo time.Duration
+	level   float64 // of what it may let in on its own
+	levelAt time.Duration
+	denied  time.Duration // the teller has nothing before
+	waiting []func(ok bool, back time.Duration)
+	since   time.Duration // the oldest of those
+	fresh   bool          // has been asked for
+}
+
+// NewPurse makes an empty one.
+func NewPurse() *Purse { return &Purse{tenants: map[string]*pocket{}} }
+
+// Reached tells whether a teller has been heard of within what its tokens are good for.
+func (p *Purse) Reached(now time.Duration) bool { return p.met && now-p.got < valid }
+
+// Take takes a request of a tenant in: done is called once, now or later, with whether it may go on, and if not, when to come
+// back.
+func (p *Purse) Take(now time.Duration, tenant string, limit Limit, done func(ok bool, back time.Duration)) {
+	if limit.Rate <= 0 {
+		done(true, 0)
+		return
+	}
+	k := p.tenants[tenant]
+	if k == nil {
+		k = &pocket{at: now, levelAt: now, level: 1}
+		p.tenants[tenant] = k
+	}
+	k.limit = limit
+	k.count(now, 1)
+	switch {
+	case now < k.until && k.tokens >= 1:
+		k.tokens--
+		done(true, 0)
+	case !p.Reached(now):
+		done(k.alone(now))
+	case now < k.denied:
+		done(false, p.back(k, k.denied-now))
+	case len(k.waiting) >= waitersMax:
+		done(false, backMost)
+	default:
+		if len(k.waiting) == 0 {
+			k.since = now
+		}
+		k.waiting = append(k.waiting, done)
+	}
+}
+
+func (p *Purse) back(k *pocket, d time.Duration) time.Duration {
+	return min(max(d, backLeast), backMost)
+}
+
+// count takes requests into the demand.
+func (k *pocket) count(now time.Duration, n float64) {
+	dt := float64(now-k.at) / float64(demandOver)
+	k.demand = k.demand/(1+dt) + n/demandOver.Seconds()
+	k.at = now
+}
+
+func (k *pocket) rate(now time.Duration) float64 {
+	return k.demand / (1 + float64(now-k.at)/float64(demandOver))
+}
+
+// alone lets a request in by the standing share.
+func (k *pocket) alone(now time.Duration) (bool, time.Duration) {
+	if now >= k.shareTo {
+		return false, backMost / 4
+	}
+	k.level = min(k.level+k.share*(now-k.levelAt).Seconds(), max(k.share*ahead.Seconds(), 1))
+	k.levelAt = now
+	if k.level < 1 {
+		if k.share <= 0 {
+			return false, backMost
+		}
+		return false, min(time.Duration((1-k.level)/k.share*float64(time.Second)), backMost)
+	}
+	k.level--
+	return true, 0
+}
+
+// Tick gives the wishes that are due, and turns to its own share whoever has waited too long.
+func (p *Purse) Tick(now time.Duration) (w []Wish, due bool) {
+	pressing := false
+	for name, k := range p.tenants {
+		if len(k.waiting) > 0 && now-k.since > waitMost {
+			k.release(now, func() (bool, time.Duration) { return k.alone(now) })
+		}
+		if now-k.at > idleAfter && now >= k.shareTo {
+			delete(p.tenants, name)
+			continue
+		}
+		if len(k.waiting) > 0 || k.short(now) {
+			pressing = true
+		}
+	}
+	pace := beat
+	if pressing {
+		pace = urgent
+	}
+	if now-p.sent < pace || p.out && now-p.sent < waitMost {
+		return nil, false
+	}
+	for name, k := range p.tenants {
+		x := Wish{Tenant: name, Demand: k.rate(now), Share: k.share, Left: max(k.shareTo-now, 0)}
+		x.Tokens = float64(len(k.waiting))
+		if next := k.rate(now) * ahead.Seconds(); next >= 1 {
+			x.Tokens += next
+			if now < k.until {
+				x.Tokens -= k.tokens
+			}
+		}
+		x.Tokens = max(x.Tokens, 0)
+		w = append(w, x)
+	}
+	p.sent, p.out = now, true
+	return w, true
+}
+
+// short tells whether tokens are about to run out.
+func (k *pocket) short(now time.Duration) bool {
+	next := k.rate(now) * ahead.Seconds()
+	if next < 1 || now < k.denied {
+		return false
+	}
+	return now+ahead/4 >= k.until || k.tokens < next/3
+}
+
+// Got takes the answer to the wishes that were sent at a time.
+func (p *Purse) Got(now, sent time.Duration, t *Tickets) {
+	p.out = false
+	if !t.Granted {
+		return
+	}
+	p.met, p.got = true, max(p.got, sent)
+	for _, x := range t.Tickets {
+		k := p.tenants[x.Tenant]
+		if k == nil {
+			continue
+		}
+		if now >= k.until {
+			k.tokens = 0
+		}
+		if sent+valid > now {
+			k.tokens += x.Tokens
+			k.until = sent + valid
+		}
+		k.share, k.shareTo = x.Share, sent+x.Left
+		k.levelAt, k.level = now, min(k.level, 1)
+		if x.Back > 0 {
+			k.denied = now + min(x.Back, 100*time.Millisecond)
+		}
+		k.release(now, func() (bool, time.Duration) {
+			if now < k.until && k.tokens >= 1 {
+				k.tokens--
+				return true, 0
+			}
+			return false, p.back(k, x.Back)
+		})
+	}
+}
+
+// Failed says that the wishes reached no teller.
+func (p *Purse) Failed(time.Duration) { p.out = false }
+
+func (k *pocket) release(now time.Duration, take func() (bool, time.Duration)) {
+	all := k.waiting
+	k.waiting = nil
+	for _, done := range all {
+		done(take())
+	}
+}
--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"gingerlead"
-	"gingerlead/internal/mesh/boxoffice"
 	"gingerlead/internal/mesh/callboard"
 	"gingerlead/internal/mesh/callsheet"
 	"gingerlead/internal/mesh/cue"
@@ -30,6 +29,8 @@
 	Log     *logrus.Logger
 	Seed    uint64
 	Refresh func(service string) // asks for the endpoints of a service anew
+	// Take takes a request out of a tenant's limit; done is called once, with when to come back if it is not there.
+	Take func(t *playbill.Tenant, done func(ok bool, back time.Duration))
 }
 
 // Desk takes clients' requests.
@@ -41,7 +42,6 @@
 	zones    map[string]int
 	queue    []func(now time.Duration)
 	next     uint64
-	quotas   map[string]*boxoffice.Quota
 	sidecars int
 	open     atomic.Int64 // requests under way
 	ending   atomic.Bool
@@ -83,7 +83,7 @@
 
 // New makes a desk that knows no configuration yet.
 func New(o Options) *Desk {
-	return &Desk{o: o, casts: map[string]*cast{}, zones: map[string]int{}, quotas: map[string]*boxoffice.Quota{}, sidecars: 1}
+	return &Desk{o: o, casts: map[string]*cast{}, zones: map[string]int{}, sidecars: 1}
 }
 
 // Now is the steady clock.
@@ -132,14 +132,6 @@
 			return
 		}
 		d.conf.Store(c)
-		quotas := map[string]*boxoffice.Quota{}
-		for i := range c.Tenants {
-			name := c.Tenants[i].Name
-			if quotas[name] = d.quotas[name]; quotas[name] == nil {
-				quotas[name] = &boxoffice.Quota{}
-			}
-		}
-		d.quotas = quotas
 	})
 }
 
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"gingerlead/internal/mesh/boxoffice"
 	"gingerlead/internal/mesh/curtain"
 	"gingerlead/internal/mesh/playbill"
 	"gingerlead/internal/mesh/stagedoor"
@@ -89,7 +88,7 @@
 		switch {
 		case tenant != nil:
 			p.Subscriber, p.Priority = tenant.Name, tenant.Priority
-			if back := d.quota(now, tenant); back > 0 {
+			if back := d.quota(tenant); back > 0 {
 				r.deadline = back // for Retry-After
 				return r, curtain.Quota
 			}
@@ -130,20 +129,20 @@
 	return r, 0
 }
 
-// quota takes a request out of a tenant's quota; if it is not there it says when it will be.
-func (d *Desk) quota(now time.Duration, t *playbill.Tenant) (back time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	q := d.quotas[t.Name]
-	if q == nil { // of a configuration that has just gone out of force
-		q = &boxoffice.Quota{}
-		d.quotas[t.Name] = q
-	}
-	ok, wait := q.Take(now, t.Rate, t.Burst, (1+d.o.Bounds.QuotaOverage/2)/float64(d.sidecars))
-	if ok {
+// quota takes a request out of a tenant's limit; if it is not there it says when to come back.
+func (d *Desk) quota(t *playbill.Tenant) (back time.Duration) {
+	if d.o.Take == nil || t.Rate <= 0 {
 		return 0
 	}
-	return max(wait, time.Millisecond)
+	ch := make(chan time.Duration, 1)
+	d.o.Take(t, func(ok bool, back time.Duration) {
+		if ok {
+			ch <- 0
+		} else {
+			ch <- max(back, time.Millisecond)
+		}
+	})
+	return <-ch
 }
 
 func (d *Desk) back(r *request, k curtain.Kind) time.Duration {
--- a/internal/mesh/house/access.go
+++ b/internal/mesh/house/access.go
@@ -31,11 +31,14 @@
 	}
 	a := &access{process: p}
 	a.door = stagedoor.New(p.sheet.App, p.hub.Now, p.log, func(life string) { a.crew.Ended(life, callboard.Crashed) })
+	var tickets *backstage.Tickets
 	a.desk = foyer.New(foyer.Options{Hub: p.hub, Door: a.door, Bounds: p.sheet.Bounds, Service: p.sheet.Service, Log: p.log,
-		Seed: p.seed, Refresh: func(s string) { a.crew.Refresh(s) }})
+		Seed: p.seed, Refresh: func(s string) { a.crew.Refresh(s) },
+		Take: func(t *playbill.Tenant, done func(bool, time.Duration)) { tickets.Take(t, done) }})
 	a.crew = backstage.New(backstage.Options{Sheet: p.sheet, Hub: p.hub, Role: company.Access, Log: p.log, Seed: p.seed,
 		Configure: func(c *playbill.Config) { a.desk.Configure(c) }, Told: a.desk.Told, Sidecars: a.desk.Sidecars, Found: a.found})
 	a.door.Serve(p.hub)
+	tickets = a.crew.Tickets()
 	if err := p.link(); err != nil {
 		return err
 	}
@@ -52,6 +55,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go a.crew.Run(ctx)
+	go tickets.Run(ctx)
 	if err := p.wait(ctx, func(s *callsheet.Sheet) { a.crew.Seeds(s.SeedPeers()) }); err != nil {
 		return err
 	}
--- a/internal/mesh/house/core.go
+++ b/internal/mesh/house/core.go
@@ -38,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	duties := crew.Duties(desk.Voters, p.sheet.InitialStart)
 	close(ready)
 	beats, operator := crew.Beats(nil), desk.Handler()
 	err = p.serve(small(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -53,6 +54,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go crew.Run(ctx)
+	go duties.Run(ctx)
 	err = p.wait(ctx, func(s *callsheet.Sheet) { crew.Seeds(s.SeedPeers()) })
 	desk.Close()
 	p.hub.Close()
--- a/internal/mesh/prompter/desk.go
+++ b/internal/mesh/prompter/desk.go
@@ -101,7 +101,8 @@
 	return seeds[:min(len(seeds), votersMax)]
 }
 
-func (d *Desk) votersNow() []string {
+// Voters are the processes that vote, by their control addresses; none while this process does not know.
+func (d *Desk) Voters() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.voters
@@ -194,7 +195,7 @@
 func (d *Desk) serve(ctx context.Context, q *promptbook.Request) (*promptbook.Reply, error) {
 	d.see(q.Ballot)
 	if q.Kind == promptbook.Introduce {
-		return &promptbook.Reply{Outcome: promptbook.Told, Voters: d.votersNow()}, nil
+		return &promptbook.Reply{Outcome: promptbook.Told, Voters: d.Voters()}, nil
 	}
 	return d.do(ctx, &job{request: q})
 }
@@ -279,7 +280,7 @@
 	pause, patience := pauseMin, phaseMin
 	reading := change == nil
 	for ; ; patience = min(patience*3/2, phaseMax) {
-		if voters := d.votersNow(); len(voters) > 0 {
+		if voters := d.Voters(); len(voters) > 0 {
 			r, err := d.round(ctx, voters, reading, change, patience)
 			switch {
 			case err != nil:
--- a/internal/mesh/prompter/keeper.go
+++ b/internal/mesh/prompter/keeper.go
@@ -229,7 +229,7 @@
 	pause := recoverDelay
 	life := uint64(2)
 	for ; d.ctx.Err() == nil; _ = d.pause(d.ctx, &pause) {
-		voters := d.votersNow()
+		voters := d.Voters()
 		if len(voters) == 0 {
 			d.introduce()
 			continue
--- /dev/null
+++ b/internal/mesh/understudy/understudy_test.go
@@ -0,0 +1,106 @@
+package understudy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Two candidates and three voters, of which one starts again: in every order of delivering or losing each message, at paces
+// that let leases run out in between, never do two hold the duty at one time.
+func TestOneHolds(t *testing.T) {
+	const depth = 7
+	var play func(path []int)
+	plays := 0
+	run := func(path []int) {
+		now := time.Duration(0)
+		voters := []*Voter{NewVoter(0, true), NewVoter(0, true), NewVoter(0, true)}
+		half := func() float64 { return 0.5 }
+		cs := []*Candidate{NewCandidate("a", 1, "d", half), NewCandidate("b", 2, "d", half)}
+		type mail struct {
+			from, voter int
+			asked       time.Duration
+			ask         *Ask
+			answer      *Answer
+		}
+		var post []mail
+		for _, step := range path {
+			// Steps: deliver the first, the second or the third message; lose the first; time passes; a voter starts again.
+			switch {
+			case step < 3 && step < len(post):
+				m := post[step]
+				post = append(append([]mail{}, post[:step]...), post[step+1:]...)
+				if m.answer == nil {
+					m.answer = voters[m.voter].Take(now, m.ask)
+					post = append(post, m)
+				} else {
+					cs[m.from].Take(now, m.asked, string(rune('0'+m.voter)), m.answer)
+				}
+			case step == 3 && len(post) > 0:
+				post = post[1:]
+			case step == 4:
+				now += Lease/2 - 10*time.Millisecond
+				for i, c := range cs {
+					if a := c.Tick(now, 3); a != nil {
+						for v := range voters {
+							post = append(post, mail{from: i, voter: v, asked: now, ask: a})
+						}
+					}
+				}
+			case step == 5:
+				voters[0] = NewVoter(now, false)
+			}
+			_, one := cs[0].Holds(now)
+			_, two := cs[1].Holds(now)
+			if one && two {
+				t.Fatalf("both hold after %v", path)
+			}
+		}
+		plays++
+	}
+	play = func(path []int) {
+		if len(path) == depth {
+			run(path)
+			return
+		}
+		for s := range 6 {
+			if len(path) == 0 && s != 4 {
+				continue
+			}
+			play(append(path, s))
+		}
+	}
+	play(nil)
+	// And longer ones by chance, where leases come and go many times.
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 20000 {
+		path := []int{4}
+		for range 60 {
+			path = append(path, []int{0, 0, 0, 1, 2, 2, 3, 4, 4, 5}[rng.IntN(10)])
+		}
+		run(path)
+	}
+	t.Logf("%d orders", plays)
+}
+
+func TestHolderStopsBeforeAnotherIsGranted(t *testing.T) {
+	c := qt.New(t)
+	v := NewVoter(0, true)
+	a := NewCandidate("a", 1, "d", func() float64 { return 0 })
+	ask := a.Tick(0, 1)
+	c.Assert(a.Take(time.Millisecond, 0, "v", v.Take(time.Millisecond, ask)), qt.IsTrue)
+	first, ok := a.Holds(Lease / 2)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = a.Holds(Lease)
+	c.Assert(ok, qt.IsFalse)
+	other := &Ask{Holder: "b", Life: 2, Duties: []Duty{{Name: "d", Epoch: first + 1}}}
+	c.Assert(v.Take(Lease, other).Duties[0].Given, qt.IsFalse)
+	c.Assert(v.Take(Lease+time.Millisecond, other).Duties[0].Given, qt.IsTrue)
+	// The first one's number is of the past now.
+	c.Assert(v.Take(3*Lease, &Ask{Holder: "a", Life: 1, Duties: []Duty{{Name: "d", Epoch: first}}}).Duties[0].Given, qt.IsFalse)
+	// A voter that has started again waits.
+	v = NewVoter(4*Lease, false)
+	c.Assert(v.Take(5*Lease-1, other).Duties[0].Given, qt.IsFalse)
+}
