--- a/internal/mesh/backstage/tickets.go
+++ b/internal/mesh/backstage/tickets.go
@@ -157,6 +157,9 @@
 	}
 	t.teller, t.failed = a.Teller, 0
 	t.purse.Got(now, sent, a)
+	if t.purse.Waiting() {
+		t.rouse()
+	}
 }
 
 func (t *Tickets) rouse() {
--- a/internal/mesh/boxoffice/message.go
+++ b/internal/mesh/boxoffice/message.go
@@ -13,6 +13,7 @@
 	Demand float64       // requests a second of late
 	Share  float64       // requests a second that it may let in on its own, as last granted,
 	Left   time.Duration // and for how long yet
+	Unused float64       // tokens that ran out unspent since the last wish: they go back
 }
 
 // Wishes are all of a sidecar's; sent often enough that silence tells something.
@@ -47,6 +48,7 @@
 	v.Float(3, &w.Demand)
 	v.Float(4, &w.Share)
 	v.Time(5, &w.Left)
+	v.Float(6, &w.Unused)
 }
 
 // Fields names them.
--- a/internal/mesh/boxoffice/purse.go
+++ b/internal/mesh/boxoffice/purse.go
@@ -37,7 +37,8 @@
 	denied  time.Duration // the teller has nothing before
 	waiting []func(ok bool, back time.Duration)
 	since   time.Duration // the oldest of those
-	fresh   bool          // has been asked for
+	asked   int           // of those, the first, that the wishes under way speak for
+	unused  float64       // tokens that ran out
 }
 
 // NewPurse makes an empty one.
@@ -60,6 +61,7 @@
 	}
 	k.limit = limit
 	k.count(now, 1)
+	k.lapse(now)
 	switch {
 	case now < k.until && k.tokens >= 1:
 		k.tokens--
@@ -82,6 +84,14 @@
 	return min(max(d, backLeast), backMost)
 }
 
+// lapse puts tokens aside that have run out.
+func (k *pocket) lapse(now time.Duration) {
+	if now >= k.until && k.tokens > 0 {
+		k.unused += k.tokens
+		k.tokens = 0
+	}
+}
+
 // count takes requests into the demand.
 func (k *pocket) count(now time.Duration, n float64) {
 	dt := float64(now-k.at) / float64(demandOver)
@@ -133,8 +143,11 @@
 		return nil, false
 	}
 	for name, k := range p.tenants {
-		x := Wish{Tenant: name, Demand: k.rate(now), Share: k.share, Left: max(k.shareTo-now, 0)}
-		x.Tokens = float64(len(k.waiting))
+		k.lapse(now)
+		x := Wish{Tenant: name, Demand: k.rate(now), Share: k.share, Left: max(k.shareTo-now, 0), Unused: k.unused}
+		k.unused = 0
+		k.asked = len(k.waiting)
+		x.Tokens = float64(k.asked)
 		if next := k.rate(now) * ahead.Seconds(); next >= 1 {
 			x.Tokens += next
 			if now < k.until {
@@ -169,9 +182,7 @@
 		if k == nil {
 			continue
 		}
-		if now >= k.until {
-			k.tokens = 0
-		}
+		k.lapse(now)
 		if sent+valid > now {
 			k.tokens += x.Tokens
 			k.until = sent + valid
@@ -181,14 +192,32 @@
 		if x.Back > 0 {
 			k.denied = now + min(x.Back, 100*time.Millisecond)
 		}
-		k.release(now, func() (bool, time.Duration) {
-			if now < k.until && k.tokens >= 1 {
-				k.tokens--
-				return true, 0
-			}
-			return false, p.back(k, x.Back)
-		})
+		k.settle(now, p.back(k, x.Back))
+	}
+}
+
+// settle lets waiting requests in by the tokens that are there. Those that the wishes spoke for and that got none are told to
+// come back; who came later waits for the next answer.
+func (k *pocket) settle(now, back time.Duration) {
+	i := 0
+	for ; i < len(k.waiting) && now < k.until && k.tokens >= 1; i++ {
+		k.tokens--
+		k.waiting[i](true, 0)
+	}
+	for ; i < len(k.waiting) && i < k.asked; i++ {
+		k.waiting[i](false, back)
+	}
+	k.waiting, k.asked, k.since = k.waiting[i:], 0, now
+}
+
+// Waiting tells whether requests wait for tokens.
+func (p *Purse) Waiting() bool {
+	for _, k := range p.tenants {
+		if len(k.waiting) > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // Failed says that the wishes reached no teller.
--- a/internal/mesh/boxoffice/teller.go
+++ b/internal/mesh/boxoffice/teller.go
@@ -113,14 +113,14 @@
 func (t *Teller) sell(now time.Duration, x Wish, limit Limit) Ticket {
 	p := t.pots[x.Tenant]
 	if p == nil {
-		p = &pot{at: now}
+		p = &pot{at: t.began}
 		if t.fresh {
 			p.level = limit.Burst
 		}
 		t.pots[x.Tenant] = p
 	}
 	rate := max(limit.Rate-t.reserved(now, x.Tenant, limit), 0)
-	p.level = min(p.level+rate*(now-p.at).Seconds(), max(limit.Burst, 1))
+	p.level = min(p.level+rate*(now-p.at).Seconds()+min(max(x.Unused, 0), limit.Burst), max(limit.Burst, 1))
 	p.at = now
 	tk := Ticket{Tenant: x.Tenant}
 	switch {
