Other zones keep the same members of a zone, and only those are its homes

Cause: with views of 32 random members of another zone, publishers there and callers in the zone name different homes for a service. Ruled out: to pass on from a wrong home (another hop, and loops while views differ). Change: the 32 that are kept are the first by mixed life, alike everywhere, and only they can be homes. Boards index by service; a lapsed lease is a guess of one board and is told as crashed, which a later beat lifts.

--- a/internal/mesh/callboard/board.go
+++ b/internal/mesh/callboard/board.go
@@ -94,17 +94,19 @@
 	renewed     time.Duration
 	ended       time.Duration // when it came to be Gone or Crashed
 	drained     bool          // a draining mark was seen in this life
-	absent      State         // Crashed: its lease ran out here; Gone: another life answers at its address; else Serving
+	absent      bool          // its lease ran out here, or another life at its address is renewed and it is not
 	version     uint64        // of the board at its last change or renewal
 }
 
 // shown is the state to the outside.
 func (p *post) shown() State {
-	s := max(p.State, p.absent)
-	if s == Serving && p.drained {
-		s = Draining
+	switch {
+	case p.State < Crashed && p.absent:
+		return Crashed
+	case p.State == Serving && p.drained:
+		return Draining
 	}
-	return s
+	return p.State
 }
 
 func (p *post) told(now time.Duration) Endpoint {
@@ -118,6 +120,7 @@
 	bounds  Bounds
 	posts   map[string]*post
 	apps    map[string][]*post
+	service map[string][]*post // by id
 	version uint64
 	floor   map[string]uint64 // by service: what was forgotten had this version at most
 	tombs   []string          // Gone, the oldest first
@@ -125,7 +128,7 @@
 
 // New makes an empty board.
 func New(bounds Bounds) *Board {
-	return &Board{bounds: bounds.Filled(), posts: map[string]*post{}, apps: map[string][]*post{}, floor: map[string]uint64{}}
+	return &Board{bounds: bounds.Filled(), posts: map[string]*post{}, apps: map[string][]*post{}, service: map[string][]*post{}, floor: map[string]uint64{}}
 }
 
 // Tell merges a record; changed tells whether more than its lease, its sequence and its cold time did.
@@ -133,40 +136,50 @@
 	if e.ID == "" {
 		return false
 	}
-	p := b.posts[e.ID]
+	p, took := b.posts[e.ID], true
 	if p == nil {
-		p = &post{Endpoint: e, lease: now + e.Lease, cold: now + e.Cold, renewed: now, drained: e.State == Draining}
-		b.posts[e.ID] = p
-		b.apps[e.App] = append(b.apps[e.App], p)
+		p = b.add(now, e)
 		changed = true
 	} else {
 		was, before := p.shown(), p.Endpoint
-		p.merge(now, e)
-		changed = was != p.shown() || before.Edition != p.Edition || before.Slots != p.Slots || before.HostLife != p.HostLife
+		took = p.merge(now, e)
+		changed = was != p.shown() || before.Edition != p.Edition || before.Slots != p.Slots || before.HostLife != p.HostLife ||
+			before.Host != p.Host
+	}
+	if took || changed {
+		b.touch(now, p, changed)
 	}
-	b.touch(now, p, changed)
-	return b.supersede(now, e.App) || changed
+	return b.supersede(now, p.App) || changed
+}
+
+func (b *Board) add(now time.Duration, e Endpoint) *post {
+	p := &post{Endpoint: e, lease: now + e.Lease, cold: now + e.Cold, renewed: now, drained: e.State == Draining}
+	b.posts[p.ID] = p
+	b.apps[p.App] = append(b.apps[p.App], p)
+	i, _ := slices.BinarySearchFunc(b.service[p.Service], p.ID, byID)
+	b.service[p.Service] = slices.Insert(b.service[p.Service], i, p)
+	return p
 }
 
-// merge is the one place where what is told changes a post.
-func (p *post) merge(now time.Duration, e Endpoint) {
+func byID(p *post, id string) int { return cmp.Compare(p.ID, id) }
+
+// merge is the one place where what is told changes a post. It tells whether it took anything.
+func (p *post) merge(now time.Duration, e Endpoint) (took bool) {
+	e.App, e.Service = p.App, p.Service // of one life they stay
 	p.drained = p.drained || e.State == Draining
+	if p.State == Gone || e.State == Gone {
+		took = p.State != Gone
+		p.State, p.Sequence, p.Edition = Gone, max(p.Sequence, e.Sequence), max(p.Edition, e.Edition)
+		return took
+	}
 	order := cmp.Or(cmp.Compare(e.Sequence, p.Sequence), cmp.Compare(e.Edition, p.Edition), cmp.Compare(e.State, p.State))
-	switch {
-	case p.State == Gone:
-		return
-	case e.State == Gone:
-		p.State = Gone
-		p.Sequence, p.Edition = max(p.Sequence, e.Sequence), max(p.Edition, e.Edition)
-		return
-	case order > 0:
-		app := p.App // of one life it stays
+	if order > 0 {
 		p.Endpoint, p.cold = e, now+e.Cold
-		p.App = app
 	}
 	if order >= 0 && now+e.Lease > p.lease {
-		p.lease, p.renewed, p.absent = now+e.Lease, now, Serving
+		p.lease, p.renewed, p.absent, took = now+e.Lease, now, false, true
 	}
+	return took || order > 0
 }
 
 func (b *Board) touch(now time.Duration, p *post, changed bool) {
@@ -198,10 +211,15 @@
 	}
 	delete(b.posts, p.ID)
 	b.floor[p.Service] = max(b.floor[p.Service], p.version)
-	if rest := slices.DeleteFunc(b.apps[p.App], func(o *post) bool { return o == p }); len(rest) > 0 {
-		b.apps[p.App] = rest
+	without(b.apps, p.App, p)
+	without(b.service, p.Service, p)
+}
+
+func without(in map[string][]*post, key string, p *post) {
+	if rest := slices.DeleteFunc(in[key], func(o *post) bool { return o == p }); len(rest) > 0 {
+		in[key] = rest
 	} else {
-		delete(b.apps, p.App)
+		delete(in, key)
 	}
 }
 
@@ -210,7 +228,7 @@
 	at := b.apps[app]
 	for _, p := range at {
 		for _, q := range at {
-			if p.ID != q.ID && p.HostLife == q.HostLife && p.Edition < q.Edition && p.State != Gone {
+			if p.State != Gone && p.HostLife != 0 && p.HostLife == q.HostLife && p.Edition < q.Edition {
 				p.State, changed = Gone, true
 				b.touch(now, p, true)
 			}
@@ -227,14 +245,10 @@
 		if p.shown() >= Crashed {
 			continue
 		}
-		switch {
-		case now >= p.lease:
-			p.absent = Crashed
-		case b.outlived(now, p):
-			p.absent = Gone
-		default:
+		if now < p.lease && !b.outlived(now, p) {
 			continue
 		}
+		p.absent = true
 		b.touch(now, p, true)
 		changed = append(changed, p.told(now))
 	}
@@ -262,24 +276,27 @@
 	return ids
 }
 
-func (b *Board) pick(now time.Duration, keep func(*post) bool) (out []Endpoint) {
-	for _, id := range b.ids() {
-		if p := b.posts[id]; keep(p) {
+// List is what is known of a service's endpoints, those that ended too while they are remembered, with leases and cold times
+// as left now.
+func (b *Board) List(now time.Duration, service string) (out []Endpoint) {
+	return b.after(now, service, 0)
+}
+
+func (b *Board) after(now time.Duration, service string, version uint64) (out []Endpoint) {
+	for _, p := range b.service[service] {
+		if p.version > version {
 			out = append(out, p.told(now))
 		}
 	}
 	return out
 }
 
-// List is what is known of a service's endpoints, those that ended too while they are remembered, with leases and cold times
-// as left now.
-func (b *Board) List(now time.Duration, service string) []Endpoint {
-	return b.pick(now, func(p *post) bool { return p.Service == service })
-}
-
 // All is what is known of all.
-func (b *Board) All(now time.Duration) []Endpoint {
-	return b.pick(now, func(*post) bool { return true })
+func (b *Board) All(now time.Duration) (out []Endpoint) {
+	for _, id := range b.ids() {
+		out = append(out, b.posts[id].told(now))
+	}
+	return out
 }
 
 // Since is what of a service changed or was renewed after a version of this board, and the version now. If ok is false, what
@@ -288,7 +305,7 @@
 	if version < b.floor[service] || version > b.version {
 		return b.List(now, service), b.version, false
 	}
-	return b.pick(now, func(p *post) bool { return p.Service == service && p.version > version }), b.version, true
+	return b.after(now, service, version), b.version, true
 }
 
 // At is the endpoint at an address: of several the best, then the one renewed last.
--- a/internal/mesh/callboard/subscribe.go
+++ b/internal/mesh/callboard/subscribe.go
@@ -14,6 +14,7 @@
 // Ask is due at a home: what changed of a service since a version of its board. It renews the subscription as well.
 type Ask struct {
 	To      string
+	Life    uint64 // of the home that Since is of: for another life it is 0
 	Service string
 	Since   uint64
 }
@@ -44,9 +45,6 @@
 )
 
 func (s *source) shift(now time.Duration, to step, next time.Duration) {
-	if to == broken {
-		s.version = 0 // it may have forgotten us
-	}
 	s.step, s.next = to, now+next
 }
 
@@ -86,7 +84,7 @@
 			if width == 0 {
 				break
 			}
-			if h.step == held && now-h.got >= 2*s.bounds.Ask || h.step == asked && now-h.got >= 2*s.bounds.Ask {
+			if (h.step == held || h.step == asked) && now-h.got >= 2*s.bounds.Ask {
 				h.shift(now, broken, 0)
 			}
 			if h.step != broken {
@@ -95,7 +93,7 @@
 			if now < h.next && h.step != fresh {
 				continue
 			}
-			due = append(due, Ask{To: h.Address, Service: service, Since: h.version})
+			due = append(due, Ask{To: h.Address, Life: h.Life, Service: service, Since: h.version})
 			switch h.step {
 			case fresh:
 				h.got = now
@@ -110,11 +108,11 @@
 	return due
 }
 
-// Got says that a home answered up to a version of its board.
-func (s *Subscription) Got(now time.Duration, from, service string, version uint64) {
+// Got says that a home, in one of its lives, answered or told up to a version of its board.
+func (s *Subscription) Got(now time.Duration, from Home, service string, version uint64) {
 	for _, h := range s.services[service] {
-		if h.Address == from {
-			h.version, h.got = version, now
+		if h.Home == from {
+			h.version, h.got = max(h.version, version), now
 			if h.step != held {
 				h.shift(now, held, s.bounds.Ask)
 			}
--- a/internal/mesh/company/view.go
+++ b/internal/mesh/company/view.go
@@ -28,15 +28,11 @@
 	fresh     state = iota
 	suspected       // its beat has not advanced for long
 	missed          // a connection to it broke
-	rung            // and it was asked since
 )
 
 func (e *entry) shift(now time.Duration, to state) {
 	if e.state != to {
-		if !(e.state == missed && to == rung) {
-			e.since = now
-		}
-		e.state = to
+		e.state, e.since = to, now
 	}
 }
 
@@ -53,6 +49,7 @@
 	bounds  Bounds
 	rng     *rand.Rand
 	self    Member
+	all     []*entry // by life
 	members map[uint64]*entry
 	at      map[string]*entry
 	dead    map[uint64]ended
@@ -109,9 +106,12 @@
 	if now >= v.next {
 		v.next = now + v.bounds.Pace*time.Duration(85+v.rng.IntN(31))/100
 		v.self.Beat++
-		if first = v.neighbour(); first != nil {
+		if first = v.neighbour(fresh); first != nil {
 			to = v.ask(now, to, first)
 		}
+		if e := v.neighbour(suspected); e != nil { // after a cut these lead to the other part
+			to = v.ask(now, to, e)
+		}
 		switch {
 		case !v.joined:
 			to, v.joined, v.far = append(to, v.others(v.seeds)...), true, now
@@ -125,9 +125,8 @@
 			}
 		}
 	}
-	for _, e := range v.sorted() {
-		if e.state == missed && e != first {
-			e.shift(now, rung)
+	for _, e := range v.all { // what broke is asked again and again
+		if e.state == missed && now-e.asked >= v.bounds.Pace/2 {
 			to = v.ask(now, to, e)
 		}
 	}
@@ -154,7 +153,7 @@
 // wake starts all ages anew, for the judgement here; the ages that are told stay what they are.
 func (v *View) wake(now time.Duration) {
 	v.woken = now
-	for _, e := range v.members {
+	for _, e := range v.all {
 		if e.state != fresh {
 			e.since = now
 		}
@@ -162,10 +161,10 @@
 }
 
 func (v *View) expire(now time.Duration) {
-	for _, e := range v.sorted() {
+	for _, e := range slices.Clone(v.all) {
 		age := now - max(e.seen, v.woken)
 		switch {
-		case e.state >= missed && now-e.since >= v.bounds.Grace:
+		case e.state == missed && now-e.since >= v.bounds.Grace:
 			v.drop(e)
 			v.bury(now, e.Life, ended{beat: e.Beat, address: e.Address})
 		case age >= v.bounds.Drop:
@@ -189,11 +188,16 @@
 
 func (v *View) remove(e *entry) {
 	delete(v.members, e.Life)
+	if i, ok := slices.BinarySearchFunc(v.all, e.Life, byLife); ok {
+		v.all = slices.Delete(v.all, i, i+1)
+	}
 	if v.at[e.Address] == e {
 		delete(v.at, e.Address)
 	}
 }
 
+func byLife(e *entry, life uint64) int { return cmp.Compare(e.Life, life) }
+
 func (v *View) bury(now time.Duration, life uint64, d ended) {
 	old, known := v.dead[life]
 	if !known {
@@ -220,42 +224,26 @@
 	}
 }
 
-// neighbour is the one least recently asked, mostly within the zone.
-func (v *View) neighbour() (best *entry) {
-	near := v.rng.IntN(4) > 0
-	for range 2 {
-		for _, e := range v.sorted() {
-			if near && e.Zone != v.self.Zone && len(v.members) > v.bounds.Carry {
-				continue
-			}
-			if e.state == fresh && (best == nil || e.asked < best.asked) {
+// neighbour is the one in a state that was least recently asked; with many members mostly one of the own zone.
+func (v *View) neighbour(in state) (best *entry) {
+	near := len(v.all) > v.bounds.Carry && v.rng.IntN(4) > 0
+	for _, only := range []bool{near, false} {
+		for _, e := range v.all {
+			if e.state == in && (!only || e.Zone == v.self.Zone) && (best == nil || e.asked < best.asked) {
 				best = e
 			}
 		}
 		if best != nil {
 			break
 		}
-		near = false
 	}
 	return best
 }
 
-// sorted are the entries in an order that does not hang on the map's, the order shuffled by the members' lives.
-func (v *View) sorted() []*entry {
-	all := make([]*entry, 0, len(v.members))
-	for _, e := range v.members {
-		all = append(all, e)
-	}
-	slices.SortFunc(all, func(a, b *entry) int {
-		return cmp.Compare(rendezvous.Mix(a.Life^v.self.Life), rendezvous.Mix(b.Life^v.self.Life))
-	})
-	return all
-}
-
 // shuffle makes a message for a neighbour of a zone.
 func (v *View) shuffle(now time.Duration, zone string) *Shuffle {
 	s := &Shuffle{From: v.self}
-	all := v.sorted()
+	all := slices.Clone(v.all)
 	v.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	if len(all) > v.bounds.Carry {
 		all = v.choose(all, zone)
@@ -275,27 +263,33 @@
 	return s
 }
 
-// choose takes as many as a shuffle carries: for a neighbour in the own zone mostly members of that zone, for another one
-// rather those that it does not know better itself; half of each kind those whose beats are newest.
+// choose takes as many as a shuffle carries: for a neighbour in the own zone mostly members of that zone; for another one
+// mostly those of the own zone that others keep, and none of its own zone, which it knows whole. Half of each are those whose
+// beats are newest.
 func (v *View) choose(all []*entry, zone string) []*entry {
-	want := v.bounds.Carry
-	rank := func(e *entry) int {
-		same := e.Zone == zone
-		if zone != v.self.Zone {
-			same = !same
-		}
-		if same {
-			return 0
+	var own, rest []*entry
+	for _, e := range all {
+		switch {
+		case e.Zone == v.self.Zone:
+			own = append(own, e)
+		case e.Zone != zone:
+			rest = append(rest, e)
 		}
-		return 1
 	}
-	var parts [2][]*entry
-	for _, e := range all {
-		parts[rank(e)] = append(parts[rank(e)], e)
+	want := v.bounds.Carry
+	if kept := v.bounds.Other + v.bounds.Other/8; zone != v.self.Zone && len(own) > kept {
+		slices.SortFunc(own, func(a, b *entry) int { return before(&a.Member, &b.Member) })
+		own = own[:kept]
+		v.rng.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	}
-	first := max(want*3/4, want-len(parts[1]))
-	out := newest(parts[0], min(first, len(parts[0])))
-	return append(out, newest(parts[1], min(want-len(out), len(parts[1])))...)
+	out := newest(own, min(max(want*3/4, want-len(rest)), len(own)))
+	return append(out, newest(rest, min(want-len(out), len(rest)))...)
+}
+
+// before orders the members of a zone at random, but for all alike: the first ones are those that other zones keep, and its
+// homes. The roles have no part in it, so that it is the same where some of a role are not known.
+func before(a, b *Member) int {
+	return cmp.Or(cmp.Compare(rendezvous.Mix(a.Life), rendezvous.Mix(b.Life)), cmp.Compare(a.Life, b.Life))
 }
 
 func newest(from []*entry, n int) []*entry {
@@ -372,40 +366,48 @@
 		}
 		v.remove(o)
 		v.bury(now, o.Life, ended{beat: o.Beat, address: o.Address, replaced: true})
-	} else if !v.room(m) {
+	} else if !v.room(&m) {
 		return false
 	}
 	v.unbury(m.Life)
 	v.arrived++
 	e := &entry{Member: m, seen: seen, order: v.arrived, asked: -time.Hour + time.Duration(v.rng.IntN(int(time.Minute)))}
 	v.members[m.Life], v.at[m.Address] = e, e
+	i, _ := slices.BinarySearchFunc(v.all, m.Life, byLife)
+	v.all = slices.Insert(v.all, i, e)
 	v.Place(m.Zone, m.Region)
 	v.former = slices.DeleteFunc(v.former, func(a string) bool { return a == m.Address })
 	return true
 }
 
-// room tells whether there is room for a new member, and makes some among those of other zones.
-func (v *View) room(m Member) bool {
-	var same []*entry
-	for _, e := range v.sorted() {
+// room tells whether there is room for a new member, and makes some among those of another zone for one that goes before them.
+func (v *View) room(m *Member) bool {
+	n, last := 0, (*entry)(nil)
+	for _, e := range v.all {
 		if e.Role == m.Role && (m.Role == Core || e.Zone == m.Zone) {
-			same = append(same, e)
+			n++
+			if last == nil || before(&last.Member, &e.Member) < 0 {
+				last = e
+			}
 		}
 	}
 	switch {
 	case m.Role == Core:
-		return len(same) < v.bounds.Cores
+		return n < v.bounds.Cores
 	case m.Zone == v.self.Zone:
-		return len(same) < v.bounds.Own
-	case len(same) >= v.bounds.Other:
-		v.remove(same[v.rng.IntN(len(same))])
+		return n < v.bounds.Own
+	case n < v.bounds.Other:
+		return true
+	case before(m, &last.Member) > 0:
+		return false
 	}
+	v.remove(last)
 	return true
 }
 
 // Lost says that a connection to an address broke, or that its pings went unanswered.
 func (v *View) Lost(now time.Duration, address string) {
-	if e := v.at[address]; e != nil && e.state < missed {
+	if e := v.at[address]; e != nil {
 		e.shift(now, missed)
 	}
 }
@@ -427,8 +429,8 @@
 
 // Members are the live ones, this one among them, by address.
 func (v *View) Members() []Member {
-	all := append(make([]Member, 0, 1+len(v.members)), v.self)
-	for _, e := range v.members {
+	all := append(make([]Member, 0, 1+len(v.all)), v.self)
+	for _, e := range v.all {
 		all = append(all, e.Member)
 	}
 	slices.SortFunc(all, func(a, b Member) int {
@@ -443,7 +445,7 @@
 		return v.self, true
 	}
 	var best *entry
-	for _, e := range v.members {
+	for _, e := range v.all {
 		if host(e.Address) == ip && (best == nil || cmp.Or(cmp.Compare(best.Role, e.Role), cmp.Compare(e.order, best.order)) > 0) {
 			best = e
 		}
@@ -463,12 +465,12 @@
 }
 
 // Homes are the first members of a zone, by rendezvous hash of service and life; if the zone has none, those of its region,
-// and if that has none, of all.
+// and if that has none, of all. Of each zone only so many can be homes as other zones keep, the same ones in every view.
 func (v *View) Homes(service, zone string, n int) []Member {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(service))
 	item := rendezvous.Mix(h.Sum64())
-	all := v.Members()
+	all := v.candidates()
 	among := filter(all, func(m *Member) bool { return m.Zone == zone })
 	if region := v.regions[zone]; len(among) == 0 && region != "" {
 		among = filter(all, func(m *Member) bool { return m.Region == region })
@@ -477,10 +479,23 @@
 		among = all
 	}
 	score := func(m *Member) uint64 { return rendezvous.Mix(item ^ rendezvous.Mix(m.Life)) }
-	slices.SortFunc(among, func(a, b Member) int { return cmp.Compare(score(&b), score(&a)) })
+	slices.SortFunc(among, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(score(&b), score(&a)), cmp.Compare(a.Life, b.Life))
+	})
 	return among[:min(n, len(among))]
 }
 
+// candidates are those members that can be homes.
+func (v *View) candidates() []Member {
+	all := v.Members()
+	slices.SortFunc(all, func(a, b Member) int { return before(&a, &b) })
+	zones := map[string]int{}
+	return filter(all, func(m *Member) bool {
+		zones[m.Zone]++
+		return zones[m.Zone] <= v.bounds.Other
+	})
+}
+
 func filter(all []Member, keep func(*Member) bool) (out []Member) {
 	for i := range all {
 		if keep(&all[i]) {
