--- a/internal/mesh/callboard/board.go
+++ b/internal/mesh/callboard/board.go
@@ -61,6 +61,7 @@
 	Tombstone time.Duration // how long an ended life is remembered
 	Tombs     int           // and how many
 	Quiet     time.Duration // a life that is not renewed for so long yields to another one at its address
+	Wake      time.Duration // an Expire that comes so late after the last means that this process was frozen
 	Retry     time.Duration // what was not acknowledged is told again
 	Ask       time.Duration // between two asks of a subscriber
 	Hold      time.Duration // how long an ask holds at the home
@@ -73,6 +74,7 @@
 	fill(&b.Tombstone, time.Minute)
 	fill(&b.Tombs, 4096)
 	fill(&b.Quiet, b.Lease/2)
+	fill(&b.Wake, 3*time.Second)
 	fill(&b.Retry, 300*time.Millisecond)
 	fill(&b.Ask, 2*time.Second)
 	fill(&b.Hold, 6*time.Second)
@@ -94,6 +96,8 @@
 	renewed     time.Duration
 	ended       time.Duration // when it came to be Gone or Crashed
 	drained     bool          // a draining mark was seen in this life
+	gone        bool          // and its end
+	tomb        bool          // it is in tombs
 	absent      bool          // its lease ran out here, or another life at its address is renewed and it is not
 	version     uint64        // of the board at its last change or renewal
 }
@@ -101,6 +105,8 @@
 // shown is the state to the outside.
 func (p *post) shown() State {
 	switch {
+	case p.gone:
+		return Gone
 	case p.State < Crashed && p.absent:
 		return Crashed
 	case p.State == Serving && p.drained:
@@ -122,8 +128,9 @@
 	apps    map[string][]*post
 	service map[string][]*post // by id
 	version uint64
+	expired time.Duration     // last time
 	floor   map[string]uint64 // by service: what was forgotten had this version at most
-	tombs   []string          // Gone, the oldest first
+	tombs   []*post           // those that ended, the oldest first, and some that came back
 }
 
 // New makes an empty board.
@@ -153,7 +160,7 @@
 }
 
 func (b *Board) add(now time.Duration, e Endpoint) *post {
-	p := &post{Endpoint: e, lease: now + e.Lease, cold: now + e.Cold, renewed: now, drained: e.State == Draining}
+	p := &post{Endpoint: e, lease: now + e.Lease, cold: now + e.Cold, renewed: now, drained: e.State == Draining, gone: e.State == Gone}
 	b.posts[p.ID] = p
 	b.apps[p.App] = append(b.apps[p.App], p)
 	i, _ := slices.BinarySearchFunc(b.service[p.Service], p.ID, byID)
@@ -166,12 +173,7 @@
 // merge is the one place where what is told changes a post. It tells whether it took anything.
 func (p *post) merge(now time.Duration, e Endpoint) (took bool) {
 	e.App, e.Service = p.App, p.Service // of one life they stay
-	p.drained = p.drained || e.State == Draining
-	if p.State == Gone || e.State == Gone {
-		took = p.State != Gone
-		p.State, p.Sequence, p.Edition = Gone, max(p.Sequence, e.Sequence), max(p.Edition, e.Edition)
-		return took
-	}
+	p.drained, p.gone = p.drained || e.State == Draining, p.gone || e.State == Gone
 	order := cmp.Or(cmp.Compare(e.Sequence, p.Sequence), cmp.Compare(e.Edition, p.Edition), cmp.Compare(e.State, p.State))
 	if order > 0 {
 		p.Endpoint, p.cold = e, now+e.Cold
@@ -188,14 +190,12 @@
 	if !changed {
 		return
 	}
-	switch p.shown() {
-	case Gone, Crashed:
-		if p.ended == 0 {
-			p.ended = now
-			b.tombs = append(b.tombs, p.ID)
+	if p.shown() >= Crashed {
+		p.ended = now
+		if !p.tomb {
+			p.tomb = true
+			b.tombs = append(b.tombs, p)
 		}
-	default:
-		p.ended = 0
 	}
 	for len(b.tombs) > b.bounds.Tombs {
 		b.bury()
@@ -204,10 +204,10 @@
 
 // bury forgets the oldest of the ended.
 func (b *Board) bury() {
-	p := b.posts[b.tombs[0]]
-	b.tombs = b.tombs[1:]
-	if p == nil || p.ended == 0 {
-		return
+	p := b.tombs[0]
+	b.tombs, p.tomb = b.tombs[1:], false
+	if p.shown() < Crashed {
+		return // it came back
 	}
 	delete(b.posts, p.ID)
 	b.floor[p.Service] = max(b.floor[p.Service], p.version)
@@ -228,8 +228,8 @@
 	at := b.apps[app]
 	for _, p := range at {
 		for _, q := range at {
-			if p.State != Gone && p.HostLife != 0 && p.HostLife == q.HostLife && p.Edition < q.Edition {
-				p.State, changed = Gone, true
+			if !p.gone && p.HostLife != 0 && p.HostLife == q.HostLife && p.Edition < q.Edition {
+				p.gone, changed = true, true
 				b.touch(now, p, true)
 			}
 		}
@@ -238,8 +238,14 @@
 }
 
 // Expire ends leases that ran out, lets lives yield to renewed ones at their address, and forgets what ended long ago. It
-// returns those that changed.
+// returns those that changed. It is called at least each second: a gap counts as this process's own silence.
 func (b *Board) Expire(now time.Duration) (changed []Endpoint) {
+	if woken := now-b.expired > b.bounds.Wake; woken { // renewals may lie unread
+		for _, p := range b.posts {
+			p.lease, p.renewed = max(p.lease, now+b.bounds.Quiet), max(p.renewed, now)
+		}
+	}
+	b.expired = now
 	for _, id := range b.ids() {
 		p := b.posts[id]
 		if p.shown() >= Crashed {
@@ -253,7 +259,7 @@
 		changed = append(changed, p.told(now))
 	}
 	for len(b.tombs) > 0 {
-		if p := b.posts[b.tombs[0]]; p != nil && p.ended != 0 && now-p.ended < b.bounds.Tombstone {
+		if p := b.tombs[0]; p.shown() >= Crashed && now-p.ended < b.bounds.Tombstone {
 			break
 		}
 		b.bury()
