A newcomer is told of its own zone, and news is told first

Change: some of the neighbour's zone in each shuffle, mostly them for a newcomer; records and ends that were told least go first (8 times).

--- a/internal/mesh/company/view.go
+++ b/internal/mesh/company/view.go
@@ -18,6 +18,7 @@
 	asked time.Duration // when it was last shuffled with
 	state state
 	since time.Duration // of the state
+	told  int           // how often
 	order uint64        // of arrival
 }
 
@@ -42,6 +43,7 @@
 	address  string
 	replaced bool
 	at       time.Duration
+	told     int
 }
 
 // View is what one process knows of the others.
@@ -52,6 +54,7 @@
 	all     []*entry // by life
 	members map[uint64]*entry
 	at      map[string]*entry
+	ranked  []Member // that can be homes, nil when they are to be found anew
 	dead    map[uint64]ended
 	deadAge []uint64 // lives in dead, the oldest first
 	former  []string // addresses of those dropped
@@ -138,7 +141,7 @@
 		zone = first.Zone
 	}
 	slices.Sort(to)
-	return slices.Compact(to), v.shuffle(now, zone)
+	return slices.Compact(to), v.shuffle(now, zone, false)
 }
 
 func (v *View) ask(now time.Duration, to []string, e *entry) []string {
@@ -188,6 +191,7 @@
 
 func (v *View) remove(e *entry) {
 	delete(v.members, e.Life)
+	v.ranked = nil
 	if i, ok := slices.BinarySearchFunc(v.all, e.Life, byLife); ok {
 		v.all = slices.Delete(v.all, i, i+1)
 	}
@@ -208,7 +212,7 @@
 		}
 		d.at = now
 	} else {
-		d.at = old.at
+		d.at, d.told = old.at, old.told
 		if d.beat > old.beat {
 			d.at = now
 		}
@@ -241,49 +245,53 @@
 }
 
 // shuffle makes a message for a neighbour of a zone.
-func (v *View) shuffle(now time.Duration, zone string) *Shuffle {
+func (v *View) shuffle(now time.Duration, zone string, unknown bool) *Shuffle {
 	s := &Shuffle{From: v.self}
 	all := slices.Clone(v.all)
 	v.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	if len(all) > v.bounds.Carry {
-		all = v.choose(all, zone)
+		all = v.choose(all, zone, unknown)
 	}
 	for _, e := range all {
 		m := e.Member
 		m.Age = max(now-e.seen, 0)
 		if m.Age < v.bounds.Drop {
 			s.Members = append(s.Members, m)
+			e.told++
 		}
 	}
-	for i := len(v.deadAge) - 1; i >= 0 && len(s.Gone) < v.bounds.Told; i-- {
-		if d := v.dead[v.deadAge[i]]; now-d.at < 2*v.bounds.Drop {
-			s.Gone = append(s.Gone, Gone{Life: v.deadAge[i], Address: d.address, Beat: d.beat})
-		}
-	}
+	s.Gone = v.gone(now)
 	return s
 }
 
-// choose takes as many as a shuffle carries: for a neighbour in the own zone mostly members of that zone; for another one
-// mostly those of the own zone that others keep, and none of its own zone, which it knows whole. Half of each are those whose
-// beats are newest.
-func (v *View) choose(all []*entry, zone string) []*entry {
-	var own, rest []*entry
+// choose takes as many as a shuffle carries, half of each kind those whose beats are newest. For a neighbour in the own zone
+// that is mostly members of that zone; for another one mostly those of the own zone that others keep, and some of its own, lest
+// a zone falls into parts that others know; for one that is new here mostly those of its zone.
+func (v *View) choose(all []*entry, zone string, unknown bool) []*entry {
+	var own, theirs, rest []*entry
 	for _, e := range all {
-		switch {
-		case e.Zone == v.self.Zone:
+		switch e.Zone {
+		case v.self.Zone:
 			own = append(own, e)
-		case e.Zone != zone:
+		case zone:
+			theirs = append(theirs, e)
+		default:
 			rest = append(rest, e)
 		}
 	}
-	want := v.bounds.Carry
-	if kept := v.bounds.Other + v.bounds.Other/8; zone != v.self.Zone && len(own) > kept {
+	want, kept := v.bounds.Carry, v.bounds.Other+v.bounds.Other/8
+	if zone != v.self.Zone && len(own) > kept {
 		slices.SortFunc(own, func(a, b *entry) int { return before(&a.Member, &b.Member) })
 		own = own[:kept]
 		v.rng.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	}
-	out := newest(own, min(max(want*3/4, want-len(rest)), len(own)))
-	return append(out, newest(rest, min(want-len(out), len(rest)))...)
+	first, second, third := own, theirs, rest
+	if unknown {
+		first, second = theirs, own
+	}
+	out := newest(first, min(max(want*3/4, want-len(second)-len(third)), len(first)))
+	out = append(out, newest(second, min(max((want-len(out))/2, want-len(out)-len(third)), len(second)))...)
+	return append(out, newest(third, min(want-len(out), len(third)))...)
 }
 
 // before orders the members of a zone at random, but for all alike: the first ones are those that other zones keep, and its
@@ -292,15 +300,40 @@
 	return cmp.Or(cmp.Compare(rendezvous.Mix(a.Life), rendezvous.Mix(b.Life)), cmp.Compare(a.Life, b.Life))
 }
 
+// newsTold is how often news is told before all else: twice the rounds that a rumour takes through a few hundred by asks and
+// replies.
+const newsTold = 8
+
+// newest takes n, which lie at random: first those that were told least while they are news, then, half of the rest, those as
+// they lie, then those with the newest beats.
 func newest(from []*entry, n int) []*entry {
-	half := n / 2 // these at random, as they lie
-	slices.SortFunc(from[half:], func(a, b *entry) int { return cmp.Compare(b.seen, a.seen) })
+	slices.SortStableFunc(from, func(a, b *entry) int { return cmp.Compare(min(a.told, newsTold), min(b.told, newsTold)) })
+	news := 0
+	for news < n && from[news].told < newsTold {
+		news++
+	}
+	half := from[news+(n-news)/2:]
+	slices.SortFunc(half, func(a, b *entry) int { return cmp.Compare(b.seen, a.seen) })
 	return from[:n]
 }
 
+// gone takes the ends that were told least.
+func (v *View) gone(now time.Duration) (out []Gone) {
+	lives := slices.DeleteFunc(slices.Clone(v.deadAge), func(life uint64) bool { return now-v.dead[life].at >= 2*v.bounds.Drop })
+	slices.SortStableFunc(lives, func(a, b uint64) int { return cmp.Compare(v.dead[a].told, v.dead[b].told) })
+	for _, life := range lives[:min(len(lives), v.bounds.Told)] {
+		d := v.dead[life]
+		d.told++
+		v.dead[life] = d
+		out = append(out, Gone{Life: life, Address: d.address, Beat: d.beat})
+	}
+	return out
+}
+
 // Take merges a shuffle. There is a reply to one that is not itself a reply; changed tells whether Members would differ in
 // more than beats.
 func (v *View) Take(now time.Duration, s *Shuffle) (reply *Shuffle, changed bool) {
+	known := v.members[s.From.Life] != nil
 	changed = v.hear(now, s.From, true)
 	for i := range s.Gone {
 		changed = v.told(now, s.Gone[i]) || changed
@@ -309,7 +342,7 @@
 		changed = v.hear(now, s.Members[i], false) || changed
 	}
 	if !s.Reply && s.From.Life != v.self.Life {
-		reply = v.shuffle(now, s.From.Zone)
+		reply = v.shuffle(now, s.From.Zone, !known && s.From.Beat < 8)
 		reply.Reply = true
 	}
 	return reply, changed
@@ -355,6 +388,9 @@
 			if e.Address != m.Address {
 				return false // a life has one address
 			}
+			if changed {
+				v.ranked = nil
+			}
 			e.Member, e.seen = m, max(e.seen, seen)
 			e.shift(now, fresh)
 		}
@@ -374,7 +410,7 @@
 	e := &entry{Member: m, seen: seen, order: v.arrived, asked: -time.Hour + time.Duration(v.rng.IntN(int(time.Minute)))}
 	v.members[m.Life], v.at[m.Address] = e, e
 	i, _ := slices.BinarySearchFunc(v.all, m.Life, byLife)
-	v.all = slices.Insert(v.all, i, e)
+	v.all, v.ranked = slices.Insert(v.all, i, e), nil
 	v.Place(m.Zone, m.Region)
 	v.former = slices.DeleteFunc(v.former, func(a string) bool { return a == m.Address })
 	return true
@@ -476,7 +512,7 @@
 		among = filter(all, func(m *Member) bool { return m.Region == region })
 	}
 	if len(among) == 0 {
-		among = all
+		among = slices.Clone(all)
 	}
 	score := func(m *Member) uint64 { return rendezvous.Mix(item ^ rendezvous.Mix(m.Life)) }
 	slices.SortFunc(among, func(a, b Member) int {
@@ -485,8 +521,15 @@
 	return among[:min(n, len(among))]
 }
 
-// candidates are those members that can be homes.
+// candidates are those members that can be homes, whatever their beats.
 func (v *View) candidates() []Member {
+	if v.ranked == nil {
+		v.ranked = v.rank()
+	}
+	return v.ranked
+}
+
+func (v *View) rank() []Member {
 	all := v.Members()
 	slices.SortFunc(all, func(a, b Member) int { return before(&a, &b) })
 	zones := map[string]int{}
