Versions of a home's board are of one life of it

Cause: a home that started again counts its board's versions anew; a subscriber's older version would have hidden news. Change: asks and answers carry the home's life.

--- a/internal/mesh/backstage/crew.go
+++ b/internal/mesh/backstage/crew.go
@@ -160,14 +160,14 @@
 	for _, a := range asks {
 		if a.To == self {
 			c.mu.Lock()
-			c.subscribed.Got(now, self, a.Service, 0)
+			c.subscribed.Got(now, callboard.Home{Address: self, Life: a.Life}, a.Service, 0)
 			c.mu.Unlock()
 			continue
 		}
-		c.send(a.To, methodSubscribe, &wish{Who: self, Service: a.Service, Since: a.Since}, func(body []byte) {
+		c.send(a.To, methodSubscribe, &wish{Who: self, Service: a.Service, Since: a.Since, Life: a.Life}, func(body []byte) {
 			var l listing
 			if len(body) > 0 && script.Read(body, &l) == nil {
-				c.listed(a.To, &l)
+				c.listed(callboard.Home{Address: a.To, Life: l.Life}, &l)
 			}
 		})
 	}
@@ -327,19 +327,17 @@
 // Refresh asks the homes of a service anew.
 func (c *Crew) Refresh(service string) {
 	c.mu.Lock()
-	now := c.o.Hub.Now()
 	var to []string
 	for _, m := range c.view.Homes(service, c.o.Sheet.Zone, homesEach) {
 		to = append(to, m.Address)
 	}
 	c.mu.Unlock()
-	_ = now
 	for _, address := range to {
 		if address != c.o.Hub.Self().Address {
 			c.send(address, methodSubscribe, &wish{Who: c.o.Hub.Self().Address, Service: service}, func(body []byte) {
 				var l listing
 				if len(body) > 0 && script.Read(body, &l) == nil {
-					c.listed(address, &l)
+					c.listed(callboard.Home{Address: address, Life: l.Life}, &l)
 				}
 			})
 		}
@@ -390,11 +388,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.subscribers.Hold(now, w.Service, w.Who)
-	all, version, _ := c.board.Since(now, w.Service, w.Since)
-	return &listing{Service: w.Service, Version: version, Endpoints: all}
+	life, since := c.o.Hub.Self().Life, w.Since
+	if w.Life != life {
+		since = 0 // versions are of one life
+	}
+	all, version, _ := c.board.Since(now, w.Service, since)
+	return &listing{Service: w.Service, Version: version, Endpoints: all, Life: life}
 }
 
-func (c *Crew) listed(from string, l *listing) {
+func (c *Crew) listed(from callboard.Home, l *listing) {
 	c.mu.Lock()
 	now := c.o.Hub.Now()
 	for _, e := range l.Endpoints {
--- a/internal/mesh/backstage/message.go
+++ b/internal/mesh/backstage/message.go
@@ -33,12 +33,14 @@
 	Who     string // its address
 	Service string
 	Since   uint64
+	Life    uint64 // of the home that Since is of
 }
 
 func (w *wish) Fields(v *script.Visitor) {
 	v.Text(1, &w.Who)
 	v.Text(2, &w.Service)
 	v.Uint(3, &w.Since)
+	v.Fixed(4, &w.Life)
 }
 
 // listing is what a home knows of a service, or what of it has changed.
@@ -46,12 +48,14 @@
 	Service   string
 	Version   uint64 // of the home's board; 0 in news
 	Endpoints []callboard.Endpoint
+	Life      uint64 // of the home
 }
 
 func (l *listing) Fields(v *script.Visitor) {
 	v.Text(1, &l.Service)
 	v.Uint(2, &l.Version)
 	script.Messages(v, 3, &l.Endpoints)
+	v.Fixed(4, &l.Life)
 }
 
 // notice says which version its sender holds.
