--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -19,6 +19,7 @@
 	{"cmd", ""},
 	{"internal/tool", "."},
 	{"internal/product", "."},
+	{"internal/mesh", "house | backstage foyer prompter | stagedoor | cue trunk callsheet | boxoffice callboard company promptbook understudy wings | curtain playbill script"},
 	{"internal/rehearsal", "rehearse report | experiment fleet | dryrun | morning | emulator audit"},
 	{"internal/sidecar", "."},
 	{"internal/wire", "."},
@@ -34,8 +35,9 @@
 // pure are the folders whose packages do no I/O, but for those named; forbidden is what they may not import for it. The
 // flow of time is an argument.
 var (
-	pure      = []string{"", "internal/structures", "internal/modules", "internal/config", "internal/rehearsal"}
-	impure    = []string{"internal/rehearsal/rehearse"}
+	pure      = []string{"", "internal/structures", "internal/modules", "internal/config", "internal/rehearsal", "internal/mesh"}
+	impure    = []string{"internal/rehearsal/rehearse", "internal/mesh/house", "internal/mesh/backstage", "internal/mesh/foyer",
+		"internal/mesh/prompter", "internal/mesh/stagedoor", "internal/mesh/cue", "internal/mesh/trunk", "internal/mesh/callsheet"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
