A sidecar that ends tells newcomers to come back, and answers all that it took

Change: from 2.4 s on newcomers get 503 with the time of the successor, waiting ones of others are turned away, and the process ends once all it took is answered. Bytes that no peer of ours sends are logged.

--- /dev/null
+++ b/internal/mesh/cue/cue_test.go
@@ -0,0 +1,160 @@
+package cue
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"gingerlead/internal/mesh/script"
+)
+
+type line struct{ Text string }
+
+func (l *line) Fields(v *script.Visitor) { v.Text(1, &l.Text) }
+
+type logged struct {
+	mu   sync.Mutex
+	text strings.Builder
+	news chan string
+}
+
+func (l *logged) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.Write(p)
+	select {
+	case l.news <- string(p):
+	default:
+	}
+	return len(p), nil
+}
+
+// hub is one that listens on loopback.
+func hub(t *testing.T, name string, most int) (*Hub, string, *logged) {
+	n, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := &logged{news: make(chan string, 16)}
+	log := logrus.New()
+	log.SetOutput(out)
+	h := NewHub(Hello{Life: 7, Address: n.Addr().String(), Name: name}, time.Now(), most, log)
+	go h.Listen(n)
+	t.Cleanup(func() {
+		h.Close()
+		n.Close()
+	})
+	return h, n.Addr().String(), out
+}
+
+func TestAsksShareALink(t *testing.T) {
+	c := qt.New(t)
+	far, address, _ := hub(t, "far", 8<<20)
+	near, _, _ := hub(t, "near", 8<<20)
+	held := make(chan *Call, 1)
+	Handle(far, 1, func(_ context.Context, from *Hello, l *line) *line { return &line{from.Name + " " + l.Text} })
+	far.Serve(2, func(c *Call) { held <- c })
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	// A large one is under way, and one that nobody answers yet: others pass.
+	large := strings.Repeat("x", 3<<20)
+	got := make(chan int, 1)
+	near.Send(address, 1, script.Write(nil, &line{large}), 0, func(body []byte, err error) { got <- len(body) })
+	waits := make(chan error, 1)
+	a := near.Send(address, 2, nil, 0, func(_ []byte, err error) { waits <- err })
+	for range 50 {
+		r, err := Request[line](ctx, near, address, 1, &line{"small"})
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.Text, qt.Equals, "near small")
+	}
+	c.Assert(<-got > len(large), qt.IsTrue)
+	// The asker gives up: the other side hears of it, and its answer still comes.
+	call := <-held
+	quit := make(chan struct{})
+	call.OnWithdrawn(func() { close(quit) })
+	a.Withdraw()
+	<-quit
+	call.AnswerBytes([]byte("withdrawn"))
+	c.Assert(<-waits, qt.IsNil)
+	// A method that the other side does not know is answered by nothing.
+	r, err := Request[line](ctx, near, address, 99, &line{"?"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Text, qt.Equals, "")
+}
+
+func TestWhatWentOutIsToldFromWhatDidNot(t *testing.T) {
+	c := qt.New(t)
+	far, address, _ := hub(t, "far", 8<<20)
+	near, _, _ := hub(t, "near", 8<<20)
+	held := make(chan *Call, 1)
+	far.Serve(2, func(c *Call) { held <- c })
+	errs := make(chan error, 2)
+	near.Send(address, 2, nil, 0, func(_ []byte, err error) { errs <- err })
+	<-held
+	far.Close()
+	var lost *ErrLost
+	c.Assert(errors.As(<-errs, &lost), qt.IsTrue)
+	c.Assert(lost.Sent, qt.IsTrue)
+	// Nobody listens there: nothing went out.
+	near.Send("127.0.0.1:1", 2, nil, 0, func(_ []byte, err error) { errs <- err })
+	c.Assert(errors.As(<-errs, &lost), qt.IsTrue)
+	c.Assert(lost.Sent, qt.IsFalse)
+}
+
+// What no peer of ours sends ends its link, is logged with who sent it, and harms nobody else.
+func TestBadPeersAreToldApart(t *testing.T) {
+	frame := func(e envelope) []byte { return appendFrame(nil, &e) }
+	greet := frame(envelope{kind: uint64(hello), body: script.Write(nil, &Hello{Version: version, Name: "bad"})})
+	huge := make([]byte, 4)
+	binary.BigEndian.PutUint32(huge, 2<<30-1)
+	for name, bytes := range map[string][]byte{
+		"a frame of 2 GB":        huge,
+		"a field of another":     append(append([]byte{}, greet...), frame(envelope{kind: uint64(ask), stream: 1, method: 1, last: true, body: []byte{0x08, 1}})...),
+		"a second hello":         append(append([]byte{}, greet...), greet...),
+		"another version's peer": frame(envelope{kind: uint64(hello), body: script.Write(nil, &Hello{Version: 9})}),
+		"an ask beyond bounds":   append(append([]byte{}, greet...), frame(envelope{kind: uint64(ask), stream: 1, method: 1, body: make([]byte, 2048)})...),
+		"half a frame":           greet[:7],
+		"no protobuf":            {0, 0, 0, 2, 0xff, 0xff},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			far, address, out := hub(t, "far", 1024)
+			near, _, _ := hub(t, "near", 1024)
+			Handle(far, 1, func(_ context.Context, _ *Hello, l *line) *line { return l })
+			conn, err := net.Dial("tcp4", address)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = conn.Write(bytes)
+			c.Assert(err, qt.IsNil)
+			if name == "half a frame" {
+				conn.(*net.TCPConn).CloseWrite()
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			_, err = io.Copy(io.Discard, conn) // until the other side has ended it
+			var timeout net.Error
+			c.Assert(errors.As(err, &timeout) && timeout.Timeout(), qt.IsFalse)
+			if name != "half a frame" {
+				select {
+				case text := <-out.news:
+					c.Assert(text, qt.Contains, "peer=")
+				case <-time.After(20 * time.Second):
+					t.Fatal("nothing was logged")
+				}
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			r, err := Request[line](ctx, near, address, 1, &line{"still there"})
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.Text, qt.Equals, "still there")
+		})
+	}
+}
--- a/internal/mesh/cue/link.go
+++ b/internal/mesh/cue/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -289,6 +291,10 @@
 	for {
 		var e envelope
 		if err := readFrame(r, &e); err != nil {
+			var n net.Error
+			if !errors.Is(err, io.EOF) && !errors.As(err, &n) { // not a connection's end: the peer is not one of ours
+				l.hub.Log.WithField("peer", l.peer).WithField("name", l.from.Name).Warn("cue: " + err.Error())
+			}
 			l.fail(err.Error())
 			return
 		}
--- a/internal/mesh/curtain/curtain.go
+++ b/internal/mesh/curtain/curtain.go
@@ -60,7 +60,7 @@
 	Overloaded:   {"overloaded", 503, true, false, false, 300 * time.Millisecond},
 	Quota:        {"quota", 429, true, false, false, time.Second},
 	Unready:      {"unready", 503, true, false, false, 300 * time.Millisecond},
-	Ending:       {"ending", 503, true, false, false, 100 * time.Millisecond},
+	Ending:       {"ending", 503, true, false, false, 900 * time.Millisecond},
 	Lost:         {"lost", 502, false, true, true, 0},
 	Spoilt:       {"spoilt", 502, false, false, true, 0},
 	Silent:       {"silent", 504, false, false, false, 0},
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -41,6 +41,10 @@
 		d.end(w, result{kind: curtain.Unready})
 		return
 	}
+	if d.ending.Load() {
+		d.end(w, result{kind: curtain.Ending})
+		return
+	}
 	r, kind := d.admit(conf, q)
 	if kind == 0 {
 		kind = d.body(conf, w, q, r)
--- a/internal/mesh/house/access.go
+++ b/internal/mesh/house/access.go
@@ -18,8 +18,7 @@
 
 // How a sidecar ends: it goes on serving until clients have had the time to turn elsewhere, and until what it took is answered.
 const (
-	endNotice = 2500 * time.Millisecond // two looks at readiness, and more
-	endQuiet  = 200 * time.Millisecond  // without a request
+	endNotice = 2400 * time.Millisecond // two looks at readiness, and more
 	endMargin = 500 * time.Millisecond  // before SIGKILL
 )
 
@@ -135,14 +134,13 @@
 		a.crew.Ended(life.ID, callboard.Crashed)
 	}
 	last := a.sheet.Bounds.Grace - endMargin
-	quiet := time.Now()
 	for time.Since(began) < last {
-		if a.desk.Open() > 0 || a.door.Busy() > 0 {
-			quiet = time.Now()
-		}
 		if time.Since(began) > endNotice {
-			a.desk.End()
-			if time.Since(quiet) > endQuiet {
+			a.desk.End() // who comes now is told to come back, so that all that was taken is answered in time
+			if life, state := a.door.Life(); life.ID != "" && state != wings.Gone {
+				a.door.Tell(life, wings.Gone)
+			}
+			if a.desk.Open() == 0 && a.door.Busy() == 0 {
 				break
 			}
 		}
