--- a/internal/mesh/company/member.go
+++ b/internal/mesh/company/member.go
@@ -44,7 +44,7 @@
 	v.Text(7, &m.App)
 	v.Uint(8, &m.Beat)
 	v.Bool(9, &m.Seed)
-	age := uint64(max(m.Age, 0) / time.Millisecond)
+	age := uint64((max(m.Age, 0) + time.Millisecond - 1) / time.Millisecond)
 	v.Uint(10, &age)
 	if v.Reading() {
 		m.Age = time.Duration(min(age, uint64(time.Hour/time.Millisecond))) * time.Millisecond
--- a/internal/mesh/company/view.go
+++ b/internal/mesh/company/view.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// ended is a life that was dropped. One that another life at its address replaced comes back only by its own word.
+// ended is a life that was dropped. One that another life at its address replaced comes back only by its own
+// word, or if it beats long after.
 type ended struct {
 	beat     uint64
 	address  string
@@ -67,6 +68,7 @@
 	woken   time.Duration // ages are judged from here
 	ticked  bool
 	arrived uint64
+	news    time.Duration // last arrival
 }
 
 // New makes the view of a process that knows nobody.
@@ -112,6 +114,11 @@
 		if first = v.neighbour(fresh); first != nil {
 			to = v.ask(now, to, first)
 		}
+		for range v.hurry(now) {
+			if e := v.neighbour(fresh); e != nil {
+				to = v.ask(now, to, e)
+			}
+		}
 		if e := v.neighbour(suspected); e != nil { // after a cut these lead to the other part
 			to = v.ask(now, to, e)
 		}
@@ -228,6 +235,17 @@
 	}
 }
 
+// hurry is how many more neighbours are asked: some while there are new members, and more at the own start.
+func (v *View) hurry(now time.Duration) int {
+	switch {
+	case v.self.Beat <= 4:
+		return 2
+	case now-v.news < 3*v.bounds.Pace:
+		return 1
+	}
+	return 0
+}
+
 // neighbour is the one in a state that was least recently asked; with many members mostly one of the own zone.
 func (v *View) neighbour(in state) (best *entry) {
 	near := len(v.all) > v.bounds.Carry && v.rng.IntN(4) > 0
@@ -265,7 +283,7 @@
 }
 
 // choose takes as many as a shuffle carries, half of each kind those whose beats are newest. For a neighbour in the own zone
-// that is mostly members of that zone; for another one mostly those of the own zone that others keep, and some of its own, lest
+// half are members of that zone; for another one mostly those of the own zone that others keep, and some of its own, lest
 // a zone falls into parts that others know; for one that is new here mostly those of its zone.
 func (v *View) choose(all []*entry, zone string, unknown bool) []*entry {
 	var own, theirs, rest []*entry
@@ -289,7 +307,11 @@
 	if unknown {
 		first, second = theirs, own
 	}
-	out := newest(first, min(max(want*3/4, want-len(second)-len(third)), len(first)))
+	share := want * 3 / 4
+	if zone == v.self.Zone {
+		share = want / 2
+	}
+	out := newest(first, min(max(share, want-len(second)-len(third)), len(first)))
 	out = append(out, newest(second, min(max((want-len(out))/2, want-len(out)-len(third)), len(second)))...)
 	return append(out, newest(third, min(want-len(out), len(third)))...)
 }
@@ -376,7 +398,7 @@
 	}
 	m.Age = 0
 	seen := now - age
-	if d, dead := v.dead[m.Life]; dead && (m.Beat <= d.beat || d.replaced && !direct) {
+	if d, dead := v.dead[m.Life]; dead && (m.Beat <= d.beat || d.replaced && !direct && seen < d.at+v.bounds.Drop) {
 		return false
 	}
 	if e := v.members[m.Life]; e != nil {
@@ -397,7 +419,7 @@
 		return changed
 	}
 	if o := v.at[m.Address]; o != nil {
-		if !direct && seen <= o.seen {
+		if !direct && seen < o.seen+v.bounds.Pace { // ages are told too low by the time on the way: a life that ended may seem newer
 			return false
 		}
 		v.remove(o)
@@ -407,6 +429,7 @@
 	}
 	v.unbury(m.Life)
 	v.arrived++
+	v.news = now
 	e := &entry{Member: m, seen: seen, order: v.arrived, asked: -time.Hour + time.Duration(v.rng.IntN(int(time.Minute)))}
 	v.members[m.Life], v.at[m.Address] = e, e
 	i, _ := slices.BinarySearchFunc(v.all, m.Life, byLife)
@@ -443,8 +466,9 @@
 
 // Lost says that a connection to an address broke, or that its pings went unanswered.
 func (v *View) Lost(now time.Duration, address string) {
-	if e := v.at[address]; e != nil {
+	if e := v.at[address]; e != nil && e.state != missed {
 		e.shift(now, missed)
+		e.asked = now - v.bounds.Pace // so it is asked at the next tick
 	}
 }
 
