--- /dev/null
+++ b/internal/mesh/promptbook/orders_test.go
@@ -0,0 +1,448 @@
+package promptbook
+
+import (
+	"cmp"
+	"fmt"
+	"hash/maphash"
+	"maps"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"gingerlead/internal/mesh/script"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// world is a core of which every request is in sight. One may be delivered at any time; one that is lost is one that is never
+// delivered. Its reply comes at once or never: what a late reply leads to is the same as if it had come at once, and what
+// was sent then had been late, or as if it was lost, when the round went on without it. A voter that is killed before its
+// record is on disk has lost the request, after that the reply.
+type world struct {
+	voters  []string
+	records []Record     // what is on disk
+	codes   []uint64     // of records
+	lost    []*Recovery  // of voters that lost their disk
+	props   []proposer   //
+	flight  []message    // sorted
+	ends    []conclusion // of rounds, in their order
+	losses  int          // disks that may still be lost, of the last voter
+	whole   bool         // no disk is ever lost
+}
+
+type proposer struct {
+	change   *Change // nil: it reads, by asking, and if it starts again also with a ballot
+	round    *Round
+	attempts int // that are left
+	before   int // conclusions when the round began
+	n        uint64
+	heard    [6]uint64 // codes of the replies of this phase, by voter, and of the word that is to be accepted
+}
+
+type message struct {
+	prop  int // or of the recovery of the voter -prop-1
+	voter int
+	q     *Request
+	code  string // tells the messages to a voter apart, and sorts them
+}
+
+type conclusion struct {
+	prop    int
+	verdict Verdict
+	word    Word
+	code    uint64
+}
+
+var seed = maphash.MakeSeed()
+
+// code tells what messages hold.
+func code(list ...script.Message) uint64 {
+	var b []byte
+	for _, m := range list {
+		b = append(script.Write(b, m), 255)
+	}
+	return maphash.Bytes(seed, b)
+}
+
+func (w *world) record(v int, r Record) {
+	w.records[v], w.codes[v] = r, code(&r.Standing, &r.Vote)
+}
+
+func newWorld(voters, losses int, attempts []int, changes ...*Change) *world {
+	w := &world{losses: losses, whole: losses == 0, lost: make([]*Recovery, voters), records: make([]Record, voters),
+		codes: make([]uint64, voters)}
+	for i := range voters {
+		w.voters = append(w.voters, fmt.Sprint("v", i))
+	}
+	for i, v := range w.voters {
+		w.record(i, FirstRecord(v, w.voters))
+	}
+	for i, c := range changes {
+		w.props = append(w.props, proposer{change: c, attempts: attempts[i]})
+	}
+	return w
+}
+
+// clone copies what steps change.
+func (w *world) clone() *world {
+	o := *w
+	o.records, o.lost, o.props = slices.Clone(w.records), slices.Clone(w.lost), slices.Clone(w.props)
+	o.flight, o.ends, o.codes = slices.Clone(w.flight), slices.Clone(w.ends), slices.Clone(w.codes)
+	for i := range o.props {
+		if r := o.props[i].round; r != nil {
+			c := *r
+			c.replies = maps.Clone(r.replies)
+			o.props[i].round = &c
+		}
+	}
+	for i, y := range o.lost {
+		if y != nil {
+			o.lost[i] = &Recovery{y.self, y.voters, y.life, maps.Clone(y.replies)}
+		}
+	}
+	return &o
+}
+
+// steps is how many steps are possible; step does one of them.
+func (w *world) steps() int { return 2*len(w.flight) + len(w.props) + w.losses }
+
+func (w *world) step(i int) bool {
+	if i < 2*len(w.flight) {
+		m := w.flight[i/2]
+		w.flight = slices.Delete(w.flight, i/2, i/2+1)
+		return w.deliver(m, i%2 == 0)
+	}
+	if i -= 2 * len(w.flight); i < len(w.props) {
+		return w.propose(i)
+	}
+	return w.lose(len(w.voters) - 1)
+}
+
+// propose starts a proposer's next round.
+func (w *world) propose(i int) bool {
+	p := &w.props[i]
+	if p.attempts == 0 || p.round != nil && p.round.State == Done {
+		return false
+	}
+	if p.attempts--; p.round != nil {
+		p.n = max(p.n, p.round.Highest.N)
+	}
+	p.n++
+	var q *Request
+	if p.round, q = NewReading(w.voters, Vote{}); p.change != nil || p.attempts%2 == 1 {
+		p.round, q = NewRound(w.voters, Ballot{p.n, fmt.Sprint("p", i)}, p.change, Vote{})
+	}
+	p.before, p.heard = len(w.ends), [6]uint64{}
+	w.send(i, q)
+	return true
+}
+
+func (w *world) send(prop int, q *Request) {
+	for v := range w.voters {
+		if prop != -v-1 {
+			code := string(script.Write([]byte{byte(prop)}, q))
+			w.flight = append(w.flight, message{prop, v, q, code})
+		}
+	}
+	slices.SortFunc(w.flight, func(a, b message) int { return cmp.Or(strings.Compare(a.code, b.code), a.voter-b.voter) })
+}
+
+func (w *world) lose(v int) bool {
+	w.losses--
+	w.record(v, Record{})
+	w.recover(v, uint64(10-w.losses)) // a life of its own, which a real one finds by trying
+	return true
+}
+
+func (w *world) recover(v int, life uint64) {
+	var q *Request
+	w.lost[v], q = NewRecovery(w.voters[v], w.voters, life)
+	w.send(-v-1, q)
+}
+
+// deliver hands a request to its voter, and the reply to who asked, if it is heard.
+func (w *world) deliver(m message, heard bool) bool {
+	name := w.voters[m.voter]
+	reply, next, changed := w.records[m.voter].Handle(m.q)
+	if changed.Any() {
+		w.record(m.voter, next)
+	}
+	if !heard {
+		return changed.Any() // or it is as if the request was lost
+	}
+	if m.prop < 0 {
+		if v := -m.prop - 1; w.lost[v] != nil {
+			if r, ok := w.lost[v].Step(name, &reply); ok {
+				w.record(v, r)
+				w.lost[v] = nil
+			}
+		}
+		return true
+	}
+	p := &w.props[m.prop]
+	r := p.round
+	if r.Over() || r.ballot != m.q.Ballot {
+		return changed.Any()
+	}
+	q := r.Step(name, &reply)
+	if r.replies[name] == &reply {
+		p.heard[m.voter] = code(&reply)
+	}
+	if q != nil {
+		p.heard = [6]uint64{5: code(&r.word)}
+		w.send(m.prop, q)
+	}
+	if r.State == Done {
+		w.ends = append(w.ends, conclusion{m.prop, r.Verdict, r.Word, code(&r.Word)})
+	}
+	return true
+}
+
+// key tells states apart. Voters that only differ by name may change places, except the one that may lose its disk.
+func (w *world) key() uint64 {
+	keys := make([]uint64, len(w.voters))
+	for v := range w.voters {
+		var h maphash.Hash
+		h.SetSeed(seed)
+		maphash.WriteComparable(&h, w.codes[v])
+		for i := range w.props {
+			maphash.WriteComparable(&h, w.props[i].heard[v])
+		}
+		for _, y := range w.lost {
+			if y != nil && y.replies[w.voters[v]] != nil {
+				maphash.WriteComparable(&h, code(y.replies[w.voters[v]]))
+			}
+		}
+		for _, m := range w.flight {
+			if m.voter == v {
+				h.WriteString(m.code)
+			}
+		}
+		keys[v] = h.Sum64()
+	}
+	slices.Sort(keys[:len(keys)-1])
+	if w.whole {
+		slices.Sort(keys)
+	}
+	var h maphash.Hash
+	h.SetSeed(seed)
+	for _, k := range keys {
+		maphash.WriteComparable(&h, k)
+	}
+	for i := range w.props {
+		p := &w.props[i]
+		maphash.WriteComparable(&h, [3]int{p.attempts, p.before, int(p.n)})
+		if p.round != nil {
+			maphash.WriteComparable(&h, p.heard[5])
+			maphash.WriteComparable(&h, [2]int{int(p.round.State), int(p.round.Highest.N)})
+		}
+	}
+	for _, e := range w.ends {
+		maphash.WriteComparable(&h, [2]int{e.prop, int(e.verdict)})
+		maphash.WriteComparable(&h, e.code)
+	}
+	maphash.WriteComparable(&h, w.losses)
+	return h.Sum64()
+}
+
+// extends tells whether b is a or was made from it.
+func extends(a, b *Word) bool {
+	return len(a.Past) <= len(b.Past) && slices.Equal(a.Past, b.Past[:len(a.Past)])
+}
+
+func (w *world) holds(word *Word, prop int) bool {
+	c := w.props[prop].change
+	return c != nil && slices.Contains(word.Past, Past{uint64(c.Version), c.sum})
+}
+
+// fault is what is wrong with the world: two conclusions that don't fit, or a read, from any majority, that doesn't show what
+// was acknowledged or shows what was refused.
+func (w *world) fault() string {
+	for i, e := range w.ends {
+		if e.verdict == Taken && !w.holds(&e.word, e.prop) {
+			return "acknowledged, and not in the word"
+		}
+		for j, o := range w.ends[:i] {
+			if !extends(&o.word, &e.word) && (j < w.props[e.prop].before || !extends(&e.word, &o.word)) {
+				return "two conclusions don't fit"
+			}
+			if o.verdict == Taken && e.verdict == Taken && w.props[o.prop].change.Base == w.props[e.prop].change.Base &&
+				w.props[o.prop].change.sum != w.props[e.prop].change.sum {
+				return "two changes on a base were acknowledged"
+			}
+		}
+	}
+	if len(w.ends) == 0 {
+		return ""
+	}
+	for set := range 1 << len(w.voters) {
+		if bits.OnesCount(uint(set)) != majority(len(w.voters)) {
+			continue
+		}
+		for _, word := range []*Word{w.read(set, false), w.read(set, true)} {
+			if word == nil {
+				continue
+			}
+			for _, e := range w.ends {
+				if !extends(&e.word, word) {
+					return "a read misses what was committed"
+				}
+				if e.verdict == Lost && w.holds(word, e.prop) {
+					return "a read shows what was refused"
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// read reads from a set of voters at once: with a ballot, or asking only. It leaves the world as it is.
+func (w *world) read(set int, ballot bool) *Word {
+	r, q := NewReading(w.voters, Vote{})
+	if ballot {
+		r, q = NewRound(w.voters, Ballot{1000, "reader"}, nil, Vote{})
+	}
+	records := slices.Clone(w.records)
+	for q != nil {
+		var next *Request
+		for v, name := range w.voters {
+			if set&(1<<v) != 0 {
+				reply, record, _ := records[v].Handle(q)
+				records[v] = record
+				if n := r.Step(name, &reply); n != nil {
+					next = n
+				}
+			}
+		}
+		q = next
+	}
+	if r.State != Done {
+		return nil
+	}
+	return &r.Word
+}
+
+// explore plays all orders of up to so many steps, and gives the number of states.
+func explore(t *testing.T, start *world, depth int) int {
+	type node struct {
+		w    *world
+		path []byte
+	}
+	seen := map[uint64]bool{start.key(): true}
+	level := []node{{w: start}}
+	for ; depth > 0 && len(level) > 0; depth-- {
+		var next []node
+		for _, n := range level {
+			for i := range n.w.steps() {
+				w := n.w.clone()
+				if !w.step(i) {
+					continue
+				}
+				k := w.key()
+				if seen[k] {
+					continue
+				}
+				seen[k] = true
+				path := append(slices.Clone(n.path), byte(i))
+				if fault := w.fault(); fault != "" {
+					t.Fatalf("%s after steps %v", fault, path)
+				}
+				next = append(next, node{w, path})
+			}
+		}
+		level = next
+	}
+	return len(seen)
+}
+
+// roam plays random orders to their end.
+func roam(t *testing.T, start *world, runs int) (ends int) {
+	for seed := range runs {
+		rng := rand.New(rand.NewPCG(uint64(seed), 1))
+		w := start.clone()
+		for range 200 {
+			if w.steps() == 0 {
+				break
+			}
+			before := len(w.ends)
+			w.step(rng.IntN(w.steps()))
+			if len(w.ends) > before {
+				if fault := w.fault(); fault != "" {
+					t.Fatalf("%s in run %d", fault, seed)
+				}
+			}
+		}
+		if fault := w.fault(); fault != "" {
+			t.Fatalf("%s in run %d", fault, seed)
+		}
+		ends += len(w.ends)
+	}
+	return ends
+}
+
+var (
+	one   = NewChange(0, 1, []byte("one"))
+	two   = NewChange(0, 2, []byte("two"))
+	three = NewChange(1, 3, []byte("three"))
+)
+
+// promised has a proposer start a round, and two voters hear of it.
+func (w *world) promised(prop, a, b int) *world {
+	w.propose(prop)
+	w.hear(prop, a)
+	w.hear(prop, b)
+	return w
+}
+
+// hear delivers the last request of a proposer to a voter.
+func (w *world) hear(prop, voter int) {
+	at := -1
+	for i, m := range w.flight {
+		if m.prop == prop && m.voter == voter && (at < 0 || m.q.Kind == Accept) {
+			at = i
+		}
+	}
+	w.step(2 * at)
+}
+
+// hearsay is a world in which the disk that will be lost gets back a vote below what it promised.
+func hearsay() *world {
+	w := newWorld(3, 1, []int{1, 1, 1}, one, two, nil).promised(0, 0, 1)
+	w.hear(0, 0)
+	return w.promised(1, 1, 2)
+}
+
+func TestAllOrders(t *testing.T) {
+	for name, x := range map[string]struct {
+		w     *world
+		depth int
+	}{
+		"two changes on a base":     {newWorld(3, 0, []int{1, 1}, one, two), 100},
+		"one tries again":           {newWorld(3, 0, []int{2, 1}, one, two), 10},
+		"a lost disk":               {newWorld(3, 1, []int{1, 1}, one, two).promised(0, 0, 1), 9},
+		"a lost disk, and a reader": {hearsay(), 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			states := explore(t, x.w, x.depth)
+			t.Logf("%d states", states)
+			qt.Assert(t, states > 1000, qt.IsTrue)
+		})
+	}
+}
+
+func TestRandomOrders(t *testing.T) {
+	for name, w := range map[string]*world{
+		"a change twice, and another": newWorld(3, 0, []int{3, 3, 3}, one, two, one),
+		"a base that comes later":     newWorld(3, 0, []int{3, 3, 3}, one, three, three),
+		"a lost disk":                 newWorld(3, 2, []int{3, 3, 3}, one, two, nil),
+		"a lost disk of four":         newWorld(4, 2, []int{3, 3, 3}, one, two, nil),
+		"a lost disk of five":         newWorld(5, 2, []int{3, 3, 3}, one, two, nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			ends := roam(t, w, 2000)
+			t.Logf("%d conclusions", ends)
+		})
+	}
+}
