prompter: desks in trouble are tested in a bubble; refusals survive the wire

A test with desks found that Barred was lost when a word was read from the wire, so that a refused change whose base came later was taken: it is a list of messages now, and messages are tested to be read as written. Desks are tested with voters cut off, stalled, full, failing after the write, with a lost disk after all were killed, and over HTTP, in the time of testing/synctest: nothing waits. A change takes two syncs (100 ms with disks of 50 ms).

--- a/internal/mesh/playbill/playbill_test.go
+++ b/internal/mesh/playbill/playbill_test.go
@@ -52,6 +52,8 @@
 		{`"burstSize":53}]}`, `"burstSize":53}]`, "the body: "},
 		{`"burstSize":53}]}`, `"burstSize":53}]}x`, "the body: "},
 		{example, `[]`, "the body: "},
+		{`"target":"600ms"`, `"x":` + strings.Repeat("[", 32<<20), "the body: "},
+		{`"target":"600ms"`, `"x":"\"` + strings.Repeat("[", 2000) + `"`, ""},
 		{example, ``, "the body: "},
 		// valid
 		{`"timeout":"2500ms"`, `"timeout":"2.5s","new":{"a":[]}`, ""},
--- a/internal/mesh/playbill/read.go
+++ b/internal/mesh/playbill/read.go
@@ -26,7 +26,7 @@
 // Fields we don't know are passed over, and of those we know only what can't be used is a fault: an operator whose valid
 // configuration is refused gives it up.
 func Read(raw []byte) (*Config, error) {
-	if !gjson.ValidBytes(raw) {
+	if tooDeep(raw) || !gjson.ValidBytes(raw) {
 		return nil, trace.BadParameter("the body: expected one whole JSON object")
 	}
 	root := gjson.ParseBytes(raw)
@@ -46,6 +46,28 @@
 	return c, nil
 }
 
+// tooDeep tells whether lists and objects may lie so deep within each other that a parser's stack would overflow, which would
+// end the process. What we know lies five deep.
+func tooDeep(raw []byte) bool {
+	depth, text := 0, false
+	for i := 0; i < len(raw); i++ {
+		switch c := raw[i]; {
+		case text && c == '\\':
+			i++
+		case c == '"':
+			text = !text
+		case text:
+		case c == '{' || c == '[':
+			if depth++; depth > 1000 {
+				return true
+			}
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return false
+}
+
 // reader gathers the faults.
 type reader struct {
 	faults []string
--- a/internal/mesh/promptbook/word.go
+++ b/internal/mesh/promptbook/word.go
@@ -29,11 +29,10 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"slices"
 
 	"gingerlead/internal/mesh/playbill"
 	"gingerlead/internal/mesh/script"
-
-	"google.golang.org/protobuf/encoding/protowire"
 )
 
 // Ballot orders attempts. No two attempts have the same one: Node names a proposer and its life, N grows within it.
@@ -65,14 +64,10 @@
 // Fields implements script.Message.
 func (p *Past) Fields(v *script.Visitor) {
 	v.Uint(1, &p.Version)
-	sumField(v, 2, &p.Sum)
-}
-
-func sumField(v *script.Visitor, num protowire.Number, sum *Sum) {
-	b := sum[:]
-	v.Bytes(num, &b)
+	sum := p.Sum[:]
+	v.Bytes(2, &sum)
 	if v.Reading() {
-		copy(sum[:], b)
+		copy(p.Sum[:], sum)
 	}
 }
 
@@ -85,7 +80,7 @@
 	Version playbill.Version
 	Body    []byte
 	Past    []Past // the last versions that were accepted, this one the last
-	Barred  []Sum  // changes that were refused although their base may still come
+	Barred  []Past // changes that were refused although their base may still come
 }
 
 // Fields implements script.Message.
@@ -93,7 +88,7 @@
 	v.Uint(1, (*uint64)(&w.Version))
 	v.Bytes(2, &w.Body)
 	script.Messages(v, 3, &w.Past)
-	script.Each(v, 4, &w.Barred, func(v *script.Visitor, s *Sum) { sumField(v, 1, s) })
+	script.Messages(v, 4, &w.Barred)
 }
 
 // Change is what an operator wants: Body in place of version Base.
@@ -123,26 +118,21 @@
 // judge decides on a change when w is the newest word, and tells the word that has to be committed before the verdict
 // holds: w itself, or another.
 func (c *Change) judge(w *Word) (Verdict, *Word) {
-	for _, p := range w.Past {
-		if p.Version == uint64(c.Version) && p.Sum == c.sum {
-			return Taken, w
-		}
-	}
-	for _, s := range w.Barred {
-		if s == c.sum {
-			return Lost, w
-		}
-	}
+	mark := Past{uint64(c.Version), c.sum}
 	switch {
+	case slices.Contains(w.Past, mark):
+		return Taken, w
+	case slices.Contains(w.Barred, mark):
+		return Lost, w
 	case c.Version <= w.Version || c.Base < w.Version || c.Version <= c.Base:
 		return Lost, w
 	case c.Base > w.Version:
 		next := *w
-		next.Barred = append(last(w.Barred, pastMax-1), c.sum)
+		next.Barred = append(last(w.Barred, pastMax-1), mark)
 		return Lost, &next
 	}
 	next := Word{Version: c.Version, Body: c.Body, Barred: w.Barred}
-	next.Past = append(last(w.Past, pastMax-1), Past{uint64(c.Version), c.sum})
+	next.Past = append(last(w.Past, pastMax-1), mark)
 	return Taken, &next
 }
 
--- a/internal/mesh/prompter/desk.go
+++ b/internal/mesh/prompter/desk.go
@@ -34,7 +34,7 @@
 	Seed         uint64
 	OnCommit     func(w promptbook.Word) // called by one goroutine, with newer words only
 
-	open func(folder string) (disk, error) // nil: a trunk
+	open func(folder string) (disk, error) // a trunk, except in tests
 }
 
 const (
@@ -226,7 +226,7 @@
 	answers := make(chan answer, len(nodes))
 	raw := script.Write(nil, q)
 	for _, node := range nodes {
-		d.wg.Go(func() {
+		go func() { // ends with the desk
 			ctx, cancel := context.WithTimeout(d.ctx, askTimeout)
 			defer cancel()
 			reply, err := d.ask(ctx, node, *q, raw)
@@ -234,7 +234,7 @@
 				d.o.Log.WithError(err).WithField("node", node).Debug("no answer")
 			}
 			answers <- answer{node, reply}
-		})
+		}()
 	}
 	return answers
 }
--- a/internal/mesh/prompter/http.go
+++ b/internal/mesh/prompter/http.go
@@ -49,7 +49,7 @@
 		tell(w, http.StatusRequestEntityTooLarge, trace.LimitExceeded("the body: expected %d bytes at most", large.Limit))
 		return
 	case err != nil:
-		tell(w, http.StatusBadRequest, trace.Wrap(err, "the body"))
+		tell(w, http.StatusRequestTimeout, trace.Wrap(err, "the body")) // a link's fault, not the configuration's
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
--- a/internal/mesh/prompter/prompter_test.go
+++ b/internal/mesh/prompter/prompter_test.go
@@ -4,36 +4,53 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gingerlead/internal/mesh/playbill"
+	"gingerlead/internal/mesh/promptbook"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 )
 
-// core is a few desks in one process, on disks in memory.
+// core is a few desks in one process, on disks in memory, in a bubble whose time doesn't pass while anything runs.
 type core struct {
 	c     *qt.C
+	seeds []string
 	mu    sync.Mutex
 	desks map[string]*Desk
 	disks map[string]*memory
-	seeds []string
-	cut   map[string]bool // who is cut off
+	cut   map[string]bool
+	told  map[string][]playbill.Version // by OnCommit
 }
 
-// memory is a disk: what was put is there at once. A put waits for the gate, if there is one, and fails with fault.
+// memory is a disk whose writes may be slow, blocked, or fail, before or after they are done.
 type memory struct {
+	mu      sync.Mutex
 	records map[string][]byte
 	gate    chan struct{}
 	slow    time.Duration
 	fault   error
+	torn    bool
+}
+
+func (m *memory) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
 }
 
 func (m *memory) Get(key string) ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if data, ok := m.records[key]; ok {
 		return data, nil
 	}
@@ -41,17 +58,19 @@
 }
 
 func (m *memory) Put(key string, data []byte) error {
-	if m.gate != nil {
-		<-m.gate
-	}
-	if m.slow > 0 {
-		time.Sleep(m.slow)
+	var gate chan struct{}
+	var slow time.Duration
+	m.set(func() { gate, slow = m.gate, m.slow })
+	if gate != nil {
+		<-gate
 	}
-	if m.fault != nil {
-		return m.fault
+	time.Sleep(slow) // of the bubble's time
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault == nil || m.torn {
+		m.records[key] = data
 	}
-	m.records[key] = data
-	return nil
+	return m.fault
 }
 
 func (m *memory) Close() error { return nil }
@@ -67,12 +86,37 @@
 	lost := d == nil || l.core.cut[node] || l.core.cut[l.from]
 	l.core.mu.Unlock()
 	if lost {
-		return nil, trace.ConnectionProblem(nil, "no way from %s to %s", l.from, node)
+		<-ctx.Done() // as a cut says nothing
+		return nil, trace.ConnectionProblem(ctx.Err(), "no way from %s to %s", l.from, node)
 	}
 	return d.Serve(ctx, request)
 }
 
-func (co *core) start(self string, first bool) *Desk {
+func node(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+
+// play runs a test in a bubble, with n desks of which the first three are voters.
+func play(t *testing.T, n int, test func(co *core, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		co := &core{c: qt.New(t), desks: map[string]*Desk{}, disks: map[string]*memory{}, cut: map[string]bool{},
+			told: map[string][]playbill.Version{}, seeds: []string{node(0), node(1), node(2)}}
+		for i := range n {
+			co.start(i, true)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		defer func() {
+			for i := range len(co.desks) {
+				co.stop(i)
+			}
+		}()
+		test(co, ctx)
+	})
+}
+
+func (co *core) start(i int, first bool) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	self := node(i)
 	if co.disks[self] == nil {
 		co.disks[self] = &memory{records: map[string][]byte{}}
 	}
@@ -80,40 +124,217 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d, err := Open(Options{Self: self, Seeds: co.seeds, InitialStart: first, Transport: link{co, self}, Log: log, Seed: 1,
+		OnCommit: func(w promptbook.Word) {
+			co.mu.Lock()
+			defer co.mu.Unlock()
+			co.told[self] = append(co.told[self], w.Version)
+		},
 		open: func(string) (disk, error) { return kept, nil }})
 	co.c.Assert(err, qt.IsNil)
+	co.desks[self] = d
+}
+
+// stop ends a desk as a kill would: what is on disk stays.
+func (co *core) stop(i int) {
+	co.mu.Lock()
+	d := co.desks[node(i)]
+	delete(co.desks, node(i))
+	co.mu.Unlock()
+	d.Close()
+}
+
+func (co *core) desk(i int) *Desk { return co.desks[node(i)] }
+
+func (co *core) isolate(i int, cut bool) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.desks[self] = d
-	return d
+	co.cut[node(i)] = cut
 }
 
-func newCore(t *testing.T, n int) *core {
-	co := &core{c: qt.New(t), desks: map[string]*Desk{}, disks: map[string]*memory{}, cut: map[string]bool{}}
-	for i := range n {
-		co.seeds = append(co.seeds, fmt.Sprintf("10.0.0.%d:1", i))
-	}
-	return co
+func config(v playbill.Version, more string) []byte {
+	return []byte(fmt.Sprintf(`{"configVersion":"%v","routeTable":[],"x":%q}`, v, more))
 }
 
-func config(v playbill.Version) []byte {
-	return []byte(fmt.Sprintf(`{"configVersion":"%v","routeTable":[]}`, v))
+func (co *core) replace(ctx context.Context, i int, base, v playbill.Version) Outcome {
+	return co.desk(i).Replace(ctx, base, config(v, "")).Outcome
+}
+
+func (co *core) newest(ctx context.Context, i int) playbill.Version {
+	w, err := co.desk(i).Newest(ctx)
+	co.c.Assert(err, qt.IsNil)
+	return w.Version
 }
 
 func TestChangesAreTakenOnce(t *testing.T) {
-	co := newCore(t, 3)
-	for _, s := range co.seeds {
-		co.start(s, true)
+	play(t, 4, func(co *core, ctx context.Context) {
+		co.c.Assert(co.newest(ctx, 3), qt.Equals, playbill.Version(0))
+		for i, x := range []struct {
+			base, v playbill.Version
+			outcome Outcome
+		}{{0, 3, Taken}, {0, 3, Taken}, {0, 4, Lost}, {3, 3, Taken}, {3, 2, Lost}, {3, 4, Taken}, {3, 5, Lost}, {0, 3, Taken},
+			{9, 10, Lost}, {4, 10, Lost}, {4, 11, Taken}} {
+			co.c.Assert(co.replace(ctx, i%4, x.base, x.v), qt.Equals, x.outcome, qt.Commentf("%v", x))
+		}
+		co.c.Assert(co.desk(1).Replace(ctx, 11, config(11, "other")).Outcome, qt.Equals, Lost)
+		co.c.Assert(co.desk(1).Replace(ctx, 11, []byte("{")).Outcome, qt.Equals, Invalid)
+		co.c.Assert(co.newest(ctx, 3), qt.Equals, playbill.Version(11))
+		synctest.Wait()
+		for i := range 3 { // the voters hear of it
+			w, ok := co.desk(i).Committed()
+			co.c.Assert(ok && w.Version == 11, qt.IsTrue)
+		}
+		co.desk(2).Learn(promptbook.Word{Version: 7})
+		synctest.Wait()
+		co.c.Assert(co.told[node(2)][len(co.told[node(2)])-1], qt.Equals, playbill.Version(11))
+	})
+}
+
+// Of changes that are sent at the same time, on the same base, to all desks, one is taken.
+func TestOneOfManyWins(t *testing.T) {
+	play(t, 4, func(co *core, ctx context.Context) {
+		base := playbill.Version(0)
+		for range 20 {
+			outcomes := make([]Outcome, 4)
+			var wg sync.WaitGroup
+			for i := range outcomes {
+				wg.Go(func() {
+					outcomes[i] = co.desk(i).Replace(ctx, base, config(base+1+playbill.Version(i%2), fmt.Sprint(i))).Outcome
+				})
+			}
+			wg.Wait()
+			taken := 0
+			for _, o := range outcomes {
+				co.c.Assert(o == Taken || o == Lost, qt.IsTrue)
+				if o == Taken {
+					taken++
+				}
+			}
+			co.c.Assert(taken, qt.Equals, 1)
+			base = co.newest(ctx, 3)
+		}
+	})
+}
+
+// With a voter cut off, slow, or on a disk that hangs or fails, changes are taken; with two they are unclear, until one of
+// them is back.
+func TestVotersInTrouble(t *testing.T) {
+	gate := make(chan struct{})
+	for name, trouble := range map[string]struct {
+		begin, end func(co *core, i int, m *memory)
+	}{
+		"cut": {func(co *core, i int, m *memory) { co.isolate(i, true) },
+			func(co *core, i int, m *memory) { co.isolate(i, false) }},
+		"stalled": {func(co *core, i int, m *memory) { gate = make(chan struct{}); m.set(func() { m.gate = gate }) },
+			func(co *core, i int, m *memory) { m.set(func() { m.gate = nil }); close(gate) }},
+		"full": {func(co *core, i int, m *memory) { m.set(func() { m.fault = io.ErrShortWrite }) },
+			func(co *core, i int, m *memory) { m.set(func() { m.fault = nil }) }},
+		"failing late": {func(co *core, i int, m *memory) { m.set(func() { m.fault, m.torn = io.ErrShortWrite, true }) },
+			func(co *core, i int, m *memory) { m.set(func() { m.fault = nil }) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 4, func(co *core, ctx context.Context) {
+				co.newest(ctx, 0) // the first records are written
+				for _, m := range co.disks {
+					m.set(func() { m.slow = 50 * time.Millisecond })
+				}
+				began := time.Now()
+				co.c.Assert(co.replace(ctx, 0, 0, 1), qt.Equals, Taken)
+				co.c.Assert(time.Since(began), qt.Equals, 100*time.Millisecond) // a promise and a vote
+				trouble.begin(co, 2, co.disks[node(2)])
+				co.c.Assert(co.replace(ctx, 3, 1, 2), qt.Equals, Taken)
+				co.c.Assert(co.newest(ctx, 3), qt.Equals, playbill.Version(2))
+
+				co.isolate(1, true)
+				short, cancel := context.WithTimeout(ctx, callTime)
+				co.c.Assert(co.replace(short, 3, 2, 3), qt.Equals, Unclear)
+				cancel()
+				trouble.end(co, 2, co.disks[node(2)])
+				co.c.Assert(co.replace(ctx, 3, 2, 3), qt.Equals, Taken)
+				co.isolate(1, false)
+				co.isolate(0, true)
+				co.c.Assert(co.newest(ctx, 1), qt.Equals, playbill.Version(3))
+			})
+		})
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	a, b := co.desks[co.seeds[0]], co.desks[co.seeds[1]]
-	co.c.Assert(a.Replace(ctx, 0, config(3)).Outcome, qt.Equals, Taken)
-	co.c.Assert(b.Replace(ctx, 0, config(3)).Outcome, qt.Equals, Taken)
-	co.c.Assert(b.Replace(ctx, 0, config(4)).Outcome, qt.Equals, Lost)
-	co.c.Assert(b.Replace(ctx, 3, config(4)).Outcome, qt.Equals, Taken)
-	w, err := a.Newest(ctx)
-	co.c.Assert(err, qt.IsNil)
-	co.c.Assert(w.Version, qt.Equals, playbill.Version(4))
-	co.c.Assert(a.Replace(ctx, 0, config(3)).Outcome, qt.Equals, Taken)
+}
+
+// After an acknowledgement all are killed, and one loses its disk as well; then another one is away.
+func TestLostDisk(t *testing.T) {
+	for away := range 2 {
+		play(t, 4, func(co *core, ctx context.Context) {
+			co.isolate(1-away, true)
+			co.c.Assert(co.replace(ctx, 3, 0, 5), qt.Equals, Taken) // by two voters, of whom one loses its disk
+			co.isolate(1-away, false)
+			for i := range 4 {
+				co.stop(i)
+			}
+			co.disks[node(2)], co.disks[node(3)] = nil, nil
+			co.told = map[string][]playbill.Version{}
+			for i := range 4 {
+				co.start(i, false)
+			}
+			time.Sleep(5 * time.Second) // of the bubble's time: long enough for all pauses
+			synctest.Wait()
+			for i := range 4 {
+				co.c.Assert(co.told[node(i)], qt.DeepEquals, []playbill.Version{5}, qt.Commentf("desk %d", i))
+			}
+			co.isolate(away, true)
+			co.c.Assert(co.newest(ctx, 2), qt.Equals, playbill.Version(5))
+			co.c.Assert(co.replace(ctx, 2, 5, 6), qt.Equals, Taken)
+		})
+	}
+}
+
+// An amnesiac doesn't vote while it can't read from both others.
+func TestAmnesiacIsUnfit(t *testing.T) {
+	play(t, 3, func(co *core, ctx context.Context) {
+		co.c.Assert(co.replace(ctx, 0, 0, 5), qt.Equals, Taken)
+		before := maps.Clone(co.disks)
+		co.stop(2)
+		co.disks[node(2)] = nil
+		co.isolate(0, true)
+		co.start(2, false)
+		short, cancel := context.WithTimeout(ctx, 20*time.Second)
+		defer cancel()
+		co.c.Assert(co.replace(short, 1, 5, 6), qt.Equals, Unclear)
+		co.isolate(0, false)
+		co.c.Assert(co.replace(ctx, 1, 5, 6), qt.Equals, Taken)
+		co.c.Assert(before[node(0)], qt.Equals, co.disks[node(0)])
+	})
+}
+
+func TestOperatorsCalls(t *testing.T) {
+	play(t, 3, func(co *core, ctx context.Context) {
+		h := co.desk(0).Handler()
+		call := func(method, path, base string, body io.Reader) *httptest.ResponseRecorder {
+			r := httptest.NewRequest(method, path, body)
+			if base != "" {
+				r.Header.Set("Base-Version", base)
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			return w
+		}
+		replace := func(base, body string) int {
+			return call("POST", "/configuration/replace", base, strings.NewReader(body)).Code
+		}
+		co.c.Assert(call("GET", "/configuration/retrieve", "", nil).Code, qt.Equals, http.StatusNotFound)
+		one := string(config(1, ""))
+		co.c.Assert(replace("", one), qt.Equals, http.StatusBadRequest)
+		co.c.Assert(replace("5", one), qt.Equals, http.StatusBadRequest)
+		co.c.Assert(replace("0", one[1:]), qt.Equals, http.StatusBadRequest)
+		co.c.Assert(replace("0", strings.Repeat(" ", bodyMax+1)), qt.Equals, http.StatusRequestEntityTooLarge)
+		co.c.Assert(replace("0", one), qt.Equals, http.StatusOK)
+		co.c.Assert(replace("0", string(config(2, ""))), qt.Equals, http.StatusPreconditionFailed)
+		w := call("GET", "/configuration/retrieve", "", nil)
+		co.c.Assert(w.Code, qt.Equals, http.StatusOK)
+		co.c.Assert(w.Body.String(), qt.Equals, one)
+		co.isolate(0, true)
+		began := time.Now()
+		w = call("POST", "/configuration/replace", "r1", strings.NewReader(string(config(2, ""))))
+		co.c.Assert(w.Code, qt.Equals, http.StatusServiceUnavailable)
+		co.c.Assert(w.Header().Get("Retry-After"), qt.Equals, "0.2")
+		co.c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+		co.c.Assert(call("GET", "/configuration/retrieve", "", nil).Code, qt.Equals, http.StatusServiceUnavailable)
+	})
 }
