--- a/internal/mesh/backstage/config.go
+++ b/internal/mesh/backstage/config.go
@@ -31,7 +31,7 @@
 	}
 	limits := map[string]boxoffice.Limit{}
 	for i := range conf.Tenants {
-		limits[conf.Tenants[i].Name] = boxoffice.Limit{Rate: conf.Tenants[i].Rate, Burst: conf.Tenants[i].Burst}
+		limits[conf.Tenants[i].Name] = c.limitOf(&conf.Tenants[i])
 	}
 	c.limits.Store(&limits)
 	c.mu.Lock()
@@ -111,3 +111,10 @@
 	}
 	return &configuration{Version: c.conf.Version, Text: c.conf.Text}
 }
+
+// limitOf is a tenant's limit, with what the rules let pass beyond it.
+func (c *Crew) limitOf(t *playbill.Tenant) boxoffice.Limit {
+	b := c.o.Sheet.Bounds
+	return boxoffice.Limit{Rate: t.Rate, Burst: t.Burst,
+		Spare: b.QuotaOverage*(t.Rate*b.QuotaWindow.Seconds()+t.Burst) + b.QuotaSlack}
+}
--- a/internal/mesh/backstage/tickets.go
+++ b/internal/mesh/backstage/tickets.go
@@ -62,7 +62,7 @@
 func (t *Tickets) Take(tenant *playbill.Tenant, done func(ok bool, back time.Duration)) {
 	waits := true
 	t.mu.Lock()
-	t.purse.Take(t.crew.o.Hub.Now(), tenant.Name, boxoffice.Limit{Rate: tenant.Rate, Burst: tenant.Burst},
+	t.purse.Take(t.crew.o.Hub.Now(), tenant.Name, t.crew.limitOf(tenant),
 		func(ok bool, back time.Duration) {
 			waits = false
 			done(ok, back)
@@ -88,7 +88,11 @@
 			return
 		}
 		now := t.crew.o.Hub.Now()
+		t.crew.mu.Lock()
+		n := t.crew.sidecars
+		t.crew.mu.Unlock()
 		t.mu.Lock()
+		t.purse.Sidecars(n)
 		wishes, due := t.purse.Tick(now)
 		to := ""
 		if due {
@@ -219,7 +223,9 @@
 func (d *Duties) step() {
 	voters := d.voters()
 	now := d.crew.o.Hub.Now()
+	rank := d.crew.coreRank()
 	d.mu.Lock()
+	d.teller.Rank(rank)
 	ask := d.teller.Tick(now, len(voters))
 	if _, ok := d.teller.Holds(now); !ok {
 		d.office = nil
@@ -244,6 +250,17 @@
 	}
 }
 
+// coreRank is this process's place among the core processes that it knows of.
+func (c *Crew) coreRank() (n int) {
+	self := c.o.Hub.Self().Address
+	for _, m := range c.Members() {
+		if m.Role == company.Core && m.Address < self {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *Duties) sidecars() (out []string) {
 	for _, m := range d.crew.Members() {
 		if m.Role == company.Access {
--- a/internal/mesh/boxoffice/boxoffice_test.go
+++ b/internal/mesh/boxoffice/boxoffice_test.go
@@ -14,8 +14,8 @@
 // late or lost, and the duty moves to another teller that knows nothing: in no window of five seconds is more let in than the
 // rules allow, and while all are in touch and the duty stays, no less than the rate.
 func TestLimitHoldsWhoeverIsCutOff(t *testing.T) {
-	limit := Limit{Rate: 100, Burst: 100}
-	for seed := range uint64(40) {
+	limit := Limit{Rate: 100, Burst: 100, Spare: 80}
+	for seed := range uint64(100) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		const n, over = 10, 40 * time.Second
 		limits := func(string) (Limit, bool) { return limit, true }
@@ -44,8 +44,10 @@
 			if trouble && rng.IntN(200) == 0 {
 				cut[rng.IntN(n)] = now + time.Duration(rng.IntN(12000))*time.Millisecond
 			}
-			if trouble && rng.IntN(1500) == 0 { // the lease moves; its holder has stopped before
-				teller, away = NewTeller(now+time.Second, false, limits), now+time.Second
+			// The duty moves: its holder has stopped before, and a lease lasts a second and a half.
+			if trouble && rng.IntN(1000) == 0 && now > away+1500*time.Millisecond {
+				away = now + time.Duration(100+rng.IntN(2000))*time.Millisecond
+				teller = NewTeller(away, false, limits)
 				teller.Sidecars(names)
 			}
 			slices.SortStableFunc(post, func(a, b mail) int { return int(a.at - b.at) })
--- a/internal/mesh/boxoffice/purse.go
+++ b/internal/mesh/boxoffice/purse.go
@@ -13,17 +13,23 @@
 	backMost   = 2 * time.Second
 	backLeast  = 30 * time.Millisecond
 	waitersMax = 1024 // of one tenant
+	savedMost  = 2.0  // requests that a sidecar on its own may save up, where its share is small
+	firstShare = 0.08 // of a tenant's rate, at most, that a sidecar takes which has never reached a teller
 )
 
 // Purse is what one sidecar holds of the tenants' limits.
 type Purse struct {
-	tenants map[string]*pocket
-	got     time.Duration // the last tickets
-	met     bool
-	sent    time.Duration
-	out     bool
+	tenants  map[string]*pocket
+	got      time.Duration // the last tickets
+	met      bool
+	sent     time.Duration
+	out      bool
+	sidecars int // that are there, as far as is known
 }
 
+// Sidecars says how many sidecars are there.
+func (p *Purse) Sidecars(n int) { p.sidecars = n }
+
 type pocket struct {
 	limit   Limit
 	demand  float64
@@ -67,7 +73,7 @@
 		k.tokens--
 		done(true, 0)
 	case !p.Reached(now):
-		done(k.alone(now))
+		done(k.alone(now, p))
 	case now < k.denied:
 		done(false, p.back(k, k.denied-now))
 	case len(k.waiting) >= waitersMax:
@@ -103,12 +109,17 @@
 	return k.demand / (1 + float64(now-k.at)/float64(demandOver))
 }
 
-// alone lets a request in by the standing share.
-func (k *pocket) alone(now time.Duration) (bool, time.Duration) {
+// alone lets a request in by the standing share. Whoever has never reached a teller takes a small one for itself: after a
+// restart of all there is none for a while, and of a few that can't reach one the sum stays within what the rules leave.
+func (k *pocket) alone(now time.Duration, p *Purse) (bool, time.Duration) {
 	if now >= k.shareTo {
-		return false, backMost / 4
+		if p.met {
+			return false, backMost / 4
+		}
+		k.share = k.limit.Rate * min(firstShare, 1/float64(max(p.sidecars, 1)))
 	}
-	k.level = min(k.level+k.share*(now-k.levelAt).Seconds(), max(k.share*ahead.Seconds(), 1))
+	part := (k.limit.Spare + k.limit.Burst) / float64(max(p.sidecars, 1)) // what may be saved up, over all sidecars
+	k.level = min(k.level+k.share*(now-k.levelAt).Seconds(), max(k.share*ahead.Seconds(), min(part, savedMost), 1))
 	k.levelAt = now
 	if k.level < 1 {
 		if k.share <= 0 {
@@ -125,7 +136,7 @@
 	pressing := false
 	for name, k := range p.tenants {
 		if len(k.waiting) > 0 && now-k.since > waitMost {
-			k.release(now, func() (bool, time.Duration) { return k.alone(now) })
+			k.release(now, func() (bool, time.Duration) { return k.alone(now, p) })
 		}
 		if now-k.at > idleAfter && now >= k.shareTo {
 			delete(p.tenants, name)
@@ -188,7 +199,6 @@
 			k.until = sent + valid
 		}
 		k.share, k.shareTo = x.Share, sent+x.Left
-		k.levelAt, k.level = now, min(k.level, 1)
 		if x.Back > 0 {
 			k.denied = now + min(x.Back, 100*time.Millisecond)
 		}
--- a/internal/mesh/boxoffice/teller.go
+++ b/internal/mesh/boxoffice/teller.go
@@ -19,8 +19,15 @@
 	buyersMax = 8192
 )
 
-// Limit is a tenant's, as the configuration has it.
-type Limit struct{ Rate, Burst float64 }
+// Limit is a tenant's, as the configuration has it, and what the rules let pass beyond it in a window.
+type Limit struct {
+	Rate, Burst float64
+	Spare       float64 // requests
+}
+
+// spareFirst is the part of what may pass beyond a limit that a new teller begins with, as if it were saved up: two may come
+// within a window.
+const spareFirst = 0.25
 
 // Teller holds the buckets of all tenants while this process has the duty.
 type Teller struct {
@@ -48,7 +55,7 @@
 	until        time.Duration
 }
 
-// NewTeller begins the duty. The buckets start empty: who had it before may have emptied them the moment before.
+// NewTeller begins the duty. The buckets start nearly empty: who had it before may have emptied them the moment before.
 func NewTeller(now time.Duration, fresh bool, limits func(string) (Limit, bool)) *Teller {
 	return &Teller{began: now, fresh: fresh, limits: limits, pots: map[string]*pot{}, buyers: map[string]*buyer{}}
 }
@@ -114,7 +121,7 @@
 	p := t.pots[x.Tenant]
 	if p == nil {
 		p = &pot{at: t.began}
-		if t.fresh {
+		if p.level = min(limit.Burst, spareFirst*limit.Spare); t.fresh {
 			p.level = limit.Burst
 		}
 		t.pots[x.Tenant] = p
--- a/internal/mesh/foyer/cast.go
+++ b/internal/mesh/foyer/cast.go
@@ -23,6 +23,7 @@
 	backMost    = time.Second
 	connectTime = 250 * time.Millisecond
 	classesMost = 256
+	innerTimes  = 4 // how much more calls of endpoints are worth than clients' requests of the highest rank
 	triesMost   = 8 // of one request, those that surely did not run among them
 )
 
--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -160,6 +160,10 @@
 
 // submit has a request served; its result comes once on the channel.
 func (d *Desk) submit(r *request, priority int) {
+	times := 1 / float64(int(1)<<min(max(priority, 0), 16))
+	if r.perform.Inner { // a slot waits for it, and what ran already is lost without it
+		times = innerTimes
+	}
 	d.do(func(now time.Duration) {
 		c := d.cast(r.perform.Service)
 		if c == nil {
@@ -171,7 +175,7 @@
 		c.requests[r.id] = r
 		c.repeats.Request(now)
 		c.balancer.Request(now, gingerlead.Request{ID: r.id, Class: c.class(r.route), Left: r.deadline - now,
-			Times: 1 / float64(int(1)<<min(max(priority, 0), 16))})
+			Times: times})
 	})
 }
 
@@ -195,7 +199,11 @@
 			kind = curtain.Silent
 		}
 		a := r.out
-		d.answer(r, result{kind: kind, back: kind.Back()})
+		res := result{kind: kind, back: kind.Back()}
+		if a == nil && r.last != nil && r.last.Kind == curtain.Answered {
+			res = result{kind: curtain.Answered, outcome: r.last}
+		}
+		d.answer(r, res)
 		c.balancer.Lapsed(now, r.id)
 		if a != nil && !a.quit && a.withdraw != nil {
 			a.quit = true
--- a/internal/mesh/understudy/understudy.go
+++ b/internal/mesh/understudy/understudy.go
@@ -155,10 +155,13 @@
 	next   time.Duration
 	until  time.Duration // it holds, and not a moment longer
 	votes  map[string]bool
-	told   map[string]bool
+	voters int
 	holder string // another that has it
 	jitter func() float64
 	need   int
+	no     int  // voters that have granted the duty to others, of those asked
+	let    bool // what was granted is to be given up: there is no majority in it
+	rank   int  // its place among those that would do the duty: the later, the longer it waits
 }
 
 // NewCandidate makes one that holds nothing. jitter gives numbers from 0 to 1.
@@ -187,8 +190,16 @@
 	return c.holder
 }
 
+// Rank is this process's place among those that would do the duty, from 0: so that they don't all ask at once, and each get
+// some of the votes.
+func (c *Candidate) Rank(n int) { c.rank = n }
+
 // Tick gives what is to be asked of all voters now; nil for nothing.
 func (c *Candidate) Tick(now time.Duration, voters int) *Ask {
+	if c.let {
+		c.let = false
+		return &Ask{Holder: c.self, Life: c.life, Duties: []Duty{{Name: c.name, Epoch: c.epoch, Let: true}}}
+	}
 	if c.state == Holding && now >= c.until {
 		c.shift(Idle, now+retryLeast)
 	}
@@ -199,14 +210,19 @@
 		c.epoch = c.seen + 1
 		c.shift(Asking, 0)
 	}
-	c.votes, c.told, c.asked, c.need = map[string]bool{}, map[string]bool{}, now, voters/2+1
+	c.votes, c.asked, c.need, c.no = map[string]bool{}, now, voters/2+1, 0
+	c.voters = voters
 	c.next = now + renewEach
 	if c.state == Asking {
-		c.next = now + retryLeast + time.Duration(c.jitter()*2*float64(retryLeast))
+		c.next = now + c.pause()
 	}
 	return &Ask{Holder: c.self, Life: c.life, Duties: []Duty{{Name: c.name, Epoch: c.epoch}}}
 }
 
+func (c *Candidate) pause() time.Duration {
+	return retryLeast*time.Duration(1+c.rank) + time.Duration(c.jitter()*float64(retryLeast))
+}
+
 // Take takes a voter's answer to what was asked at a time. It says whether the duty came to this process just now.
 func (c *Candidate) Take(now, asked time.Duration, voter string, a *Answer) (came bool) {
 	for _, g := range a.Duties {
@@ -220,7 +236,11 @@
 		if !g.Given {
 			if g.Holder != "" && c.state != Holding {
 				c.holder = g.Holder
-				c.next = max(c.next, now+g.Left+time.Duration(c.jitter()*2*float64(retryLeast)))
+				c.next = max(c.next, now+min(g.Left, Lease)/2+c.pause())
+			}
+			if c.no++; c.state == Asking && c.no > c.voters-c.need && len(c.votes) > 0 {
+				c.let = true
+				c.shift(Idle, max(c.next, now+c.pause()))
 			}
 			continue
 		}
