--- a/internal/mesh/promptbook/orders_test.go
+++ b/internal/mesh/promptbook/orders_test.go
@@ -154,14 +154,10 @@
 func (w *world) lose(v int) bool {
 	w.losses--
 	w.record(v, Record{})
-	w.recover(v, uint64(10-w.losses)) // a life of its own, which a real one finds by trying
-	return true
-}
-
-func (w *world) recover(v int, life uint64) {
 	var q *Request
-	w.lost[v], q = NewRecovery(w.voters[v], w.voters, life)
+	w.lost[v], q = NewRecovery(w.voters[v], w.voters, uint64(10-w.losses)) // a life of its own, found by trying otherwise
 	w.send(-v-1, q)
+	return true
 }
 
 // deliver hands a request to its voter, and the reply to who asked, if it is heard.
