--- a/internal/mesh/playbill/read.go
+++ b/internal/mesh/playbill/read.go
@@ -33,7 +33,7 @@
 	if !root.IsObject() {
 		return nil, trace.BadParameter("the body: expected one whole JSON object")
 	}
-	r := reader{names: map[string]string{}}
+	r := reader{names: map[string]string{}, fields: fields{}}
 	c := &Config{Raw: raw, hosts: map[string]*branch{}, holders: map[string]*Tenant{}}
 	c.Version = r.version(root.Get("configVersion"))
 	r.services(c, root.Get("serviceTable"))
@@ -71,6 +71,7 @@
 // reader gathers the faults.
 type reader struct {
 	faults []string
+	fields fields            // of the route that is being read
 	names  map[string]string // texts that are kept, each once, and not as a part of the whole body
 }
 
@@ -238,7 +239,21 @@
 	}
 }
 
-func (r *reader) route(path string, v gjson.Result, known map[string]bool) Route {
+// fields are the fields of a route by their names. Of a field that is there twice the first one counts, as in gjson's paths,
+// which would go through the route once for each.
+type fields map[string]gjson.Result
+
+func (f fields) Get(name string) gjson.Result { return f[name] }
+
+func (r *reader) route(path string, object gjson.Result, known map[string]bool) Route {
+	v := r.fields
+	clear(v)
+	object.ForEach(func(key, value gjson.Result) bool {
+		if _, ok := v[key.Str]; !ok {
+			v[key.Str] = value
+		}
+		return true
+	})
 	route := Route{
 		Host:        r.name(path+".hostName", v.Get("hostName")),
 		Prefix:      r.text(path+".pathPrefix", v.Get("pathPrefix")),
