Whoever has lost the teller for longer than its share's lease takes a small even share

Cause: with the core gone for over ten seconds every sidecar refused every keyed request: shares had run out. Ruled out: longer leases (a removed sidecar's share would be kept from all). With no teller even shares add up to the limit.

--- a/internal/mesh/boxoffice/purse.go
+++ b/internal/mesh/boxoffice/purse.go
@@ -109,13 +109,12 @@
 	return k.demand / (1 + float64(now-k.at)/float64(demandOver))
 }
 
-// alone lets a request in by the standing share. Whoever has never reached a teller takes a small one for itself: after a
-// restart of all there is none for a while, and of a few that can't reach one the sum stays within what the rules leave.
+// alone lets a request in by the standing share. Whoever has none, having never reached a teller or not for longer than the
+// share's lease, takes a small even one for itself: with no teller at all, as after a restart of all or with the core gone for
+// long, these add up to no more than the limit; of a few that alone can't reach one, even through others, the sum stays within
+// what the rules leave.
 func (k *pocket) alone(now time.Duration, p *Purse) (bool, time.Duration) {
 	if now >= k.shareTo {
-		if p.met {
-			return false, backMost / 4
-		}
 		k.share = k.limit.Rate * min(firstShare, 1/float64(max(p.sidecars, 1)))
 	}
 	part := (k.limit.Spare + k.limit.Burst) / float64(max(p.sidecars, 1)) // what may be saved up, over all sidecars
