--- a/internal/mesh/boxoffice/purse.go
+++ b/internal/mesh/boxoffice/purse.go
@@ -7,10 +7,12 @@
 	beat       = 200 * time.Millisecond // between two wishes, so that the teller knows that it is there
 	urgent     = 15 * time.Millisecond  // the same while requests wait
 	ahead      = 300 * time.Millisecond // of demand, that tokens are drawn for beforehand
-	demandOver = time.Second            // that demand is smoothed over
+	demandOver = time.Second            // that demand is smoothed over, for tokens,
+	shareOver  = 8 * time.Second        // and for the standing share: many tenants ask less than once a second
 	idleAfter  = 10 * time.Second       // a tenant without requests is not asked for
 	waitMost   = 60 * time.Millisecond  // that a request waits for a token
 	backMost   = 2 * time.Second
+	backAlone  = 250 * time.Millisecond
 	backLeast  = 30 * time.Millisecond
 	waitersMax = 1024 // of one tenant
 	savedMost  = 2.0  // requests that a sidecar on its own may save up, where its share is small
@@ -33,7 +35,8 @@
 type pocket struct {
 	limit   Limit
 	demand  float64
-	at      time.Duration // demand
+	usual   float64       // demand, over longer
+	at      time.Duration // of both
 	tokens  float64
 	until   time.Duration
 	share   float64
@@ -100,8 +103,9 @@
 
 // count takes requests into the demand.
 func (k *pocket) count(now time.Duration, n float64) {
-	dt := float64(now-k.at) / float64(demandOver)
-	k.demand = k.demand/(1+dt) + n/demandOver.Seconds()
+	dt := float64(now - k.at)
+	k.demand = k.demand/(1+dt/float64(demandOver)) + n/demandOver.Seconds()
+	k.usual = k.usual/(1+dt/float64(shareOver)) + n/shareOver.Seconds()
 	k.at = now
 }
 
@@ -124,7 +128,7 @@
 		if k.share <= 0 {
 			return false, backMost
 		}
-		return false, min(time.Duration((1-k.level)/k.share*float64(time.Second)), backMost)
+		return false, min(time.Duration((1-k.level)/k.share*float64(time.Second)), backAlone) // a teller may be back by then
 	}
 	k.level--
 	return true, 0
@@ -154,7 +158,7 @@
 	}
 	for name, k := range p.tenants {
 		k.lapse(now)
-		x := Wish{Tenant: name, Demand: k.rate(now), Share: k.share, Left: max(k.shareTo-now, 0), Unused: k.unused}
+		x := Wish{Tenant: name, Demand: k.usual / (1 + float64(now-k.at)/float64(shareOver)), Share: k.share, Left: max(k.shareTo-now, 0), Unused: k.unused}
 		k.unused = 0
 		k.asked = len(k.waiting)
 		x.Tokens = float64(k.asked)
--- a/internal/mesh/boxoffice/teller.go
+++ b/internal/mesh/boxoffice/teller.go
@@ -15,7 +15,7 @@
 	silent    = 350 * time.Millisecond // without a word: the teller counts the sidecar as on its own
 	shareFor  = 10 * time.Second       // lease of a standing share
 	forget    = 2 * shareFor
-	evenShare = 0.1 // of the rate, that is divided evenly; the rest goes by demand
+	evenShare = 0.2 // of the rate, that is divided evenly; the rest goes by demand
 	buyersMax = 8192
 )
 
--- a/internal/mesh/understudy/understudy.go
+++ b/internal/mesh/understudy/understudy.go
@@ -15,7 +15,7 @@
 
 // Lease is how long a grant lasts.
 const (
-	Lease      = 1500 * time.Millisecond
+	Lease      = 1000 * time.Millisecond
 	driftShare = 0.05 // by which two steady clocks may differ, and what a step of the holder takes
 	renewEach  = Lease / 4
 	retryLeast = 150 * time.Millisecond
