A connection that the endpoint broke isolates nobody: its sidecar vouches for it

Ruled out: limits and queues (held 0 to 4). Change: an end of its own kind, Broken, told apart from a lost link.

--- a/internal/mesh/curtain/curtain.go
+++ b/internal/mesh/curtain/curtain.go
@@ -25,7 +25,7 @@
 	Ending      // this process is about to end
 
 	// May have run.
-	Lost   // the connection ended after it had gone out
+	Lost   // the link to the other sidecar ended after it had gone out
 	Spoilt // what came back is not its answer
 	Silent // no answer in time
 
@@ -36,6 +36,9 @@
 	TooLarge
 	HeadTooLarge
 	Slow // it did not come whole in time; not run
+
+	// May have run, too.
+	Broken // the endpoint broke its connection; its sidecar stands
 )
 
 // Entry is a kind's line of the table.
@@ -62,6 +65,7 @@
 	Unready:      {"unready", 503, true, false, false, 300 * time.Millisecond},
 	Ending:       {"ending", 503, true, false, false, 900 * time.Millisecond},
 	Lost:         {"lost", 502, false, true, true, 0},
+	Broken:       {"broken", 502, false, false, true, 0},
 	Spoilt:       {"spoilt", 502, false, false, true, 0},
 	Silent:       {"silent", 504, false, false, false, 0},
 	NoRoute:      {"no route", 404, true, false, false, 0},
--- a/internal/mesh/foyer/cast.go
+++ b/internal/mesh/foyer/cast.go
@@ -191,7 +191,7 @@
 		return gingerlead.Moot
 	case curtain.Lost:
 		return gingerlead.Reset
-	case curtain.Spoilt:
+	case curtain.Spoilt, curtain.Broken: // of one connection; the endpoint's own sidecar says if it is down
 		return gingerlead.Spoilt
 	}
 	if quit {
--- a/internal/mesh/stagedoor/endpoint.go
+++ b/internal/mesh/stagedoor/endpoint.go
@@ -86,13 +86,13 @@
 	began := now()
 	o.Arrived = true
 	if _, err := c.Write(head); err != nil {
-		o.Kind = curtain.Lost
+		o.Kind = curtain.Broken
 		return o
 	}
 	for range strangers {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: p.Method})
 		if err != nil {
-			o.Kind = curtain.Lost
+			o.Kind = curtain.Broken
 			if !isBroken(err) {
 				o.Kind = curtain.Spoilt
 			}
--- a/internal/mesh/stagedoor/stagedoor.go
+++ b/internal/mesh/stagedoor/stagedoor.go
@@ -155,12 +155,12 @@
 // run brings a request to the endpoint and its outcome back.
 func (d *Door) run(j *job) {
 	o := d.attempt(j)
-	if o.Kind == curtain.Lost && j.quit {
+	if o.Kind == curtain.Broken && j.quit {
 		o.Kind = curtain.Silent
 	}
 	d.mu.Lock()
 	if c := j.conn; c != nil {
-		if j.conn = nil; c.broken || o.Kind == curtain.Lost || o.Kind == curtain.Spoilt || o.Kind == curtain.Silent || j.quit {
+		if j.conn = nil; c.broken || o.Kind == curtain.Broken || o.Kind == curtain.Spoilt || o.Kind == curtain.Silent || j.quit {
 			c.Close()
 		} else {
 			_ = c.SetDeadline(time.Time{})
@@ -194,7 +194,7 @@
 	}
 	_ = c.SetDeadline(time.Now().Add(left))
 	o := exchange(c, j.p, appendRequest(nil, j.p, left), d.now)
-	if o.Kind == curtain.Lost && d.now() >= j.deadline-time.Millisecond {
+	if o.Kind == curtain.Broken && d.now() >= j.deadline-time.Millisecond {
 		o.Kind = curtain.Silent
 	}
 	return o
