--- a/internal/mesh/backstage/tickets.go
+++ b/internal/mesh/backstage/tickets.go
@@ -21,6 +21,7 @@
 	dutyTeller  = "teller" // sells tokens of tenants' limits
 	ticketsLook = 40 * time.Millisecond
 	ticketsMost = 120 * time.Millisecond // until wishes without an answer go elsewhere
+	firstMost   = 6 * time.Second        // from the system's first start: nobody can have sold much before
 	directEach  = time.Second            // while a neighbour brings them on: the teller itself is tried again
 )
 
@@ -277,7 +278,7 @@
 	if d.teller.Take(now, asked, voter, a) {
 		epoch, _ := d.teller.Holds(now)
 		d.crew.o.Log.WithField("epoch", epoch).Info("backstage: teller")
-		d.office = boxoffice.NewTeller(now, d.first && epoch == 1, d.crew.limit)
+		d.office = boxoffice.NewTeller(now, d.first && now < firstMost, d.crew.limit)
 		d.office.Sidecars(d.sidecars())
 	}
 }
--- a/internal/mesh/cue/hub.go
+++ b/internal/mesh/cue/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,7 +18,8 @@
 	Log     *logrus.Logger
 	self    Hello
 	start   time.Time
-	most    int // bytes of one ask that this process has room for
+	most    int          // bytes of asks that this process has room for
+	held    atomic.Int64 // bytes of asks that are not answered, and of answers that are not whole
 	mu      sync.Mutex
 	links   map[string]*Link
 	taken   map[*Link]bool
@@ -26,7 +28,7 @@
 	closing bool
 }
 
-// NewHub makes a hub. most bounds the bytes of one ask that it takes.
+// NewHub makes a hub. most bounds the bytes of the asks that it takes, one or all together.
 func NewHub(self Hello, start time.Time, most int, log *logrus.Logger) *Hub {
 	self.Version = version
 	h := &Hub{Log: log, self: self, start: start, most: most, links: map[string]*Link{}, taken: map[*Link]bool{},
--- a/internal/mesh/cue/link.go
+++ b/internal/mesh/cue/link.go
@@ -46,6 +46,7 @@
 	off    int
 	sent   bool
 	in     []byte
+	held   int // bytes of it, counted in the hub
 	quit   bool
 }
 
@@ -59,6 +60,14 @@
 	method  uint64
 	quit    func()
 	over    bool // the asker has given up or is gone
+	held    int  // bytes of its body, counted in the hub
+	skip    bool // there is no room for it: it is answered by nothing, and not handed over
+}
+
+// let lets go of what is counted for its body.
+func (c *Call) let() {
+	c.link.hub.held.Add(-int64(c.held))
+	c.held = 0
 }
 
 // OnWithdrawn has f called, once, when the asker has given up or is gone; at once if that is so already.
@@ -189,6 +198,7 @@
 		return
 	}
 	delete(l.calls, c.stream)
+	c.let()
 	l.streams.PushBack(&reply{stream: c.stream, body: body})
 	l.mu.Unlock()
 	l.rouse()
@@ -203,6 +213,15 @@
 	}
 	l.dead, l.why = true, why
 	asks, calls := l.asks, l.calls
+	for _, c := range l.parts {
+		c.let()
+	}
+	for _, c := range calls {
+		c.let()
+	}
+	for _, a := range asks {
+		l.hub.held.Add(-int64(a.held))
+	}
 	l.asks, l.calls, l.parts = map[uint64]*Ask{}, map[uint64]*Call{}, map[uint64]*Call{}
 	l.streams.Clear()
 	l.urgent.Clear()
@@ -337,7 +356,10 @@
 		return l.asked(e)
 	case withdraw:
 		c := l.calls[e.stream]
-		delete(l.parts, e.stream)
+		if p := l.parts[e.stream]; p != nil {
+			p.let()
+			delete(l.parts, e.stream)
+		}
 		l.mu.Unlock()
 		if c != nil {
 			c.withdrawn()
@@ -352,6 +374,10 @@
 			l.mu.Unlock()
 			return trace.LimitExceeded("an answer of over %d bytes", messageMost)
 		}
+		if !e.last { // the whole is the asker's; what is not whole yet is counted here
+			l.hub.held.Add(int64(len(e.body)))
+			a.held += len(e.body)
+		}
 		if a.in == nil {
 			a.in = e.body
 		} else {
@@ -359,6 +385,7 @@
 		}
 		if e.last {
 			delete(l.asks, e.stream)
+			l.hub.held.Add(-int64(a.held))
 		}
 		l.mu.Unlock()
 		if e.last {
@@ -390,6 +417,11 @@
 		l.mu.Unlock()
 		return trace.LimitExceeded("an ask of over %d bytes", len(c.Body))
 	}
+	c.held += len(e.body)
+	if l.hub.held.Add(int64(len(e.body))) > int64(l.hub.most) { // all together: it is not run, and the asker hears so
+		c.skip, c.Body = true, nil
+		c.let()
+	}
 	if !e.last {
 		l.parts[e.stream] = c
 		l.mu.Unlock()
@@ -398,6 +430,10 @@
 	delete(l.parts, e.stream)
 	l.calls[e.stream] = c
 	l.mu.Unlock()
+	if c.skip {
+		c.AnswerBytes(nil)
+		return nil
+	}
 	l.hub.handle(c)
 	return nil
 }
--- a/internal/mesh/foyer/cast.go
+++ b/internal/mesh/foyer/cast.go
@@ -165,6 +165,9 @@
 		}
 		return &stagedoor.Outcome{Kind: curtain.Unreachable}
 	}
+	if len(body) == 0 { // it has no room for it, or does not know the call: not run
+		return &stagedoor.Outcome{Kind: curtain.Full}
+	}
 	o := &stagedoor.Outcome{}
 	if err := script.Read(body, o); err != nil || o.Kind == 0 {
 		return &stagedoor.Outcome{Kind: curtain.Spoilt, Arrived: true}
--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -28,6 +28,7 @@
 	Service string // of the endpoint on this machine: where requests begin
 	Log     *logrus.Logger
 	Seed    uint64
+	Bodies  int64                // bytes of clients' bodies that there is room for
 	Refresh func(service string) // asks for the endpoints of a service anew
 	// Take takes a request out of a tenant's limit; done is called once, with when to come back if it is not there.
 	Take func(t *playbill.Tenant, done func(ok bool, back time.Duration))
@@ -44,6 +45,7 @@
 	next     uint64
 	sidecars int
 	open     atomic.Int64 // requests under way
+	bodies   atomic.Int64 // bytes of their bodies
 	ending   atomic.Bool
 }
 
@@ -61,6 +63,7 @@
 	last     *stagedoor.Outcome
 	mayRun   bool
 	done     bool
+	held     int64 // bytes of its body that are counted
 	answered chan result
 }
 
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -19,6 +19,7 @@
 	headMost    = 256 << 10 // bytes of a head that are read at all
 	headTime    = 5 * time.Second
 	restTime    = 90 * time.Second // that a connection stands idle
+	bodyFirst   = 64 << 10         // bytes that are made room for before they come
 	lapseMargin = 4 * time.Millisecond
 )
 
@@ -48,6 +49,7 @@
 	r, kind := d.admit(conf, q)
 	if kind == 0 {
 		kind = d.body(conf, w, q, r)
+		defer d.bodies.Add(-r.held)
 	}
 	if kind != 0 {
 		d.end(w, result{kind: kind, back: d.back(r, kind)})
@@ -178,12 +180,17 @@
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(r.deadline - d.Now()))
 	if q.ContentLength >= 0 {
-		p.Body = make([]byte, 0, q.ContentLength)
+		p.Body = make([]byte, 0, min(q.ContentLength+1, bodyFirst))
 	}
-	body, err := readAll(http.MaxBytesReader(w, q.Body, conf.Limits.BodyMax), p.Body)
+	body, err := readAll(http.MaxBytesReader(w, q.Body, conf.Limits.BodyMax), p.Body, func(n int) bool {
+		r.held += int64(n)
+		return d.bodies.Add(int64(n)) <= d.o.Bodies
+	})
 	var large *http.MaxBytesError
 	var timeout net.Error
 	switch {
+	case errors.Is(err, errNoRoom):
+		return curtain.Overloaded
 	case errors.As(err, &large):
 		return curtain.TooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -196,13 +203,19 @@
 	return 0
 }
 
-func readAll(r io.Reader, b []byte) ([]byte, error) {
+var errNoRoom = errors.New("no room for the body")
+
+// readAll reads a body; room is told of the bytes as they come, and says whether there is room for them.
+func readAll(r io.Reader, b []byte, room func(n int) bool) ([]byte, error) {
 	for {
 		if len(b) == cap(b) {
 			b = append(b, 0)[:len(b)]
 		}
 		n, err := r.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
+		if n > 0 && !room(n) {
+			return nil, errNoRoom
+		}
 		if err == io.EOF {
 			return b, nil
 		}
--- a/internal/mesh/house/access.go
+++ b/internal/mesh/house/access.go
@@ -20,6 +20,9 @@
 const (
 	endNotice = 2400 * time.Millisecond // two looks at readiness, and more
 	endMargin = 500 * time.Millisecond  // before SIGKILL
+
+	bodyShare   = 0.3      // of the machine's memory, for clients' bodies
+	bodiesLeast = 68 << 20 // bytes: the largest body there may be
 )
 
 // Access runs the sidecar beside an endpoint until it is told to end.
@@ -32,7 +35,7 @@
 	a.door = stagedoor.New(p.sheet.App, p.hub.Now, p.log, func(life string) { a.crew.Ended(life, callboard.Crashed) })
 	var tickets *backstage.Tickets
 	a.desk = foyer.New(foyer.Options{Hub: p.hub, Door: a.door, Bounds: p.sheet.Bounds, Service: p.sheet.Service, Log: p.log,
-		Seed: p.seed, Refresh: func(s string) { a.crew.Refresh(s) },
+		Seed: p.seed, Bodies: max(int64(bodyShare*float64(p.sheet.MemoryMB<<20)), bodiesLeast), Refresh: func(s string) { a.crew.Refresh(s) },
 		Take: func(t *playbill.Tenant, done func(bool, time.Duration)) { tickets.Take(t, done) }})
 	a.crew = backstage.New(backstage.Options{Sheet: p.sheet, Hub: p.hub, Role: company.Access, Log: p.log, Seed: p.seed,
 		Configure: func(c *playbill.Config) { a.desk.Configure(c) }, Told: a.desk.Told, Sidecars: a.desk.Sidecars, Found: a.found})
--- a/internal/mesh/house/house.go
+++ b/internal/mesh/house/house.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	askMost    = 68 << 20 // bytes of one ask: the largest body, and its head
+	askMost    = 68 << 20 // bytes of asks at once: the largest body, and its head
 	gcPercent  = 150
 	heapShare  = 0.6 // of the machine's memory that the runtime keeps to
 	listenMost = 2 * time.Second
