The teller's cost no longer grows with tenants times sidecars; first requests wait a moment

Cause: with 82 sidecars and 82 tenants the teller spent ten times a sidecar's processor time: each wish for one tenant brought all of them, and each was weighed against all sidecars. Change: wishes only for tenants that want something, sums kept and made anew each 0.1 s. A test showed requests refused in the first moments of a system before any teller was reached: they wait 0.25 s at most.

--- a/internal/mesh/backstage/tickets.go
+++ b/internal/mesh/backstage/tickets.go
@@ -21,8 +21,9 @@
 	dutyTeller  = "teller" // sells tokens of tenants' limits
 	ticketsLook = 40 * time.Millisecond
 	ticketsMost = 120 * time.Millisecond // until wishes without an answer go elsewhere
-	firstMost   = 6 * time.Second        // from the system's first start: nobody can have sold much before
-	directEach  = time.Second            // while a neighbour brings them on: the teller itself is tried again
+	lookEach    = 300 * time.Millisecond
+	firstMost   = 6 * time.Second // from the system's first start: nobody can have sold much before
+	directEach  = time.Second     // while a neighbour brings them on: the teller itself is tried again
 )
 
 // Tickets is a sidecar's way to tenants' tokens.
@@ -183,6 +184,7 @@
 	voter  *understudy.Voter
 	teller *understudy.Candidate
 	office *boxoffice.Teller
+	looked time.Duration // at who is there
 }
 
 // Duties makes a core process's part in them and declares its calls. voters are those who vote for the register, too.
@@ -224,14 +226,20 @@
 func (d *Duties) step() {
 	voters := d.voters()
 	now := d.crew.o.Hub.Now()
-	rank := d.crew.coreRank()
 	d.mu.Lock()
-	d.teller.Rank(rank)
+	if now >= d.looked+lookEach {
+		d.looked = now
+		d.mu.Unlock()
+		rank, sidecars := d.crew.coreRank(), d.sidecars()
+		d.mu.Lock()
+		d.teller.Rank(rank)
+		if d.office != nil {
+			d.office.Sidecars(sidecars)
+		}
+	}
 	ask := d.teller.Tick(now, len(voters))
 	if _, ok := d.teller.Holds(now); !ok {
 		d.office = nil
-	} else if d.office != nil {
-		d.office.Sidecars(d.sidecars())
 	}
 	d.mu.Unlock()
 	if ask == nil {
--- a/internal/mesh/boxoffice/purse.go
+++ b/internal/mesh/boxoffice/purse.go
@@ -9,14 +9,16 @@
 	ahead      = 300 * time.Millisecond // of demand, that tokens are drawn for beforehand
 	demandOver = time.Second            // that demand is smoothed over, for tokens,
 	shareOver  = 8 * time.Second        // and for the standing share: many tenants ask less than once a second
+	renewEach  = 2 * time.Second        // between two wishes for one tenant where nothing is wanted
 	idleAfter  = 10 * time.Second       // a tenant without requests is not asked for
 	waitMost   = 60 * time.Millisecond  // that a request waits for a token
 	backMost   = 2 * time.Second
 	backAlone  = 250 * time.Millisecond
 	backLeast  = 30 * time.Millisecond
-	waitersMax = 1024 // of one tenant
-	savedMost  = 2.0  // requests that a sidecar on its own may save up, where its share is small
-	firstShare = 0.08 // of a tenant's rate, at most, that a sidecar takes which has never reached a teller
+	waitFirst  = 250 * time.Millisecond // the same where no teller has been reached yet
+	waitersMax = 1024                   // of one tenant
+	savedMost  = 2.0                    // requests that a sidecar on its own may save up, where its share is small
+	firstShare = 0.08                   // of a tenant's rate, at most, that a sidecar takes which has never reached a teller
 )
 
 // Purse is what one sidecar holds of the tenants' limits.
@@ -48,6 +50,7 @@
 	since   time.Duration // the oldest of those
 	asked   int           // of those, the first, that the wishes under way speak for
 	unused  float64       // tokens that ran out
+	renew   time.Duration // when its share is to be told and renewed
 }
 
 // NewPurse makes an empty one.
@@ -75,7 +78,7 @@
 	case now < k.until && k.tokens >= 1:
 		k.tokens--
 		done(true, 0)
-	case !p.Reached(now):
+	case !p.Reached(now) && p.met:
 		done(k.alone(now, p))
 	case now < k.denied:
 		done(false, p.back(k, k.denied-now))
@@ -138,7 +141,11 @@
 func (p *Purse) Tick(now time.Duration) (w []Wish, due bool) {
 	pressing := false
 	for name, k := range p.tenants {
-		if len(k.waiting) > 0 && now-k.since > waitMost {
+		most := waitMost
+		if !p.met {
+			most = waitFirst
+		}
+		if len(k.waiting) > 0 && now-k.since > most {
 			k.release(now, func() (bool, time.Duration) { return k.alone(now, p) })
 		}
 		if now-k.at > idleAfter && now >= k.shareTo {
@@ -158,6 +165,10 @@
 	}
 	for name, k := range p.tenants {
 		k.lapse(now)
+		if len(k.waiting) == 0 && !k.short(now) && k.unused < 1 && now < k.renew {
+			continue
+		}
+		k.renew = now + renewEach
 		x := Wish{Tenant: name, Demand: k.usual / (1 + float64(now-k.at)/float64(shareOver)), Share: k.share, Left: max(k.shareTo-now, 0), Unused: k.unused}
 		k.unused = 0
 		k.asked = len(k.waiting)
--- a/internal/mesh/boxoffice/teller.go
+++ b/internal/mesh/boxoffice/teller.go
@@ -12,7 +12,7 @@
 // gives; so what is let in never adds up to more than the limit, whoever is cut off.
 const (
 	valid     = 450 * time.Millisecond // of tokens, from when they were asked for, by the sidecar's clock
-	silent    = 350 * time.Millisecond // without a word: the teller counts the sidecar as on its own
+	silent    = 300 * time.Millisecond // without a word: the teller counts the sidecar as on its own
 	shareFor  = 10 * time.Second       // lease of a standing share
 	forget    = 2 * shareFor
 	evenShare = 0.2 // of the rate, that is divided evenly; the rest goes by demand
@@ -34,30 +34,41 @@
 	began   time.Duration
 	fresh   bool // nothing was granted before it began: the system starts for the first time
 	limits  func(tenant string) (Limit, bool)
-	pots    map[string]*pot
+	books   map[string]*book
 	buyers  map[string]*buyer // by address
 	missing int               // sidecars that are there and have not told of their shares yet
+	swept   time.Duration
 }
 
-type pot struct {
-	level float64
-	at    time.Duration
+// book is what the teller keeps of one tenant. Its sums are made anew every sumEach and kept up in between, so that a wish costs
+// the same whatever the number of sidecars.
+type book struct {
+	level   float64 // of the bucket
+	at      time.Duration
+	holders map[string]*share
+	demand  float64 // of all,
+	given   float64 // shares of all,
+	quiet   float64 // and of those that the teller has not heard of
+	summed  time.Duration
+	ever    bool
 }
 
 type buyer struct {
-	life   uint64
-	heard  time.Duration
-	shares map[string]*share
+	life  uint64
+	heard time.Duration
 }
 
 type share struct {
+	life         uint64
 	rate, demand float64
 	until        time.Duration
 }
 
+const sumEach = 100 * time.Millisecond
+
 // NewTeller begins the duty. The buckets start nearly empty: who had it before may have emptied them the moment before.
 func NewTeller(now time.Duration, fresh bool, limits func(string) (Limit, bool)) *Teller {
-	return &Teller{began: now, fresh: fresh, limits: limits, pots: map[string]*pot{}, buyers: map[string]*buyer{}}
+	return &Teller{began: now, fresh: fresh, limits: limits, books: map[string]*book{}, buyers: map[string]*buyer{}}
 }
 
 // Sidecars says which sidecars are there: those that have not told yet what share they hold may hold any.
@@ -77,115 +88,133 @@
 		if len(t.buyers) >= buyersMax {
 			return nil
 		}
-		b = &buyer{shares: map[string]*share{}}
+		b = &buyer{}
 		t.buyers[w.Who] = b
 		t.missing = max(t.missing-1, 0)
 	}
-	if b.life != w.Life {
-		b.life, b.shares = w.Life, map[string]*share{}
-	}
-	b.heard = now
-	for who, o := range t.buyers {
-		if now-o.heard > forget {
-			delete(t.buyers, who)
-		}
-	}
+	b.life, b.heard = w.Life, now
+	t.sweep(now)
 	var out []Ticket
 	for _, x := range w.Wishes {
 		limit, ok := t.limits(x.Tenant)
 		if !ok || limit.Rate <= 0 {
 			continue
 		}
-		s := b.shares[x.Tenant]
-		if s == nil {
-			s = &share{}
-			b.shares[x.Tenant] = s
-		}
-		s.demand = max(x.Demand, 0)
-		if x.Left > 0 {
-			s.rate, s.until = max(x.Share, 0), now+min(x.Left, shareFor)
-		} else {
-			s.rate = 0
-		}
-		tk := t.sell(now, x, limit)
-		s.rate = max(s.rate, t.allot(now, x.Tenant, s, limit))
-		tk.Share, tk.Left = t.allot(now, x.Tenant, s, limit), shareFor
-		s.until = now + shareFor
-		out = append(out, tk)
+		out = append(out, t.sell(now, w, x, limit))
 	}
 	return out
 }
 
-// sell gives tokens out of a tenant's bucket.
-func (t *Teller) sell(now time.Duration, x Wish, limit Limit) Ticket {
-	p := t.pots[x.Tenant]
-	if p == nil {
-		p = &pot{at: t.began}
-		if p.level = min(limit.Burst, spareFirst*limit.Spare); t.fresh {
-			p.level = limit.Burst
+// sweep forgets sidecars that have been silent for long, and tenants that are gone.
+func (t *Teller) sweep(now time.Duration) {
+	if now-t.swept < time.Second {
+		return
+	}
+	t.swept = now
+	for who, o := range t.buyers {
+		if now-o.heard > forget {
+			delete(t.buyers, who)
 		}
-		t.pots[x.Tenant] = p
 	}
-	rate := max(limit.Rate-t.reserved(now, x.Tenant, limit), 0)
-	p.level = min(p.level+rate*(now-p.at).Seconds()+min(max(x.Unused, 0), limit.Burst), max(limit.Burst, 1))
-	p.at = now
-	tk := Ticket{Tenant: x.Tenant}
-	switch {
-	case x.Tokens <= 0:
-	case p.level >= x.Tokens:
-		tk.Tokens = x.Tokens
-	case p.level >= 1:
-		tk.Tokens = float64(int(p.level))
+	for name := range t.books {
+		if _, ok := t.limits(name); !ok {
+			delete(t.books, name)
+		}
 	}
-	p.level -= tk.Tokens
-	if tk.Tokens < x.Tokens {
-		tk.Back = shareFor
-		if rate > 0 {
-			tk.Back = min(time.Duration((1-min(p.level, 1)+x.Tokens-tk.Tokens)/rate*float64(time.Second)), shareFor)
+}
+
+// sell takes one wish: tokens out of the tenant's bucket, and a standing share.
+func (t *Teller) sell(now time.Duration, w *Wishes, x Wish, limit Limit) Ticket {
+	k := t.books[x.Tenant]
+	if k == nil {
+		k = &book{at: t.began, level: min(limit.Burst, spareFirst*limit.Spare), holders: map[string]*share{}}
+		if t.fresh {
+			k.level = limit.Burst
 		}
+		t.books[x.Tenant] = k
+	}
+	k.sum(now, t.buyers)
+	s := k.holders[w.Who]
+	if s == nil {
+		s = &share{}
+		k.holders[w.Who] = s
 	}
+	told := 0.0 // what it holds by its own word, which is the truth
+	if x.Left > 0 {
+		told = max(x.Share, 0)
+	}
+	s.life = w.Life
+	k.set(s, told, max(x.Demand, 0))
+	tk := t.tokens(now, k, x, limit)
+	tk.Share, tk.Left = t.allot(now, k, s, limit), shareFor
+	k.set(s, max(told, tk.Share), s.demand) // until it says that it has the new one
+	s.until = now + shareFor
 	return tk
 }
 
-// reserved is what of a tenant's rate those may let in that the teller has not heard of.
-func (t *Teller) reserved(now time.Duration, tenant string, limit Limit) float64 {
-	quiet, known := 0.0, 0.0
-	for _, b := range t.buyers {
-		s := b.shares[tenant]
-		if s == nil || now >= s.until {
+// sum makes the sums of a book anew.
+func (k *book) sum(now time.Duration, buyers map[string]*buyer) {
+	if k.ever && now-k.summed < sumEach {
+		return
+	}
+	k.ever, k.summed = true, now
+	k.demand, k.given, k.quiet = 0, 0, 0
+	for _, who := range slices.Sorted(maps.Keys(k.holders)) {
+		s, b := k.holders[who], buyers[who]
+		if now >= s.until || b != nil && b.life != s.life { // another life of it holds nothing of this one's
+			delete(k.holders, who)
 			continue
 		}
-		known += s.rate
-		if now-b.heard > silent {
-			quiet += s.rate
+		k.demand += s.demand
+		k.given += s.rate
+		if b == nil || now-b.heard > silent {
+			k.quiet += s.rate
 		}
 	}
+}
+
+func (k *book) set(s *share, rate, demand float64) {
+	k.given += rate - s.rate
+	k.demand += demand - s.demand
+	s.rate, s.demand = rate, demand
+}
+
+// tokens gives tokens out of a tenant's bucket.
+func (t *Teller) tokens(now time.Duration, k *book, x Wish, limit Limit) Ticket {
+	reserved := k.quiet
 	if !t.fresh && now-t.began < shareFor && (t.missing > 0 || now-t.began < time.Second) {
-		quiet += max(limit.Rate-known, 0) // shares that were granted before its time
+		reserved += max(limit.Rate-k.given, 0) // shares that were granted before its time
 	}
-	return quiet
+	rate := max(limit.Rate-reserved, 0)
+	k.level = min(k.level+rate*(now-k.at).Seconds()+min(max(x.Unused, 0), limit.Burst), max(limit.Burst, 1))
+	k.at = now
+	tk := Ticket{Tenant: x.Tenant}
+	switch {
+	case x.Tokens <= 0:
+	case k.level >= x.Tokens:
+		tk.Tokens = x.Tokens
+	case k.level >= 1:
+		tk.Tokens = float64(int(k.level))
+	}
+	k.level -= tk.Tokens
+	if tk.Tokens < x.Tokens {
+		tk.Back = shareFor
+		if rate > 0 {
+			tk.Back = min(time.Duration((1-min(k.level, 1)+x.Tokens-tk.Tokens)/rate*float64(time.Second)), shareFor)
+		}
+	}
+	return tk
 }
 
 // allot is the standing share that a sidecar may have: by demand, and no more than the others leave.
-func (t *Teller) allot(now time.Duration, tenant string, mine *share, limit Limit) float64 {
-	demand, others, n := 0.0, 0.0, 0
-	for _, who := range slices.Sorted(maps.Keys(t.buyers)) {
-		n++
-		s := t.buyers[who].shares[tenant]
-		if s == nil {
-			continue
-		}
-		demand += s.demand
-		if s != mine && now < s.until {
-			others += s.rate
-		}
-	}
-	want := limit.Rate / float64(max(n+t.missing, 1))
-	if demand > 0 {
-		want = limit.Rate * (evenShare/float64(max(n+t.missing, 1)) + (1-evenShare)*mine.demand/demand)
-	}
+func (t *Teller) allot(now time.Duration, k *book, mine *share, limit Limit) float64 {
 	if !t.fresh && now-t.began < shareFor && t.missing > 0 {
 		return min(mine.rate, limit.Rate) // what the missing hold is not known yet
 	}
-	return max(min(want, limit.Rate-others), 0)
+	even := limit.Rate / float64(max(len(t.buyers)+t.missing, 1))
+	want := even
+	if k.demand > 0 {
+		want = evenShare*even + (1-evenShare)*limit.Rate*mine.demand/k.demand
+	}
+	return max(min(want, limit.Rate-(k.given-mine.rate)), 0)
 }
--- a/internal/mesh/house/house_test.go
+++ b/internal/mesh/house/house_test.go
@@ -362,6 +362,7 @@
 func TestSidecarEndsInOrder(t *testing.T) {
 	m := newMesh(t, "127.77.3")
 	m.ready()
+	before := len(m.apps["access-0"].Runs()) + len(m.apps["access-1"].Runs())
 	release := m.apps["access-0"].Hold()
 	other := m.apps["access-1"].Hold()
 	answers := make(chan answer, 4)
@@ -371,7 +372,15 @@
 			answers <- a
 		}()
 	}
-	m.until("requests are under way", func() bool { return len(m.apps["access-0"].Runs())+len(m.apps["access-1"].Runs()) > 4 })
+	m.until("requests are under way", func() bool {
+		select {
+		case a := <-answers:
+			m.Fatalf("a request was answered %d %s", a.status, a.body)
+		default:
+		}
+
+		return len(m.apps["access-0"].Runs())+len(m.apps["access-1"].Runs()) == before+4
+	})
 	x := m.machines["access-2"]
 	m.Assert(x.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	m.until("it says that it is not ready", func() bool {
