Large answers go out in turn within the machine's link, and are counted beforehand

Ruled out: compression between sidecars (answers don't compress: 103,483 to 103,498 bytes). Change: pieces of large messages paced below the link, in the order of coming; a request whose route gives large answers is taken only if its way back fits its aim.

--- a/internal/mesh/callsheet/callsheet.go
+++ b/internal/mesh/callsheet/callsheet.go
@@ -27,6 +27,7 @@
 	Folder                string // for data; empty where there is no disk
 	App, Service          string // the endpoint beside it, and its service; empty on machines without one
 	MemoryMB, Descriptors int
+	LinkMbps              float64
 	Ports                 [2]int // the first and last of those free for what processes say to each other
 	Seeds                 []string
 	Inbound, Outbound     string
@@ -90,7 +91,8 @@
 		InitialStart: r.flag("ownNode.initialStart"), Folder: r.text("ownNode.dataDirectory", false),
 		App: r.address("ownNode.applicationAddr"), Service: r.text("ownNode.serviceName", false),
 		MemoryMB: int(r.number("ownNode.limitSet.memoryMb", 256)), Descriptors: int(r.number("ownNode.limitSet.fdLimit", 1024)),
-		Inbound: r.address("network.listenAddresses.inbound"), Outbound: r.address("network.listenAddresses.outbound"),
+		LinkMbps: r.number("ownNode.limitSet.linkMbps", 0),
+		Inbound:  r.address("network.listenAddresses.inbound"), Outbound: r.address("network.listenAddresses.outbound"),
 		Readiness: r.address("network.listenAddresses.readiness"), Control: r.address("network.listenAddresses.control"),
 		Keepalive: r.time("platformProfile.keepalive", 1500*time.Millisecond), Regions: map[string]string{},
 		Tolerated: int(r.number("termTable.faultTolerance.machines", 0)),
--- a/internal/mesh/cue/cue_test.go
+++ b/internal/mesh/cue/cue_test.go
@@ -158,3 +158,42 @@
 		})
 	}
 }
+
+// A slow machine link is kept free for small messages: large ones take no more than their part of it, and go in turn.
+func TestLargeMessagesAreShaped(t *testing.T) {
+	c := qt.New(t)
+	s := shaper{rate: shapeShare * 8e6 / 8}
+	var line []*turn
+	for range 8 {
+		line = append(line, s.begin(&Link{wake: make(chan struct{}, 1)}, 2_000_000))
+	}
+	now, small, ends := time.Duration(0), 0, []int{}
+	for len(ends) < len(line) {
+		if n := int(now/(10*time.Millisecond)) - small; n > 0 { // 100 small ones a second
+			s.spend(now, n*1000)
+			small += n
+		}
+		least := time.Hour
+		for i, l := range line {
+			if l.left == 0 {
+				continue
+			}
+			wait := s.take(now, l)
+			for ; wait == 0 && l.left > 0; wait = s.take(now, l) {
+			}
+			if l.left == 0 {
+				s.end(l)
+				ends = append(ends, i)
+			}
+			least = min(least, max(wait, time.Millisecond))
+		}
+		now += least
+	}
+	bytes := 16_000_000 + small*1000
+	c.Assert(ends, qt.HasLen, 8)
+	for i, n := range ends { // those that came first have gone first
+		c.Assert(n-i < shapeTurns && i-n < shapeTurns, qt.IsTrue, qt.Commentf("%v", ends))
+	}
+	rate := float64(bytes) / now.Seconds()
+	c.Assert(rate < 1.01*s.rate && rate > 0.9*s.rate, qt.IsTrue, qt.Commentf("%v of %v", rate, s.rate))
+}
--- a/internal/mesh/cue/hub.go
+++ b/internal/mesh/cue/hub.go
@@ -18,7 +18,8 @@
 	Log     *logrus.Logger
 	self    Hello
 	start   time.Time
-	most    int          // bytes of asks that this process has room for
+	most    int // bytes of asks that this process has room for
+	shape   shaper
 	held    atomic.Int64 // bytes of asks that are not answered, and of answers that are not whole
 	mu      sync.Mutex
 	links   map[string]*Link
--- a/internal/mesh/cue/link.go
+++ b/internal/mesh/cue/link.go
@@ -48,6 +48,7 @@
 	in     []byte
 	held   int // bytes of it, counted in the hub
 	quit   bool
+	turn   *turn
 }
 
 // Call is an ask as the one who is asked has it.
@@ -96,6 +97,7 @@
 	stream uint64
 	body   []byte
 	off    int
+	turn   *turn
 }
 
 // Link is a connection to one neighbour. Whoever dialled asks, whoever accepted answers.
@@ -114,8 +116,9 @@
 	calls map[uint64]*Call
 	parts map[uint64]*Call // not whole yet
 
-	urgent  deque.Deque[envelope]
-	streams deque.Deque[any] // *Ask and *reply with something left to write
+	urgent deque.Deque[envelope]
+	small  deque.Deque[any] // *Ask and *reply that fit into one piece,
+	large  deque.Deque[any] // and those with several left to write, in turn
 
 	heard   time.Duration // a word, last
 	pinged  time.Duration // an unanswered ping; 0 for none
@@ -151,7 +154,7 @@
 	l.next++
 	a.link, a.stream = l, l.next
 	l.asks[a.stream] = a
-	l.streams.PushBack(a)
+	l.line(a, len(a.body))
 	if len(l.asks) == 1 {
 		l.heard = l.hub.Now() // silence counts from when something is awaited
 	}
@@ -199,7 +202,7 @@
 	}
 	delete(l.calls, c.stream)
 	c.let()
-	l.streams.PushBack(&reply{stream: c.stream, body: body})
+	l.line(&reply{stream: c.stream, body: body}, len(body))
 	l.mu.Unlock()
 	l.rouse()
 }
@@ -223,7 +226,8 @@
 		l.hub.held.Add(-int64(a.held))
 	}
 	l.asks, l.calls, l.parts = map[uint64]*Ask{}, map[uint64]*Call{}, map[uint64]*Call{}
-	l.streams.Clear()
+	l.small.Clear()
+	l.drain()
 	l.urgent.Clear()
 	up := l.up
 	l.mu.Unlock()
@@ -243,28 +247,48 @@
 	}
 }
 
+// line puts a message in line; the lock is held.
+func (l *Link) line(m any, size int) {
+	if size <= pieceMost {
+		l.small.PushBack(m)
+	} else {
+		*m.(turner).slot() = l.hub.shape.begin(l, size)
+		l.large.PushBack(m)
+	}
+}
+
+// turner is a message that may be large.
+type turner interface{ slot() **turn }
+
+func (a *Ask) slot() **turn   { return &a.turn }
+func (r *reply) slot() **turn { return &r.turn }
+
+// drain takes all large messages out of the line.
+func (l *Link) drain() {
+	for l.large.Len() > 0 {
+		l.hub.shape.end(*l.large.PopFront().(turner).slot())
+	}
+}
+
 // write is the link's one writer.
 func (l *Link) write() {
 	var buf []byte
-	for range l.wake {
+	var timer <-chan time.Time
+	for {
+		select {
+		case <-l.wake:
+		case <-timer:
+		}
+		timer = nil
 		for {
-			buf = buf[:0]
-			l.mu.Lock()
-			if l.dead {
-				l.mu.Unlock()
+			var wait time.Duration
+			if buf, wait = l.fill(buf[:0]); buf == nil {
 				return
 			}
-			now := l.hub.Now()
-			for l.urgent.Len() > 0 && len(buf) < 4*pieceMost {
-				e := l.urgent.PopFront()
-				e.clock = now
-				buf = appendFrame(buf, &e)
-			}
-			for l.streams.Len() > 0 && len(buf) < 4*pieceMost {
-				buf = l.piece(buf, now)
-			}
-			l.mu.Unlock()
 			if len(buf) == 0 {
+				if wait > 0 {
+					timer = time.After(wait)
+				}
 				break
 			}
 			if _, err := l.conn.Write(buf); err != nil {
@@ -278,14 +302,56 @@
 	}
 }
 
+// fill gathers what is to be written next: what is small first, then pieces of what is large as far as this process's share of
+// the machine's link allows. A wait says when there is more; nil that the link is dead.
+func (l *Link) fill(buf []byte) (_ []byte, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		return nil, 0
+	}
+	if buf == nil {
+		buf = []byte{}
+	}
+	now := l.hub.Now()
+	for l.urgent.Len() > 0 && len(buf) < 4*pieceMost {
+		e := l.urgent.PopFront()
+		e.clock = now
+		buf = appendFrame(buf, &e)
+	}
+	for l.small.Len() > 0 && len(buf) < 4*pieceMost {
+		buf = l.piece(buf, now, &l.small)
+	}
+	l.hub.shape.spend(now, len(buf))
+	for n := l.large.Len(); n > 0 && len(buf) < 4*pieceMost; n-- {
+		t := l.large.Front().(turner).slot()
+		if w := l.hub.shape.take(now, *t); w > 0 {
+			if wait == 0 || w < wait {
+				wait = w
+			}
+			l.large.Rotate(1)
+			continue
+		}
+		last := (*t).left == 0
+		buf = l.piece(buf, now, &l.large)
+		if last {
+			defer l.hub.shape.end(*t)
+		}
+	}
+	return buf, wait
+}
+
 // piece writes the next piece of the message whose turn it is.
-func (l *Link) piece(buf []byte, now time.Duration) []byte {
+func (l *Link) piece(buf []byte, now time.Duration, from *deque.Deque[any]) []byte {
 	e := envelope{clock: now}
 	var off *int
-	x := l.streams.PopFront()
+	x := from.PopFront()
 	switch m := x.(type) {
 	case *Ask:
 		if m.quit && !m.sent {
+			if m.turn != nil {
+				m.turn.left = 0
+			}
 			return buf
 		}
 		m.sent = len(m.body)-m.off <= pieceMost // the other side begins when it has the whole
@@ -296,7 +362,7 @@
 	e.body = e.body[*off:]
 	if len(e.body) > pieceMost {
 		e.body = e.body[:pieceMost]
-		l.streams.PushBack(x)
+		from.PushBack(x)
 	} else {
 		e.last = true
 	}
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -84,7 +84,7 @@
 		return r, curtain.NoRoute
 	}
 	p := &r.perform
-	p.Priority = r.route.Priority
+	p.Priority, p.Route = r.route.Priority, r.route.Name
 	keys := q.Header["Key"]
 	if conf.Keyed {
 		var tenant *playbill.Tenant
--- a/internal/mesh/house/house.go
+++ b/internal/mesh/house/house.go
@@ -53,6 +53,7 @@
 	p := &process{sheet: sheet, path: path, log: log, seed: rand.Uint64(), errors: make(chan error, 8)}
 	p.hub = cue.NewHub(cue.Hello{Life: rand.Uint64() | 1, Address: sheet.Internal(), Name: sheet.Name, Zone: sheet.Zone,
 		Service: sheet.Service}, time.Now(), askMost, log)
+	p.hub.Shape(sheet.LinkMbps * 1e6)
 	return p, nil
 }
 
--- a/internal/mesh/stagedoor/message.go
+++ b/internal/mesh/stagedoor/message.go
@@ -28,6 +28,7 @@
 	Repeatable bool
 	Aim        time.Duration // left until an answer is worth little, when it was sent
 	Left       time.Duration // left until the client gives up, when it was sent
+	Route      string        // its name: requests of one route are taken to be alike
 }
 
 // Fields names the fields of a Perform.
@@ -48,6 +49,7 @@
 	v.Bool(14, &p.Repeatable)
 	v.Time(15, &p.Aim)
 	v.Time(16, &p.Left)
+	v.Text(17, &p.Route)
 }
 
 // Outcome is how a Perform ended.
--- a/internal/mesh/stagedoor/stagedoor.go
+++ b/internal/mesh/stagedoor/stagedoor.go
@@ -30,10 +30,19 @@
 	jobs    map[uint64]*job
 	idle    deque.Deque[*connection] // the longest idle first
 	looking bool
-	dead    func(life string) // the endpoint refuses connections
-	refused int               // connections in a row
+	dead    func(life string)                // the endpoint refuses connections
+	refused int                              // connections in a row
+	sizes   map[string]float64               // mean bytes of an answer, by route
+	under   float64                          // expected bytes of the answers to come, of those that are large
+	way     func(more float64) time.Duration // back: how long what is in line, and more bytes, take; nil for no time
 }
 
+const (
+	sizeWeight = 0.1      // of one answer in the mean of their bytes
+	sizeLarge  = 16 << 10 // bytes from which on an answer waits for its turn on the machine's link
+	sizesMost  = 4096     // routes
+)
+
 // job is one request from its arrival to its outcome.
 type job struct {
 	token    uint64
@@ -43,11 +52,13 @@
 	conn     *connection
 	quit     bool
 	running  bool
+	large    float64 // bytes expected of its answer, if they wait for their turn
 }
 
 // New makes the door to an endpoint's address. dead is called, without locks, when the endpoint refuses connections.
 func New(address string, now func() time.Duration, log *logrus.Logger, dead func(life string)) *Door {
-	return &Door{address: address, now: now, log: log, gate: wings.New(), jobs: map[uint64]*job{}, dead: dead}
+	return &Door{address: address, now: now, log: log, gate: wings.New(), jobs: map[uint64]*job{}, dead: dead,
+		sizes: map[string]float64{}}
 }
 
 // Tell says what is known of the endpoint.
@@ -82,10 +93,22 @@
 
 // Perform takes a request; done is called once, on another goroutine. What it returns withdraws the request.
 func (d *Door) Perform(p *Perform, aim, deadline time.Duration, done func(*Outcome)) (withdraw func()) {
+	return d.perform(p, aim, deadline, false, done)
+}
+
+// perform is Perform; afar tells that the answer goes back over the machine's link, which may be the narrowest place.
+func (d *Door) perform(p *Perform, aim, deadline time.Duration, afar bool, done func(*Outcome)) (withdraw func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.next++
-	j := &job{token: d.next, p: p, deadline: deadline, done: done}
+	large := 0.0
+	if size := d.sizes[p.Route]; afar && d.way != nil && size > sizeLarge {
+		large = size
+		back := d.way(d.under + size)
+		aim, deadline = aim-back, deadline-back
+	}
+	d.under += large
+	j := &job{token: d.next, p: p, deadline: deadline, done: done, large: large}
 	d.jobs[j.token] = j
 	d.act(d.gate.Arrive(d.now(), wings.Arrival{Token: j.token, Endpoint: p.Endpoint, Service: p.Service,
 		Priority: p.Priority, Inner: p.Inner, Aim: aim, Deadline: deadline}))
@@ -115,6 +138,7 @@
 		return
 	}
 	delete(d.jobs, j.token)
+	d.under = max(d.under-j.large, 0)
 	o.Slots = d.gate.Life().Slots
 	o.Running, o.Waiting = d.gate.Load()
 	go j.done(o)
@@ -167,6 +191,14 @@
 			d.idle.PushBack(c)
 		}
 	}
+	if o.Kind == curtain.Answered {
+		if size, ok := d.sizes[j.p.Route]; ok || len(d.sizes) < sizesMost {
+			if !ok {
+				size = float64(len(o.Body))
+			}
+			d.sizes[j.p.Route] = size + sizeWeight*(float64(len(o.Body))-size)
+		}
+	}
 	steps := d.gate.Done(d.now(), j.token)
 	d.end(j, &o)
 	d.act(steps)
@@ -246,6 +278,7 @@
 
 // Serve declares the ask that brings requests from other sidecars.
 func (d *Door) Serve(h *cue.Hub) {
+	d.way = h.Backlog
 	h.Serve(MethodPerform, func(c *cue.Call) {
 		var p Perform
 		if err := script.Read(c.Body, &p); err != nil {
@@ -259,7 +292,7 @@
 			deadline = min(deadline, c.Expires)
 		}
 		aim := deadline - p.Left + p.Aim
-		withdraw := d.Perform(&p, aim, deadline, func(o *Outcome) { c.Answer(o) })
+		withdraw := d.perform(&p, aim, deadline, true, func(o *Outcome) { c.Answer(o) })
 		c.OnWithdrawn(withdraw)
 	})
 }
