--- /dev/null
+++ b/cmd/herald/main.go
@@ -0,0 +1,73 @@
+// Command herald follows the mesh's events, keeps them on disk and serves them to other tools.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"gingerlead/internal/mesh/feed"
+	"gingerlead/internal/mesh/herald"
+	"gingerlead/internal/mesh/trunk"
+)
+
+type line struct {
+	Core   []string `help:"Control addresses of core processes, the first one first." required:"" sep:","`
+	Listen string   `help:"Where tools read: GET /events?after=CURSOR&follow=1." default:"127.0.0.1:8170"`
+	Folder string   `help:"Where events are kept." required:"" type:"path"`
+	Keep   uint64   `help:"How many events are kept." default:"100000"`
+}
+
+func (l *line) Run() error {
+	store, err := trunk.Open(l.Folder)
+	if err != nil {
+		return trace.Wrap(err, "folder %s", l.Folder)
+	}
+	defer store.Close()
+	log, err := herald.OpenLog(store, l.Keep, rand.Uint64()|1)
+	if err != nil {
+		return trace.Wrap(err, "folder %s", l.Folder)
+	}
+	for _, a := range l.Core {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return trace.BadParameter("--core %s: wanted an address like 10.0.0.4:8080", a)
+		}
+	}
+	n, err := net.Listen("tcp", l.Listen)
+	if err != nil {
+		return trace.Wrap(err, "--listen %s", l.Listen)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	mux := http.NewServeMux()
+	mux.Handle("/events", feed.Handler(log))
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 32 << 10}
+	failed := make(chan error, 1)
+	go func() { failed <- s.Serve(n) }()
+	go herald.Follow(ctx, log, l.Core, logrus.StandardLogger())
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return trace.Wrap(err)
+	}
+}
+
+func main() {
+	var l line
+	k := kong.Parse(&l, kong.Name("herald"), kong.Description("Follows the mesh's events, keeps them, and serves them to other tools."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "herald:", trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
--- a/internal/mesh/backstage/config.go
+++ b/internal/mesh/backstage/config.go
@@ -6,6 +6,7 @@
 	"gingerlead/internal/mesh/boxoffice"
 	"gingerlead/internal/mesh/company"
 	"gingerlead/internal/mesh/cue"
+	"gingerlead/internal/mesh/marquee"
 	"gingerlead/internal/mesh/playbill"
 	"gingerlead/internal/mesh/script"
 )
@@ -36,14 +37,15 @@
 	c.limits.Store(&limits)
 	c.mu.Lock()
 	c.conf = configuration{Version: version, Text: text}
-	if c.o.Role == company.Access {
-		c.services = c.services[:0]
-		for _, s := range conf.Services {
-			c.services = append(c.services, s.Name)
-		}
+	c.services = c.services[:0]
+	for _, s := range conf.Services {
+		c.services = append(c.services, s.Name)
 	}
 	to := c.hear()
 	c.mu.Unlock()
+	if c.events != nil {
+		c.events.add(marquee.Event{Kind: marquee.ConfigInForce, Version: conf.Version.String()})
+	}
 	for _, address := range to {
 		c.send(address, methodNotice, &notice{Version: version}, nil)
 	}
--- a/internal/mesh/backstage/crew.go
+++ b/internal/mesh/backstage/crew.go
@@ -66,6 +66,7 @@
 	life        map[string]uint64 // of homes that were told
 	settings    sync.Mutex        // one configuration after the other
 	limits      atomic.Pointer[map[string]boxoffice.Limit]
+	events      *events // of core processes; nil elsewhere
 }
 
 // New makes a crew and declares its calls.
@@ -83,6 +84,8 @@
 	c.view.Seeds(0, o.Sheet.SeedPeers())
 	if o.Role == company.Access {
 		c.services = []string{o.Sheet.Service}
+	} else {
+		c.events = newEvents(h.Life)
 	}
 	cue.Handle(o.Hub, methodShuffle, c.shuffled)
 	cue.Handle(o.Hub, methodPost, c.posted)
@@ -239,6 +242,9 @@
 		if c.o.Told != nil {
 			c.o.Told(d.service, d.all)
 		}
+		if c.events != nil {
+			c.events.endpoints(d.all)
+		}
 		c.find(d.all)
 	}
 }
--- a/internal/mesh/backstage/tickets.go
+++ b/internal/mesh/backstage/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"gingerlead/internal/mesh/boxoffice"
 	"gingerlead/internal/mesh/company"
 	"gingerlead/internal/mesh/cue"
+	"gingerlead/internal/mesh/marquee"
 	"gingerlead/internal/mesh/playbill"
 	"gingerlead/internal/mesh/script"
 	"gingerlead/internal/mesh/understudy"
@@ -231,6 +233,7 @@
 		d.looked = now
 		d.mu.Unlock()
 		rank, sidecars := d.crew.coreRank(), d.sidecars()
+		d.crew.events.members(d.crew.Members())
 		d.mu.Lock()
 		d.teller.Rank(rank)
 		if d.office != nil {
@@ -238,8 +241,9 @@
 		}
 	}
 	ask := d.teller.Tick(now, len(voters))
-	if _, ok := d.teller.Holds(now); !ok {
+	if _, ok := d.teller.Holds(now); !ok && d.office != nil {
 		d.office = nil
+		d.crew.events.add(marquee.Event{Kind: marquee.DutyWent, Node: d.crew.o.Hub.Self().Address, Detail: dutyTeller})
 	}
 	d.mu.Unlock()
 	if ask == nil {
@@ -285,7 +289,8 @@
 	now := d.crew.o.Hub.Now()
 	if d.teller.Take(now, asked, voter, a) {
 		epoch, _ := d.teller.Holds(now)
-		d.crew.o.Log.WithField("epoch", epoch).Info("backstage: teller")
+		d.crew.events.add(marquee.Event{Kind: marquee.DutyCame, Node: d.crew.o.Hub.Self().Address,
+			Detail: fmt.Sprintf("%s, under number %d", dutyTeller, epoch)})
 		d.office = boxoffice.NewTeller(now, d.first && now < firstMost, d.crew.limit)
 		d.office.Sidecars(d.sidecars())
 	}
@@ -305,5 +310,11 @@
 	if !ok || d.office == nil || d.crew.limits.Load() == nil {
 		return &boxoffice.Tickets{Teller: d.teller.Holder(now)}
 	}
-	return &boxoffice.Tickets{Granted: true, Epoch: epoch, Teller: d.crew.o.Hub.Self().Address, Tickets: d.office.Take(now, w)}
+	a := &boxoffice.Tickets{Granted: true, Epoch: epoch, Teller: d.crew.o.Hub.Self().Address, Tickets: d.office.Take(now, w)}
+	for i := range a.Tickets {
+		if a.Tickets[i].Back > 0 {
+			d.crew.events.hit(now, a.Tickets[i].Tenant)
+		}
+	}
+	return a
 }
--- /dev/null
+++ b/internal/mesh/feed/feed.go
@@ -0,0 +1,119 @@
+// Package feed serves a feed of events over HTTP: JSON lines, or server-sent events where they are asked for.
+package feed
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"gingerlead/internal/mesh/marquee"
+)
+
+const (
+	most       = 256 // events in one answer, or one write of a stream
+	waitMost   = 25 * time.Second
+	readersMax = 32 // at once
+)
+
+// Source is what keeps events; more is closed when there are newer ones.
+type Source interface {
+	After(c marquee.Cursor, most int, f marquee.Filter) (out []marquee.Event, next marquee.Cursor, more <-chan struct{}, err error)
+}
+
+// Handler serves GET /events?after=CURSOR&service=&tenant=&zone=&follow=1. Without follow it answers with what is there, and waits
+// a while if there is nothing. A reader that is slow misses nothing but what is no longer kept, which it is told.
+func Handler(source Source) http.Handler {
+	var readers atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Method != http.MethodGet {
+			http.Error(w, "GET only", http.StatusMethodNotAllowed)
+			return
+		}
+		query := q.URL.Query()
+		after := query.Get("after")
+		if id := q.Header.Get("Last-Event-ID"); id != "" {
+			after = id
+		}
+		cursor, err := marquee.ParseCursor(after)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		defer readers.Add(-1)
+		if readers.Add(1) > readersMax {
+			w.Header().Set("Retry-After", "5")
+			http.Error(w, "too many readers", http.StatusServiceUnavailable)
+			return
+		}
+		follow, _ := strconv.ParseBool(query.Get("follow"))
+		r := reader{w: w, out: http.NewResponseController(w), stream: q.Header.Get("Accept") == "text/event-stream"}
+		w.Header().Set("Content-Type", map[bool]string{true: "text/event-stream", false: "application/x-ndjson"}[r.stream])
+		filter := marquee.Filter{Service: query.Get("service"), Tenant: query.Get("tenant"), Zone: query.Get("zone")}
+		for end := time.After(waitMost); ; {
+			got, next, more, err := source.After(cursor, most, filter)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			if cursor = next; len(got) > 0 {
+				if r.write(got) != nil || !follow {
+					return
+				}
+				continue
+			}
+			select {
+			case <-more:
+			case <-q.Context().Done():
+				return
+			case <-end:
+				if !follow || r.breathe() != nil {
+					return
+				}
+				end = time.After(waitMost)
+			}
+		}
+	})
+}
+
+// reader is one client of a feed.
+type reader struct {
+	w      io.Writer
+	out    *http.ResponseController
+	stream bool
+}
+
+func (r *reader) write(all []marquee.Event) error {
+	_ = r.out.SetWriteDeadline(time.Now().Add(waitMost)) // one that does not read is left
+	for _, e := range all {
+		text, err := json.Marshal(e)
+		if err != nil {
+			return err
+		}
+		if r.stream {
+			_, err = fmt.Fprintf(r.w, "id: %s\nevent: %s\ndata: %s\n\n", e.Cursor, e.Kind, text)
+		} else {
+			_, err = fmt.Fprintf(r.w, "%s\n", text)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return r.out.Flush()
+}
+
+// breathe says that the stream is still there.
+func (r *reader) breathe() error {
+	_ = r.out.SetWriteDeadline(time.Now().Add(waitMost))
+	text := "\n"
+	if r.stream {
+		text = ": still here\n\n"
+	}
+	if _, err := io.WriteString(r.w, text); err != nil {
+		return err
+	}
+	return r.out.Flush()
+}
--- /dev/null
+++ b/internal/mesh/herald/herald.go
@@ -0,0 +1,215 @@
+// Package herald follows the mesh's feed of events for other tools, and keeps its own copy of it on disk: a tool's cursor outlives
+// restarts of the tool, of the herald and of the core process that it follows. What can't be known is told as a gap.
+package herald
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"gingerlead/internal/mesh/marquee"
+)
+
+const (
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 5 * time.Second
+	silentMost = 40 * time.Second // without a line: the stream says something every 25 s
+	lineMost   = 64 << 10
+	headKey    = "head"
+)
+
+// Store is where events are kept: a few records, each under its key (trunk.Trunk).
+type Store interface {
+	Get(key string) ([]byte, error)
+	Put(key string, data []byte) error
+}
+
+// Log keeps the newest events under numbers of its own, in a ring of records.
+type Log struct {
+	mu    sync.Mutex
+	store Store
+	most  uint64
+	head  head
+	news  chan struct{}
+}
+
+// head is the first record: what the log holds, and how far it had come with the core.
+type head struct {
+	Life uint64 `json:"life"` // of the log, new when its folder was empty
+	Next uint64 `json:"next"`
+	Core string `json:"core"` // cursor at the core process
+	From string `json:"from"` // that process
+}
+
+// OpenLog reads a log; life is what a new one is called.
+func OpenLog(s Store, most uint64, life uint64) (*Log, error) {
+	l := &Log{store: s, most: max(most, 1), head: head{Life: life, Next: 1}, news: make(chan struct{})}
+	data, err := s.Get(headKey)
+	if err != nil && !trace.IsNotFound(err) {
+		return nil, trace.Wrap(err)
+	}
+	if len(data) > 0 {
+		if err := json.Unmarshal(data, &l.head); err != nil {
+			return nil, trace.BadParameter("record %q: %v", headKey, err)
+		}
+	}
+	return l, nil
+}
+
+func (l *Log) slot(n uint64) string { return "event/" + strconv.FormatUint(n%l.most, 10) }
+
+// Add keeps an event that came from a core process, whose cursor was then core. The event is on disk before the head says so; one
+// that was kept and not noted is kept once more after a crash, under the same number.
+func (l *Log) Add(e marquee.Event, from, core string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.head
+	e.Cursor = marquee.Cursor{Life: h.Life, Number: h.Next}.String()
+	text, err := json.Marshal(e)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := l.store.Put(l.slot(h.Next), text); err != nil {
+		return trace.Wrap(err)
+	}
+	h.Next++
+	h.Core, h.From = core, from
+	if text, err = json.Marshal(h); err == nil {
+		err = l.store.Put(headKey, text)
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	l.head = h
+	close(l.news)
+	l.news = make(chan struct{})
+	return nil
+}
+
+// Followed is where the log stands at the core.
+func (l *Log) Followed() (from, cursor string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.head.From, l.head.Core
+}
+
+// After gives up to most events after a cursor that the filter lets through, the cursor to go on from, and what is closed when
+// there is more.
+func (l *Log) After(c marquee.Cursor, most int, filter marquee.Filter) ([]marquee.Event, marquee.Cursor, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := uint64(1)
+	if l.head.Next > l.most {
+		first = l.head.Next - l.most
+	}
+	var out []marquee.Event
+	at, gap := c.Number+1, ""
+	switch {
+	case c == marquee.Cursor{}:
+		at = first
+	case c.Life != l.head.Life:
+		gap, at = "the cursor is of another log, or of one whose disk was lost", first
+	case c.Number >= l.head.Next:
+		gap, at = "the cursor is ahead of the log", first
+	case at < first:
+		gap, at = fmt.Sprintf("%d events are no longer kept", first-at), first
+	}
+	if gap != "" {
+		out = append(out, marquee.Event{Cursor: marquee.Cursor{Life: l.head.Life, Number: at - 1}.String(), Kind: marquee.Gap, Detail: gap})
+	}
+	for ; at < l.head.Next && len(out) < most; at++ {
+		data, err := l.store.Get(l.slot(at))
+		if err != nil {
+			return out, c, l.news, trace.Wrap(err)
+		}
+		var e marquee.Event
+		if err := json.Unmarshal(data, &e); err != nil {
+			return out, c, l.news, trace.BadParameter("record %q: %v", l.slot(at), err)
+		}
+		if filter.Passes(&e) {
+			out = append(out, e)
+		}
+	}
+	return out, marquee.Cursor{Life: l.head.Life, Number: at - 1}, l.news, nil
+}
+
+// Follow follows the feeds of core processes, one at a time, until ctx ends.
+func Follow(ctx context.Context, l *Log, cores []string, log *logrus.Logger) {
+	pause := retryLeast
+	for i := 0; ctx.Err() == nil; i++ {
+		from, cursor := l.Followed()
+		core := cores[i%len(cores)]
+		if i == 0 && from != "" {
+			core = from // where the cursor means something
+		}
+		if core != from && from != "" {
+			// Another process has seen other events in another order: what lies between is not known here.
+			cursor = ""
+			if err := l.Add(marquee.Event{Kind: marquee.Gap, Node: core, Time: time.Now().UTC().Format(time.RFC3339Nano),
+				Detail: "another core process is followed now; what it kept comes next"}, core, ""); err != nil {
+				log.Warn("herald: " + err.Error())
+			}
+		}
+		n, err := follow(ctx, l, core, cursor)
+		if err != nil && ctx.Err() == nil {
+			log.WithField("core", core).Warn("herald: " + err.Error())
+		}
+		if pause = min(2*pause, retryMost); n > 0 {
+			pause = retryLeast
+			i-- // the same once more: it may only have started again
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// follow reads one stream to its end; it says how many events came.
+func follow(ctx context.Context, l *Log, core, cursor string) (n int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+core+"/events?follow=1&after="+url.QueryEscape(cursor), nil)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	alarm := time.AfterFunc(silentMost, cancel)
+	defer alarm.Stop()
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return 0, trace.BadParameter("%s answers %s", core, r.Status)
+	}
+	lines := bufio.NewScanner(r.Body)
+	lines.Buffer(make([]byte, 4<<10), lineMost)
+	for lines.Scan() {
+		alarm.Reset(silentMost)
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var e marquee.Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return n, trace.BadParameter("%s: line %d: %v", core, n+1, err)
+		}
+		if err := l.Add(e, core, e.Cursor); err != nil {
+			return n, trace.Wrap(err)
+		}
+		n++
+	}
+	if err := lines.Err(); err != nil {
+		return n, trace.Wrap(err)
+	}
+	return n, trace.ConnectionProblem(nil, "the stream ended")
+}
--- a/internal/mesh/house/core.go
+++ b/internal/mesh/house/core.go
@@ -40,13 +40,16 @@
 	}
 	duties := crew.Duties(desk.Voters, p.sheet.InitialStart)
 	close(ready)
-	beats, operator := crew.Beats(nil), desk.Handler()
+	beats, operator, events := crew.Beats(nil), desk.Handler(), crew.Events()
 	err = p.serve(small(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if strings.HasPrefix(q.URL.Path, "/configuration/") {
+		switch {
+		case strings.HasPrefix(q.URL.Path, "/configuration/"):
 			operator.ServeHTTP(w, q)
-			return
+		case q.URL.Path == "/events":
+			events.ServeHTTP(w, q)
+		default:
+			beats.ServeHTTP(w, q)
 		}
-		beats.ServeHTTP(w, q)
 	})), p.sheet.Control)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/mesh/marquee/marquee.go
@@ -0,0 +1,120 @@
+// Package marquee is the feed of events: what changed in the mesh, in order, for tools beside it. A reader holds a cursor; what it
+// has missed beyond what is kept is told as a gap, never skipped. It does no I/O.
+package marquee
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Kinds of events; the list is closed, and readers pass over those of later versions.
+const (
+	EndpointServes    = "endpoint_serves"
+	EndpointDrains    = "endpoint_drains"
+	EndpointLeft      = "endpoint_left"    // in order
+	EndpointCrashed   = "endpoint_crashed" // or nobody vouches for it any more
+	ConfigInForce     = "configuration_in_force"
+	DutyCame          = "duty_came"
+	DutyWent          = "duty_went"
+	QuotaHit          = "quota_hit"
+	MachineInTouch    = "machine_in_touch"
+	MachineOutOfTouch = "machine_out_of_touch"
+	Gap               = "gap" // events are missing here; Detail says why
+)
+
+// Event is one change. Fields that don't apply are empty.
+type Event struct {
+	Cursor   string `json:"cursor"`
+	Time     string `json:"time,omitempty"` // RFC 3339, by the clock of the process that saw it
+	Kind     string `json:"kind"`
+	Node     string `json:"node,omitempty"`
+	Zone     string `json:"zone,omitempty"`
+	Service  string `json:"service,omitempty"`
+	Endpoint string `json:"endpoint,omitempty"`
+	Tenant   string `json:"tenant,omitempty"`
+	Version  string `json:"version,omitempty"`
+	Detail   string `json:"detail,omitempty"`
+}
+
+// Filter lets events through that agree with all of its fields that are not empty; gaps always pass.
+type Filter struct{ Service, Tenant, Zone string }
+
+// Passes tells whether an event is let through.
+func (f Filter) Passes(e *Event) bool {
+	return e.Kind == Gap || (f.Service == "" || f.Service == e.Service) && (f.Tenant == "" || f.Tenant == e.Tenant) &&
+		(f.Zone == "" || f.Zone == e.Zone)
+}
+
+// Cursor is a place in a feed: after the event of that number, of one life of its keeper.
+type Cursor struct {
+	Life   uint64
+	Number uint64
+}
+
+// String is the cursor's text.
+func (c Cursor) String() string {
+	return strconv.FormatUint(c.Life, 36) + "-" + strconv.FormatUint(c.Number, 10)
+}
+
+// ParseCursor reads one; an empty text is the beginning of what is kept.
+func ParseCursor(s string) (Cursor, error) {
+	if s == "" {
+		return Cursor{}, nil
+	}
+	life, number, ok := strings.Cut(s, "-")
+	l, err := strconv.ParseUint(life, 36, 64)
+	n, err2 := strconv.ParseUint(number, 10, 64)
+	if !ok || err != nil || err2 != nil {
+		return Cursor{}, fmt.Errorf("cursor %q: wanted one that the feed gave, like 1a2b-17", s)
+	}
+	return Cursor{l, n}, nil
+}
+
+// Feed keeps the newest events of one life of a process.
+type Feed struct {
+	life uint64
+	next uint64 // number of the next event; the first is 1
+	ring []Event
+}
+
+// New makes a feed that keeps so many events.
+func New(life uint64, most int) *Feed { return &Feed{life: life, next: 1, ring: make([]Event, most)} }
+
+// Add takes an event in and gives it its cursor.
+func (f *Feed) Add(e Event) Event {
+	e.Cursor = Cursor{f.life, f.next}.String()
+	f.ring[f.next%uint64(len(f.ring))] = e
+	f.next++
+	return e
+}
+
+// After gives up to most events after a cursor that the filter lets through, and the cursor to go on from. What the reader has
+// missed comes first, as a gap.
+func (f *Feed) After(c Cursor, most int, filter Filter) (out []Event, next Cursor) {
+	first := uint64(1)
+	if n := uint64(len(f.ring)); f.next > n {
+		first = f.next - n
+	}
+	at := c.Number + 1
+	gap := ""
+	switch {
+	case c == Cursor{}:
+		at = first
+	case c.Life != f.life:
+		gap, at = "the process that gave the cursor has started again, or is another: what it saw since is not known here", first
+	case c.Number >= f.next:
+		gap, at = "the cursor is ahead of the feed", first
+	case at < first:
+		gap, at = fmt.Sprintf("%d events are no longer kept", first-at), first
+	}
+	if gap != "" {
+		out = append(out, Event{Cursor: Cursor{f.life, at - 1}.String(), Kind: Gap, Detail: gap})
+	}
+	for ; at < f.next && len(out) < most; at++ {
+		if e := f.ring[at%uint64(len(f.ring))]; filter.Passes(&e) {
+			out = append(out, e)
+		}
+	}
+	return out, Cursor{f.life, at - 1}
+}
