Logs are kept in a ring and written out at a fault or SIGUSR1, and little else

Cause: warnings went out one by one without the moments before them. Change: logbook, a logrus hook; entries are formatted only when written.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -19,7 +19,7 @@
 	{"cmd", ""},
 	{"internal/tool", "."},
 	{"internal/product", "."},
-	{"internal/mesh", "house | backstage foyer prompter herald | stagedoor feed | cue trunk callsheet | marquee boxoffice callboard company promptbook understudy wings | curtain playbill script"},
+	{"internal/mesh", "house | backstage foyer prompter herald | stagedoor feed | cue trunk callsheet logbook | marquee boxoffice callboard company promptbook understudy wings | curtain playbill script"},
 	{"internal/rehearsal", "rehearse report | experiment fleet | dryrun | morning | emulator audit"},
 	{"internal/sidecar", "."},
 	{"internal/wire", "."},
--- a/internal/mesh/house/house.go
+++ b/internal/mesh/house/house.go
@@ -18,6 +18,7 @@
 
 	"gingerlead/internal/mesh/callsheet"
 	"gingerlead/internal/mesh/cue"
+	"gingerlead/internal/mesh/logbook"
 )
 
 const (
@@ -33,6 +34,7 @@
 	path   string
 	hub    *cue.Hub
 	log    *logrus.Logger
+	book   *logbook.Book
 	seed   uint64
 	errors chan error
 }
@@ -45,12 +47,8 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(sheet.MemoryMB<<20)))
-	log := logrus.New()
-	log.SetLevel(logrus.WarnLevel)
-	if os.Getenv("QUINCEGAP_LOG") == "info" {
-		log.SetLevel(logrus.InfoLevel)
-	}
-	p := &process{sheet: sheet, path: path, log: log, seed: rand.Uint64(), errors: make(chan error, 8)}
+	log, book := logbook.New(os.Stderr)
+	p := &process{sheet: sheet, path: path, log: log, book: book, seed: rand.Uint64(), errors: make(chan error, 8)}
 	p.hub = cue.NewHub(cue.Hello{Life: rand.Uint64() | 1, Address: sheet.Internal(), Name: sheet.Name, Zone: sheet.Zone,
 		Service: sheet.Service}, time.Now(), askMost, log)
 	p.hub.Shape(sheet.LinkMbps * 1e6)
@@ -98,7 +96,7 @@
 // wait waits for the signal to end, or a server's failure; SIGHUP and a clock have the settings read again.
 func (p *process) wait(ctx context.Context, reload func(*callsheet.Sheet)) error {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	defer signal.Stop(signals)
 	every := time.NewTicker(5 * time.Second)
 	defer every.Stop()
@@ -112,10 +110,14 @@
 	for {
 		select {
 		case s := <-signals:
-			if s != syscall.SIGHUP {
+			switch s {
+			case syscall.SIGHUP:
+				again()
+			case syscall.SIGUSR1:
+				p.book.Write("SIGUSR1")
+			default:
 				return nil
 			}
-			again()
 		case <-every.C:
 			again()
 		case err := <-p.errors:
--- /dev/null
+++ b/internal/mesh/logbook/logbook_test.go
@@ -0,0 +1,38 @@
+package logbook
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestMomentsBeforeTheFaultAreThere(t *testing.T) {
+	c := qt.New(t)
+	var out strings.Builder
+	log, book := New(&out)
+	for i := range 3000 {
+		log.Infof("step %d", i)
+	}
+	c.Assert(out.String(), qt.Equals, "")
+	log.WithField("peer", "x").Warn("fault")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Assert(lines, qt.HasLen, kept)
+	c.Assert(lines[kept-1], qt.Contains, "fault")
+	c.Assert(lines[0], qt.Contains, fmt.Sprintf("step %d", 3000-kept+1))
+	// A crowd of faults is written once in a while, and counted; an error at once.
+	out.Reset()
+	for range 50 {
+		log.Warn("again")
+	}
+	c.Assert(out.String(), qt.Equals, "")
+	log.Error("worse")
+	c.Assert(strings.Count(out.String(), "again"), qt.Equals, 50)
+	c.Assert(out.String(), qt.Contains, "-- 50 faults since")
+	out.Reset()
+	log.Info("calm " + strings.Repeat("x", 5000))
+	book.Write("SIGUSR1")
+	c.Assert(out.String(), qt.Contains, "SIGUSR1")
+	c.Assert(len(out.String()) < 1000, qt.IsTrue)
+}
