--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -19,7 +19,7 @@
 	{"cmd", ""},
 	{"internal/tool", "."},
 	{"internal/product", "."},
-	{"internal/mesh", "house | backstage foyer prompter herald | stagedoor feed | cue trunk callsheet logbook | marquee boxoffice callboard company promptbook understudy wings | curtain playbill script"},
+	{"internal/mesh", "house callboy | backstage foyer prompter herald | stagedoor feed | cue trunk callsheet logbook | marquee boxoffice callboard company promptbook understudy wings | curtain playbill script"},
 	{"internal/rehearsal", "rehearse report | experiment fleet | dryrun | morning | emulator audit"},
 	{"internal/sidecar", "."},
 	{"internal/wire", "."},
@@ -38,7 +38,8 @@
 	pure   = []string{"", "internal/structures", "internal/modules", "internal/config", "internal/rehearsal", "internal/mesh"}
 	impure = []string{"internal/rehearsal/rehearse", "internal/mesh/house", "internal/mesh/backstage", "internal/mesh/foyer",
 		"internal/mesh/prompter", "internal/mesh/stagedoor", "internal/mesh/cue", "internal/mesh/trunk",
-		"internal/mesh/callsheet", "internal/mesh/herald", "internal/mesh/feed"}
+		"internal/mesh/callsheet", "internal/mesh/herald", "internal/mesh/feed",
+		"internal/mesh/callboy"}
 	forbidden = []string{"os", "net/http", "os/exec", "os/signal", "syscall", "log", "path/filepath"}
 )
 
--- /dev/null
+++ b/internal/mesh/backstage/state.go
@@ -0,0 +1,91 @@
+package backstage
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"gingerlead/internal/mesh/callboard"
+	"gingerlead/internal/mesh/company"
+	"gingerlead/internal/mesh/playbill"
+)
+
+// State is what a core process holds of the mesh, for operators: facts with their age and who vouches for them.
+type State struct {
+	Node      string          `json:"node"`
+	Version   string          `json:"configVersion"`
+	Voters    []string        `json:"voters"`
+	Duties    []DutyState     `json:"duties"`
+	Members   []MemberState   `json:"members"`
+	Endpoints []EndpointState `json:"endpoints"`
+}
+
+// DutyState says who does a duty.
+type DutyState struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch,omitempty"` // known to the holder alone
+}
+
+// MemberState is a process that is there.
+type MemberState struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Role    string `json:"role"`
+	Service string `json:"service,omitempty"`
+	AgeMs   int64  `json:"ageMs"`
+}
+
+// EndpointState is one life of an endpoint.
+type EndpointState struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+	Address string `json:"address"`
+	Witness string `json:"witness"` // the sidecar that vouches for it
+	Slots   int    `json:"slots"`
+	LeaseMs int64  `json:"leaseMs"`
+}
+
+var stateNames = map[callboard.State]string{callboard.Serving: "in_service", callboard.Draining: "draining",
+	callboard.Crashed: "crashed", callboard.Gone: "gone"}
+
+// State gathers what this core process holds.
+func (d *Duties) State() State {
+	c := d.crew
+	now := c.o.Hub.Now()
+	s := State{Node: c.o.Sheet.Name, Voters: d.voters()}
+	d.mu.Lock()
+	duty := DutyState{Name: dutyTeller, Holder: d.teller.Holder(now)}
+	duty.Epoch, _ = d.teller.Holds(now)
+	d.mu.Unlock()
+	s.Duties = []DutyState{duty}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.Version = playbill.Version(c.conf.Version).String()
+	for _, m := range c.view.Members() {
+		role := "access"
+		if m.Role == company.Core {
+			role = "core"
+		}
+		s.Members = append(s.Members, MemberState{m.Address, m.Zone, role, m.Service, m.Age.Milliseconds()})
+	}
+	for _, e := range c.board.All(now) {
+		s.Endpoints = append(s.Endpoints, EndpointState{e.ID, e.Service, e.Zone, stateNames[e.State], e.App, e.Host, e.Slots,
+			e.Lease.Round(time.Millisecond).Milliseconds()})
+	}
+	return s
+}
+
+// Handler serves GET /mesh/state to operators.
+func (d *Duties) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.Method != http.MethodGet || q.URL.Path != "/mesh/state" {
+			http.Error(w, "GET /mesh/state only", http.StatusNotFound)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.State())
+	})
+}
--- a/internal/mesh/foyer/cast.go
+++ b/internal/mesh/foyer/cast.go
@@ -224,6 +224,9 @@
 		final = true
 		c.desk.answer(r, result{kind: curtain.Answered, outcome: o})
 	}
+	if r.lapsed && !r.done {
+		c.desk.close(r)
+	}
 	last := false
 	if !final && st != gingerlead.OK {
 		last = r.attempts >= triesMost
@@ -233,7 +236,7 @@
 		}
 	}
 	c.balancer.Outcome(now, gingerlead.Outcome{ID: r.id, Endpoint: a.to, Attempt: a.number, Final: final,
-		Elapsed: now - a.at, Status: st, Last: last})
+		Elapsed: now - a.at, Status: st, Last: last || r.lapsed})
 	if r.done && r.out == nil {
 		delete(c.requests, r.id)
 	}
--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -63,6 +63,7 @@
 	last     *stagedoor.Outcome
 	mayRun   bool
 	done     bool
+	lapsed   bool  // given up; what is out is being withdrawn
 	held     int64 // bytes of its body that are counted
 	answered chan result
 }
@@ -190,34 +191,52 @@
 	}
 }
 
-// lapse gives a request up: its client has gone, or its time is up.
+// lapse gives a request up: its client has gone, or its time is nearly up. An attempt that is out is withdrawn, and its end says
+// how far it had come.
 func (d *Desk) lapse(r *request) {
 	d.do(func(now time.Duration) {
 		c := r.cast
-		if c == nil || r.done {
+		if c == nil || r.done || r.lapsed {
 			return
 		}
-		kind := curtain.Late
-		if r.mayRun || r.out != nil {
-			kind = curtain.Silent
-		}
+		r.lapsed = true
 		a := r.out
-		res := result{kind: kind, back: kind.Back()}
-		if a == nil && r.last != nil && r.last.Kind == curtain.Answered {
-			res = result{kind: curtain.Answered, outcome: r.last}
-		}
-		d.answer(r, res)
 		c.balancer.Lapsed(now, r.id)
 		if a != nil && !a.quit && a.withdraw != nil {
 			a.quit = true
 			d.later(func(time.Duration) { a.withdraw() })
 		}
-		if r.out == nil {
-			delete(c.requests, r.id)
+		if a == nil {
+			d.close(r)
 		}
 	})
 }
 
+// abandon ends a request that was given up and whose attempt has not said how far it came.
+func (d *Desk) abandon(r *request) {
+	d.do(func(time.Duration) {
+		if r.cast != nil && !r.done {
+			d.close(r)
+		}
+	})
+}
+
+// close answers a request that was given up, by what is known of its attempts; the lock is held.
+func (d *Desk) close(r *request) {
+	res := result{kind: curtain.Late}
+	switch {
+	case r.out == nil && r.last != nil && r.last.Kind == curtain.Answered:
+		res = result{kind: curtain.Answered, outcome: r.last}
+	case r.mayRun || r.out != nil:
+		res.kind = curtain.Silent
+	}
+	res.back = res.kind.Back()
+	d.answer(r, res)
+	if r.out == nil {
+		delete(r.cast.requests, r.id)
+	}
+}
+
 func asLost(err error) (*cue.ErrLost, bool) {
 	var lost *cue.ErrLost
 	if errors.As(err, &lost) {
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -18,9 +18,10 @@
 const (
 	headMost    = 256 << 10 // bytes of a head that are read at all
 	headTime    = 5 * time.Second
-	restTime    = 90 * time.Second // that a connection stands idle
-	bodyFirst   = 64 << 10         // bytes that are made room for before they come
-	lapseMargin = 4 * time.Millisecond
+	restTime    = 90 * time.Second      // that a connection stands idle
+	bodyFirst   = 64 << 10              // bytes that are made room for before they come
+	lapseMargin = 30 * time.Millisecond // before its deadline: a request is given up
+	lapseWait   = 22 * time.Millisecond // for its attempt to say how far it came
 )
 
 // Server is the clients' server.
@@ -63,10 +64,17 @@
 		d.end(w, res)
 	case <-timer.C:
 		d.lapse(r)
-		d.end(w, <-r.answered)
+		timer.Reset(lapseWait)
+		select {
+		case res := <-r.answered:
+			d.end(w, res)
+		case <-timer.C:
+			d.abandon(r)
+			d.end(w, <-r.answered)
+		}
 	case <-q.Context().Done():
 		d.lapse(r)
-		<-r.answered
+		d.abandon(r)
 	}
 }
 
--- a/internal/mesh/house/core.go
+++ b/internal/mesh/house/core.go
@@ -40,13 +40,15 @@
 	}
 	duties := crew.Duties(desk.Voters, p.sheet.InitialStart)
 	close(ready)
-	beats, operator, events := crew.Beats(nil), desk.Handler(), crew.Events()
+	beats, operator, events, state := crew.Beats(nil), desk.Handler(), crew.Events(), duties.Handler()
 	err = p.serve(small(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		switch {
 		case strings.HasPrefix(q.URL.Path, "/configuration/"):
 			operator.ServeHTTP(w, q)
 		case q.URL.Path == "/events":
 			events.ServeHTTP(w, q)
+		case strings.HasPrefix(q.URL.Path, "/mesh/"):
+			state.ServeHTTP(w, q)
 		default:
 			beats.ServeHTTP(w, q)
 		}
--- a/internal/mesh/stagedoor/stagedoor.go
+++ b/internal/mesh/stagedoor/stagedoor.go
@@ -107,6 +107,12 @@
 		back := d.way(d.under + size)
 		aim, deadline = aim-back, deadline-back
 	}
+	if large > 0 && d.now()+d.gate.Work() > aim { // late ones would only keep the link from others
+		o := &Outcome{Kind: curtain.Full, Slots: d.gate.Life().Slots}
+		o.Running, o.Waiting = d.gate.Load()
+		go done(o)
+		return func() {}
+	}
 	d.under += large
 	j := &job{token: d.next, p: p, deadline: deadline, done: done, large: large}
 	d.jobs[j.token] = j
