Who is late already waits less; pieces fit the link; a late beat brings no life back

A beat of an ended life that came late made the sidecar take that life for the endpoint's. Change: aims count from the client's first try; who has missed it waits half an aim; pieces of 4 ms.

--- a/internal/mesh/cue/cue_test.go
+++ b/internal/mesh/cue/cue_test.go
@@ -178,8 +178,9 @@
 			if l.left == 0 {
 				continue
 			}
-			wait := s.take(now, l)
-			for ; wait == 0 && l.left > 0; wait = s.take(now, l) {
+			_, wait := s.take(now, l)
+			for wait == 0 && l.left > 0 {
+				_, wait = s.take(now, l)
 			}
 			if l.left == 0 {
 				s.end(l)
--- a/internal/mesh/cue/link.go
+++ b/internal/mesh/cue/link.go
@@ -320,12 +320,13 @@
 		buf = appendFrame(buf, &e)
 	}
 	for l.small.Len() > 0 && len(buf) < 4*pieceMost {
-		buf = l.piece(buf, now, &l.small)
+		buf = l.piece(buf, now, &l.small, pieceMost)
 	}
 	l.hub.shape.spend(now, len(buf))
 	for n := l.large.Len(); n > 0 && len(buf) < 4*pieceMost; n-- {
 		t := l.large.Front().(turner).slot()
-		if w := l.hub.shape.take(now, *t); w > 0 {
+		size, w := l.hub.shape.take(now, *t)
+		if w > 0 {
 			if wait == 0 || w < wait {
 				wait = w
 			}
@@ -333,7 +334,7 @@
 			continue
 		}
 		last := (*t).left == 0
-		buf = l.piece(buf, now, &l.large)
+		buf = l.piece(buf, now, &l.large, size)
 		if last {
 			defer l.hub.shape.end(*t)
 		}
@@ -341,8 +342,8 @@
 	return buf, wait
 }
 
-// piece writes the next piece of the message whose turn it is.
-func (l *Link) piece(buf []byte, now time.Duration, from *deque.Deque[any]) []byte {
+// piece writes the next piece, of so many bytes at most, of the message whose turn it is.
+func (l *Link) piece(buf []byte, now time.Duration, from *deque.Deque[any], most int) []byte {
 	e := envelope{clock: now}
 	var off *int
 	x := from.PopFront()
@@ -354,14 +355,14 @@
 			}
 			return buf
 		}
-		m.sent = len(m.body)-m.off <= pieceMost // the other side begins when it has the whole
+		m.sent = len(m.body)-m.off <= most // the other side begins when it has the whole
 		e.kind, e.stream, e.method, e.expires, e.body, off = uint64(ask), m.stream, m.method, m.expire, m.body, &m.off
 	case *reply:
 		e.kind, e.stream, e.body, off = uint64(answer), m.stream, m.body, &m.off
 	}
 	e.body = e.body[*off:]
-	if len(e.body) > pieceMost {
-		e.body = e.body[:pieceMost]
+	if len(e.body) > most {
+		e.body = e.body[:most]
 		from.PushBack(x)
 	} else {
 		e.last = true
--- a/internal/mesh/cue/shape.go
+++ b/internal/mesh/cue/shape.go
@@ -10,9 +10,10 @@
 // before small messages. They go in the order in which they came, a few at a time: shared evenly among all, a link that is full
 // would make all of them late.
 const (
-	shapeShare = 0.95
-	shapeBurst = 2 * pieceMost
+	shapeShare = 0.9
 	shapeTurns = 3
+	pieceTime  = 4 * time.Millisecond // of the link, that one piece takes: small messages wait no longer
+	pieceLeast = 2 << 10
 )
 
 // turn is a large message that is on its way out.
@@ -29,10 +30,22 @@
 	at    time.Duration
 	turns []*turn
 	bytes int // left of all turns
+	piece int // bytes of one piece; 0 for pieceMost
 }
 
+// most is how many bytes a piece has.
+func (s *shaper) most() int {
+	if s.piece == 0 {
+		return pieceMost
+	}
+	return s.piece
+}
+
+// burst is how much may go out at once.
+func (s *shaper) burst() float64 { return float64(2 * s.most()) }
+
 func (s *shaper) refill(now time.Duration) {
-	s.level = min(s.level+s.rate*(now-s.at).Seconds(), shapeBurst)
+	s.level = min(s.level+s.rate*(now-s.at).Seconds(), s.burst())
 	s.at = now
 }
 
@@ -42,7 +55,7 @@
 	defer s.mu.Unlock()
 	if s.rate > 0 && n > 0 {
 		s.refill(now)
-		s.level = max(s.level-float64(n), -shapeBurst)
+		s.level = max(s.level-float64(n), -4*s.burst())
 	}
 }
 
@@ -55,25 +68,25 @@
 	return t
 }
 
-// take lets the next piece of a message go out now, or says how long to wait; a wait of restEvery is for the message's turn, of
+// take lets the next piece of a message go out now, n bytes, or says how long to wait; a wait of restEvery is for the message's turn, of
 // which its link is told.
-func (s *shaper) take(now time.Duration, t *turn) (wait time.Duration) {
+func (s *shaper) take(now time.Duration, t *turn) (n int, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := min(t.left, pieceMost)
+	n = min(t.left, s.most())
 	if s.rate > 0 {
 		if i := slices.Index(s.turns, t); i >= shapeTurns {
-			return restEvery
+			return 0, restEvery
 		}
 		s.refill(now)
 		if s.level < float64(n) {
-			return max(time.Duration((float64(n)-s.level)/s.rate*float64(time.Second)), time.Millisecond)
+			return 0, max(time.Duration((float64(n)-s.level)/s.rate*float64(time.Second)), time.Millisecond)
 		}
 		s.level -= float64(n)
 	}
 	t.left -= n
 	s.bytes -= n
-	return 0
+	return n, 0
 }
 
 const restEvery = 250 * time.Millisecond
@@ -100,6 +113,9 @@
 	h.shape.mu.Lock()
 	defer h.shape.mu.Unlock()
 	h.shape.rate = shapeShare * link / 8
+	if link > 0 {
+		h.shape.piece = min(max(int(h.shape.rate*pieceTime.Seconds()), pieceLeast), pieceMost)
+	}
 }
 
 // Backlog is how long it takes until as many bytes as are in line, and more, have gone out.
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -116,14 +116,21 @@
 	}
 	p.Attempt, p.Method, p.URI, p.Host = ids[0], q.Method, q.RequestURI, q.Host
 	p.Caller, p.Repeatable, p.Inner = d.o.Service, r.route.Kind.Repeatable(), conf.Keyed && len(keys) == 0
-	left := r.route.Timeout
+	left, spent := r.route.Timeout, time.Duration(0)
 	if ms, err := strconv.ParseFloat(q.Header.Get("Time-Remaining"), 64); err == nil && ms >= 0 && ms < 1e9 {
 		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+		if !p.Inner { // a client that comes again has less left, and its aim counts from its first try
+			spent = r.route.Timeout - left
+		}
 	}
 	r.deadline = now + left
-	r.aim = min(r.deadline, now+r.route.Target)
-	if r.route.Target <= 0 {
+	switch target := r.route.Target; {
+	case target <= 0:
 		r.aim = r.deadline
+	case spent < target:
+		r.aim = min(r.deadline, now+target-spent)
+	default: // it is late already: it may wait, but not as long as those that can still be in time
+		r.aim = min(r.deadline, now+target/2)
 	}
 	p.Service = r.route.Draw(d.random())
 	hop := map[string]bool{}
--- a/internal/mesh/house/access.go
+++ b/internal/mesh/house/access.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	endNotice = 2400 * time.Millisecond // two looks at readiness, and more
 	endMargin = 500 * time.Millisecond  // before SIGKILL
 
+	pastLives   = 16       // of the endpoint, that are remembered
 	bodyShare   = 0.3      // of the machine's memory, for clients' bodies
 	bodiesLeast = 68 << 20 // bytes: the largest body there may be
 )
@@ -71,8 +73,9 @@
 	desk *foyer.Desk
 	crew *backstage.Crew
 	mu   sync.Mutex
-	seq  uint64 // callSequence of the newest beat, of the life at the door
-	gone bool   // this process is about to end
+	seq  uint64   // callSequence of the newest beat, of the life at the door
+	past []string // lives that are over, the oldest first
+	gone bool     // this process is about to end
 }
 
 // Beat takes a beat of the endpoint beside this process (backstage.Stage).
@@ -84,6 +87,7 @@
 		if e.ID != life.ID {
 			return e.App == a.sheet.App // of an earlier life
 		}
+		a.over(e.ID)
 		a.door.Tell(life, wings.Gone)
 		a.crew.Ended(e.ID, callboard.Gone)
 		return true
@@ -94,7 +98,11 @@
 	if e.ID == life.ID && e.Sequence < a.seq && e.State == callboard.Serving {
 		return true // late, and nothing that matters
 	}
+	if slices.Contains(a.past, e.ID) {
+		return true // late, of a life that is over
+	}
 	if e.ID != life.ID {
+		a.over(life.ID)
 		a.seq = 0
 	}
 	a.seq = max(a.seq, e.Sequence)
@@ -110,6 +118,16 @@
 	return true
 }
 
+// over remembers that a life is over: a beat of it may still come, late, and must not bring it back. The lock is held.
+func (a *access) over(life string) {
+	if life == "" || slices.Contains(a.past, life) {
+		return
+	}
+	if a.past = append(a.past, life); len(a.past) > pastLives {
+		a.past = a.past[1:]
+	}
+}
+
 // found takes what others remember of the endpoint beside this process, which has just started.
 func (a *access) found(e callboard.Endpoint) {
 	if _, state := a.door.Life(); state == wings.Unknown {
--- a/internal/mesh/house/house_test.go
+++ b/internal/mesh/house/house_test.go
@@ -124,6 +124,13 @@
 	m.Helper()
 	for end := time.Now().Add(20 * time.Second); !ok(); {
 		if time.Now().After(end) {
+			for _, zone := range []string{"a", "b", "c"} {
+				if r, err := http.Get("http://" + m.machines["core-"+zone].ip + ":8105/mesh/state"); err == nil {
+					state, _ := io.ReadAll(r.Body)
+					r.Body.Close()
+					m.Logf("core-%s: %s", zone, state)
+				}
+			}
 			m.Fatalf("%s: not within twenty seconds", what)
 		}
 		select {
@@ -260,9 +267,20 @@
 	// The other crashes, and a new life begins at the first one's address.
 	m.apps["access-3"].Crash()
 	m.app(m.machines["access-2"], "i-new")
+	var last answer
+	defer func() {
+		if t.Failed() {
+			t.Logf("last %d %s", last.status, last.body)
+		}
+	}()
+	// A late beat of the life that is over changes nothing.
+	late, err := http.Post("http://"+m.machines["access-2"].ip+":8105/endpoints/i-access-2/keepalive", "application/json",
+		strings.NewReader(`{"serviceName":"board","address":"`+m.machines["access-2"].ip+`:8103","zone":"c","slotCount":4,"state":"in_service","callSequence":99}`))
+	m.Assert(err, qt.IsNil)
+	late.Body.Close()
 	m.until("the new life serves", func() bool {
-		a, _ := m.ask("access-1", "GET", "/read/x", "k1", nil)
-		return strings.HasPrefix(a.body, "i-new ")
+		last, _ = m.ask("access-1", "GET", "/read/x", "k1", nil)
+		return strings.HasPrefix(last.body, "i-new ")
 	})
 }
 
