Company: neighbours who agree compare digests, and watched links tell who is gone

Cause: each shuffle carried up to 40 members, and liveness rested on every beat reaching everybody: 5 kB for each member and second with 18 members, 14 kB with 200.

Change: a shuffle carries digests (order-independent sums over lives) of the sender's zone and of those that every view holds. Who agrees says no more, slows down from 0.5 s to 1 s, and takes the zone's members for alive; ages of agreement travel by zone. Each member watches three others in its zone and three among all, in a ring that all compute alike. Whoever loses one asks around (doubts): who can reach it has it beat. Ends are told with a beat beyond all that may have been missed, and go out at once. The test rig now has connections that break or fall silent, as the links have.

--- a/internal/mesh/company/fleet_test.go
+++ b/internal/mesh/company/fleet_test.go
@@ -1,9 +1,11 @@
 package company
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"slices"
 	"testing"
 	"time"
@@ -11,9 +13,12 @@
 	qt "github.com/frankban/quicktest"
 
 	"gingerlead/internal/mesh/script"
+	"gingerlead/internal/structures/rendezvous"
 )
 
 // fleet plays members in virtual time: messages take a millisecond, those to a dead or cut one are found lost a second later.
+// Who asked another has a connection to it for half a minute, which is found broken at once if the process ended and its
+// machine still answers (a restart), and by pings, three seconds later, if not.
 type fleet struct {
 	t        testing.TB
 	rng      *rand.Rand
@@ -24,6 +29,7 @@
 	order    []*node
 	seeds    []string
 	cut      func(a, b *node) bool
+	cutAt    time.Duration
 	messages int
 	bytes    int
 	across   int // bytes between zones
@@ -33,7 +39,49 @@
 type node struct {
 	*View
 	dead, frozen bool
-	unread       []func() // while it is frozen
+	since        time.Duration // of either
+	unread       []func()      // while it is frozen
+	links        []*connection
+}
+
+type connection struct {
+	to   *node
+	used time.Duration
+}
+
+const (
+	linkIdle   = 30 * time.Second
+	linkSilent = 3 * time.Second
+)
+
+func (f *fleet) kill(n *node) { n.dead, n.since = true, f.now }
+
+func (f *fleet) freeze(n *node) { n.frozen, n.since = true, f.now }
+
+// link notes that a node asks another.
+func (f *fleet) link(from, to *node) {
+	i := slices.IndexFunc(from.links, func(l *connection) bool { return l.to == to })
+	if i < 0 {
+		i = len(from.links)
+		from.links = append(from.links, &connection{to: to})
+	}
+	from.links[i].used = f.now
+}
+
+// unlink ends the connections that nobody uses, and those whose pings are not answered.
+func (f *fleet) unlink(n *node) {
+	n.links = slices.DeleteFunc(n.links, func(l *connection) bool {
+		silent := l.to.dead || l.to.frozen
+		since := l.to.since
+		if !silent && f.cut(n, l.to) {
+			silent, since = true, f.cutAt
+		}
+		if silent && f.now-since >= linkSilent {
+			n.Lost(f.now, l.to.self.Address)
+			return true
+		}
+		return f.now-l.used > linkIdle
+	})
 }
 
 type event struct {
@@ -90,7 +138,7 @@
 	m.Role, m.Service, m.App = role, "service-"+address[len(address)-4:len(address)-3], address[:len(address)-1]+"8080"
 	n := &node{View: New(m, Bounds{}, rand.New(rand.NewPCG(f.rng.Uint64(), 0)))}
 	if old := f.nodes[address]; old != nil {
-		old.dead = true
+		old.dead, old.since = true, f.now-linkSilent
 		f.order[slices.Index(f.order, old)] = n
 	} else {
 		f.order = append(f.order, n)
@@ -110,6 +158,7 @@
 			do()
 		}
 		n.unread = nil
+		f.unlink(n)
 		if to, s := n.Tick(f.now); s != nil {
 			for _, address := range to {
 				f.send(n, address, s)
@@ -132,6 +181,9 @@
 		})
 		return
 	}
+	if !s.Reply {
+		f.link(from, to)
+	}
 	if to.frozen { // its pings go unanswered
 		f.after(time.Second, func() { from.Lost(f.now, address) })
 	}
@@ -213,7 +265,9 @@
 	out := map[[2]uint64]bool{}
 	for _, zone := range zones {
 		of := f.live(zone)
-		slices.SortFunc(of, func(a, b *node) int { return before(&a.self, &b.self) })
+		slices.SortFunc(of, func(a, b *node) int {
+			return cmp.Compare(rendezvous.Mix(a.self.Life), rendezvous.Mix(b.self.Life))
+		})
 		for i, m := range of {
 			for _, n := range f.live("") {
 				if (i < n.bounds.Other || n.self.Zone == zone) && n.members[m.self.Life] != nil {
@@ -236,7 +290,7 @@
 // Eighteen join at once through three seeds: everybody knows everybody within three paces.
 func TestEighteenJoin(t *testing.T) {
 	c := qt.New(t)
-	worst := time.Duration(0)
+	worst, told := time.Duration(0), time.Duration(0)
 	for seed := range uint64(20) {
 		f := newFleet(t, seed)
 		f.seeds = []string{"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}
@@ -250,12 +304,21 @@
 		}
 		all := func() bool { return f.settled(zones, []string{"s"}) }
 		worst = max(worst, f.run(5*time.Second, all)-500*ms) // they start over half a second
-		f.run(3*time.Second, nil)
+		f.run(8*time.Second, nil)
+		f.bytes, f.changes = 0, 0
+		f.run(8*time.Second, nil)
+		c.Assert(f.bytes < 18*8*1000 && f.changes == 0, qt.IsTrue, qt.Commentf("%d bytes, %d changes while quiet", f.bytes, f.changes))
 		f.start("10.0.0.99:1", "a", Access)
 		worst = max(worst, f.run(5*time.Second, all)-500*ms)
 		f.start("10.0.0.8:1", "a", Access) // restarts
 		worst = max(worst, f.run(5*time.Second, all)-500*ms)
+		f.run(8*time.Second, nil)
+		killed := f.order[5+seed%13]
+		killed.dead, killed.since = true, f.now-linkSilent // its process: connections to it break at once
+		told = max(told, f.run(5*time.Second, all))
 	}
+	c.Check(told <= 3500*ms, qt.IsTrue, qt.Commentf("a killed one is known after %v", told))
+	t.Logf("a killed one is known after %v", told)
 	t.Logf("worst %v", worst)
 	c.Assert(worst <= 1500*ms, qt.IsTrue, qt.Commentf("%v", worst))
 }
@@ -265,6 +328,7 @@
 
 func fleetDay(t testing.TB, members, zones int, seed uint64) {
 	c := qt.New(t)
+	defer debug.SetGCPercent(debug.SetGCPercent(800))
 	f := newFleet(t, seed)
 	f.seeds = []string{"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}
 	var names, services []string
@@ -300,12 +364,23 @@
 		}
 		known = now
 	}
+	f.per("settling", 12*time.Second)
+	f.run(12*time.Second, nil)
+	c.Check(all(), qt.IsTrue, qt.Commentf("at %v", f.now))
+	c.Check(float64(f.bytes)/float64(members)/12 < 1000, qt.IsTrue, qt.Commentf("bytes while quiet"))
+	c.Check(f.changes, qt.Equals, 0)
 	f.per("quiet", 12*time.Second)
 
+	one := f.order[members/2]
+	f.kill(one)
+	check("one killed, its machine too", 7*time.Second)
+	f.run(10*time.Second, nil)
+	f.per("after it", 10*time.Second)
+
 	killed := 0
 	for _, n := range f.order {
 		if f.rng.IntN(10) == 0 {
-			n.dead = true
+			f.kill(n)
 			killed++
 		}
 	}
@@ -314,7 +389,7 @@
 
 	frozen := f.order[10:20]
 	for _, n := range frozen {
-		n.frozen = true
+		f.freeze(n)
 	}
 	f.run(5*time.Second, nil)
 	f.per("ten frozen", 5*time.Second)
@@ -329,8 +404,49 @@
 	check("ten restarted", 5*time.Second)
 
 	f.cut = func(a, b *node) bool { return (a.self.Zone == names[0]) != (b.self.Zone == names[0]) }
+	f.cutAt = f.now
 	f.run(8*time.Second, nil)
 	f.per("a zone cut off", 8*time.Second)
 	f.cut = func(_, _ *node) bool { return false }
 	check("healed", 5*time.Second)
 }
+
+// BenchmarkQuiet gives the bytes and messages of each member and second a quarter of a minute after all have joined, in virtual time,
+// and the processor's time for each member and second.
+func BenchmarkQuiet(b *testing.B) {
+	for _, size := range [][2]int{{18, 4}, {200, 4}, {600, 8}, {2000, 16}} {
+		b.Run(fmt.Sprintf("members=%d", size[0]), func(b *testing.B) {
+			defer debug.SetGCPercent(debug.SetGCPercent(800))
+			for range b.N {
+				f := newFleet(b, 1)
+				f.seeds = []string{"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}
+				var zones []string
+				for i := range size[1] {
+					zones = append(zones, fmt.Sprintf("zone-%d", i))
+				}
+				for i := range size[0] {
+					role := Access
+					if i < 15 && i*20 < size[0] {
+						role = Core
+					}
+					f.start(fmt.Sprintf("10.0.%d.%d:1", i/256, i%256), zones[i%size[1]], role)
+				}
+				joined := 1 * time.Second
+				f.run(joined, nil)
+				for ; joined < 30*time.Second && !f.settled(zones, nil); joined += time.Second {
+					f.run(time.Second, nil)
+				}
+				f.run(15*time.Second, nil)
+				f.bytes, f.messages, f.changes = 0, 0, 0
+				began := time.Now()
+				f.run(10*time.Second, nil)
+				n := float64(size[0]) * 10
+				b.ReportMetric(joined.Seconds(), "s/join")
+				b.ReportMetric(float64(f.bytes)/n, "B/member/s")
+				b.ReportMetric(float64(f.messages)/n, "messages/member/s")
+				b.ReportMetric(float64(time.Since(began).Microseconds())/n, "µs/member/s")
+				b.ReportMetric(float64(f.changes), "changes")
+			}
+		})
+	}
+}
--- a/internal/mesh/company/member.go
+++ b/internal/mesh/company/member.go
@@ -78,6 +78,11 @@
 	Gone    []Gone
 	Reply   bool
 	Version uint64 // newest configuration that the sender holds; only carried here
+	Own     uint64 // digest of the sender's zone
+	All     uint64 // and of those that every view is to hold
+	Ages    []byte // of each zone in order, how long ago one who agreed was heard there, in halves of a second
+	Doubts  []Gone // lives that the sender can't reach: whoever can, has them beat
+	Anew    bool   // the one who is asked raises its beat
 }
 
 // Fields names them.
@@ -87,15 +92,22 @@
 	script.Messages(v, 3, &s.Gone)
 	v.Bool(4, &s.Reply)
 	v.Uint(5, &s.Version)
+	v.Fixed(6, &s.Own)
+	v.Fixed(7, &s.All)
+	v.Bytes(8, &s.Ages)
+	script.Messages(v, 9, &s.Doubts)
+	v.Bool(10, &s.Anew)
 }
 
 // Bounds are the settings; what is zero has its default.
 type Bounds struct {
 	Pace    time.Duration // between two shuffles that are begun here
+	Slow    time.Duration // the same when there has been no news for long and neighbours agree
+	Settle  time.Duration // without news, until shuffles carry no more than digests
 	Far     time.Duration // between two tries of a seed or of one that was dropped
 	Suspect time.Duration // age of a beat from which its member is suspected,
 	Drop    time.Duration // and dropped, if it is of the own zone or there are few others;
-	DropFar time.Duration // when there are many, news of other zones takes longer, and their own members tell who is gone
+	DropFar time.Duration // when there are many or it is quiet, news of other zones takes longer, and their own members tell who is gone
 	Grace   time.Duration // from a broken connection until it is dropped, unless its beat advances
 	Wake    time.Duration // a tick that comes so late means that this process was frozen
 	Own     int           // members kept of the own zone,
@@ -104,16 +116,19 @@
 	Carry   int           // members in a shuffle
 	Told    int           // Gone in a shuffle
 	Dead    int           // lives remembered as ended
+	Watch   int           // members that this one keeps a connection to, in its zone and once more among all
 	Small   int           // fewer others than this: seeds are asked at each pace
 }
 
 // Filled are the bounds with their defaults.
 func (b Bounds) Filled() Bounds {
 	fill(&b.Pace, 500*time.Millisecond)
+	fill(&b.Slow, time.Second)
+	fill(&b.Settle, 3*time.Second)
 	fill(&b.Far, 5*time.Second)
 	fill(&b.Suspect, 6*time.Second)
 	fill(&b.Drop, 10*time.Second)
-	fill(&b.DropFar, 3*b.Drop)
+	fill(&b.DropFar, 6*b.Drop)
 	fill(&b.Grace, 2*time.Second)
 	fill(&b.Wake, 3*time.Second)
 	fill(&b.Own, 256)
@@ -122,6 +137,7 @@
 	fill(&b.Carry, 40)
 	fill(&b.Told, 16)
 	fill(&b.Dead, 256)
+	fill(&b.Watch, 3)
 	fill(&b.Small, 4)
 	return b
 }
--- a/internal/mesh/company/view.go
+++ b/internal/mesh/company/view.go
@@ -19,7 +19,12 @@
 	state state
 	since time.Duration // of the state
 	told  int           // how often
-	order uint64        // of arrival
+
+	doubt   uint64 // highest beat up to which another took it for lost
+	doubted bool   // it is to be asked for one
+	awaited bool   // by that other
+	order   uint64 // of arrival
+	mix     uint64 // of its life
 }
 
 // state of an entry: it changes in shift alone.
@@ -55,27 +60,33 @@
 	all     []*entry // by life
 	members map[uint64]*entry
 	at      map[string]*entry
-	ranked  []Member // that can be homes, nil when they are to be found anew
+	ring    []*entry // all and this process, in the order of before
+	ranked  []*entry // that can be homes, nil when they are to be found anew
 	dead    map[uint64]ended
 	deadAge []uint64 // lives in dead, the oldest first
+	risen   []Gone   // lives that spoke after their end was told
 	former  []string // addresses of those dropped
 	seeds   []string
 	regions map[string]string // of each zone ever heard of
 	joined  bool              // seeds were asked
 	next    time.Duration     // pace
+	paced   time.Duration     // the last time
 	far     time.Duration
 	last    time.Duration // tick
 	woken   time.Duration // ages are judged from here
 	ticked  bool
 	arrived uint64
-	news    time.Duration // last arrival
+	news    time.Duration // last arrival or end
+	ended   time.Duration // last end
+	quiet   quiet
 }
 
 // New makes the view of a process that knows nobody.
 func New(self Member, bounds Bounds, rng *rand.Rand) *View {
 	v := &View{bounds: bounds.Filled(), rng: rng, self: self, members: map[uint64]*entry{}, at: map[string]*entry{},
-		dead: map[uint64]ended{}, regions: map[string]string{}}
+		dead: map[uint64]ended{}, regions: map[string]string{}, quiet: newQuiet(), ended: -time.Hour}
 	v.self.Beat = max(v.self.Beat, 1)
+	v.ring = []*entry{{Member: v.self, mix: rendezvous.Mix(self.Life)}}
 	v.Place(self.Zone, self.Region)
 	return v
 }
@@ -109,9 +120,10 @@
 	v.expire(now)
 	var first *entry
 	if now >= v.next {
-		v.next = now + v.bounds.Pace*time.Duration(85+v.rng.IntN(31))/100
+		v.next = now + v.pace(now)*time.Duration(85+v.rng.IntN(31))/100
+		v.paced = now
 		v.self.Beat++
-		if first = v.neighbour(fresh); first != nil {
+		if first = v.first(now); first != nil {
 			to = v.ask(now, to, first)
 		}
 		for range v.hurry(now) {
@@ -128,16 +140,21 @@
 		case len(v.members) < v.bounds.Small && len(v.seeds) > 0:
 			to = append(to, v.others([]string{v.seeds[v.rng.IntN(len(v.seeds))]})...)
 		}
-		if now-v.far >= v.bounds.Far {
+		if now-v.far >= v.bounds.Far*v.pace(now)/v.bounds.Pace {
 			v.far = now
 			if from := slices.Concat(v.former, v.seeds); len(from) > 0 {
 				to = append(to, v.others([]string{from[v.rng.IntN(len(from))]})...)
 			}
 		}
 	}
+	for i := range v.risen {
+		to = append(to, v.risen[i].Address)
+	}
+	anew := false
 	for _, e := range v.all { // what broke is asked again and again
-		if e.state == missed && now-e.asked >= v.bounds.Pace/2 {
+		if e.state == missed && now-e.asked >= v.bounds.Pace/2 || e.doubted {
 			to = v.ask(now, to, e)
+			e.doubted, anew = false, true
 		}
 	}
 	if len(to) == 0 {
@@ -148,7 +165,9 @@
 		zone = first.Zone
 	}
 	slices.Sort(to)
-	return slices.Compact(to), v.shuffle(now, zone, false)
+	s = v.shuffle(now, zone, false, v.calm(now))
+	s.Anew, s.Gone, v.risen = anew, append(s.Gone, v.risen...), nil
+	return slices.Compact(to), s
 }
 
 func (v *View) ask(now time.Duration, to []string, e *entry) []string {
@@ -171,19 +190,25 @@
 }
 
 func (v *View) expire(now time.Duration) {
-	for _, e := range slices.Clone(v.all) {
-		age := now - max(e.seen, v.woken)
+	for i := len(v.all) - 1; i >= 0; i-- {
+		e := v.all[i]
+		age := now - max(v.seen(e), v.woken)
 		switch {
 		case e.state == missed && now-e.since >= v.bounds.Grace:
 			v.drop(e)
-			v.bury(now, e.Life, ended{beat: e.Beat, address: e.Address})
+			v.bury(now, e.Life, ended{beat: e.Beat + v.beats(e), address: e.Address})
+			v.ended = now
+			v.stir(now, &v.news)
+		case e.state == missed:
 		case age >= v.patience(&e.Member):
 			v.drop(e)
 			if e.Zone == v.self.Zone && v.many() { // else each finds out by itself
 				v.bury(now, e.Life, ended{beat: e.Beat, address: e.Address})
 			}
-		case age >= v.bounds.Suspect && e.state == fresh:
+		case age >= v.patience(&e.Member)*v.bounds.Suspect/v.bounds.Drop:
 			e.shift(now, suspected)
+		default:
+			e.shift(now, fresh) // its zone agrees
 		}
 	}
 }
@@ -193,7 +218,7 @@
 
 // patience is the age at which a member is dropped.
 func (v *View) patience(m *Member) time.Duration {
-	if m.Zone != v.self.Zone && v.many() {
+	if m.Zone != v.self.Zone && (v.many() || v.quiet.agreed != 0) {
 		return v.bounds.DropFar
 	}
 	return v.bounds.Drop
@@ -212,10 +237,13 @@
 
 func (v *View) remove(e *entry) {
 	delete(v.members, e.Life)
-	v.ranked = nil
+	v.shifted()
 	if i, ok := slices.BinarySearchFunc(v.all, e.Life, byLife); ok {
 		v.all = slices.Delete(v.all, i, i+1)
 	}
+	if i, ok := slices.BinarySearchFunc(v.ring, e, before); ok {
+		v.ring = slices.Delete(v.ring, i, i+1)
+	}
 	if v.at[e.Address] == e {
 		delete(v.at, e.Address)
 	}
@@ -254,6 +282,8 @@
 	switch {
 	case v.self.Beat <= 4:
 		return 2
+	case now-v.ended < 2*v.bounds.Pace:
+		return 3
 	case now-v.news < 3*v.bounds.Pace:
 		return 1
 	}
@@ -277,22 +307,27 @@
 }
 
 // shuffle makes a message for a neighbour of a zone.
-func (v *View) shuffle(now time.Duration, zone string, unknown bool) *Shuffle {
-	s := &Shuffle{From: v.self}
+// What is brief carries only news, for those who know the rest.
+func (v *View) shuffle(now time.Duration, zone string, unknown, brief bool) *Shuffle {
+	s := &Shuffle{From: v.self, Ages: v.ages(now), Doubts: v.doubts()}
+	s.Own, s.All = v.digests()
 	all := slices.Clone(v.all)
+	if brief {
+		all = slices.DeleteFunc(all, func(e *entry) bool { return e.told >= newsTold })
+	}
 	v.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	if len(all) > v.bounds.Carry {
 		all = v.choose(all, zone, unknown)
 	}
 	for _, e := range all {
 		m := e.Member
-		m.Age = max(now-e.seen, 0)
+		m.Age = max(now-v.seen(e), 0)
 		if m.Age < v.patience(&m) {
 			s.Members = append(s.Members, m)
 			e.told++
 		}
 	}
-	s.Gone = v.gone(now)
+	s.Gone = v.gone(now, brief)
 	return s
 }
 
@@ -313,7 +348,7 @@
 	}
 	want, kept := v.bounds.Carry, v.bounds.Other+v.bounds.Other/8
 	if zone != v.self.Zone && len(own) > kept {
-		slices.SortFunc(own, func(a, b *entry) int { return before(&a.Member, &b.Member) })
+		slices.SortFunc(own, before)
 		own = own[:kept]
 		v.rng.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	}
@@ -332,8 +367,8 @@
 
 // before orders the members of a zone at random, but for all alike: the first ones are those that other zones keep, and its
 // homes. The roles have no part in it, so that it is the same where some of a role are not known.
-func before(a, b *Member) int {
-	return cmp.Or(cmp.Compare(rendezvous.Mix(a.Life), rendezvous.Mix(b.Life)), cmp.Compare(a.Life, b.Life))
+func before(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.mix, b.mix), cmp.Compare(a.Life, b.Life))
 }
 
 // newsTold is how often news is told before all else: twice the rounds that a rumour takes through a few hundred by asks and
@@ -354,8 +389,10 @@
 }
 
 // gone takes the ends that were told least.
-func (v *View) gone(now time.Duration) (out []Gone) {
-	lives := slices.DeleteFunc(slices.Clone(v.deadAge), func(life uint64) bool { return now-v.dead[life].at >= 2*v.bounds.Drop })
+func (v *View) gone(now time.Duration, brief bool) (out []Gone) {
+	lives := slices.DeleteFunc(slices.Clone(v.deadAge), func(life uint64) bool {
+		return now-v.dead[life].at >= 2*v.bounds.Drop || brief && v.dead[life].told >= newsTold
+	})
 	slices.SortStableFunc(lives, func(a, b uint64) int { return cmp.Compare(v.dead[a].told, v.dead[b].told) })
 	for _, life := range lives[:min(len(lives), v.bounds.Told)] {
 		d := v.dead[life]
@@ -377,26 +414,49 @@
 	for i := range s.Members {
 		changed = v.hear(now, s.Members[i], false) || changed
 	}
+	for i := range s.Doubts {
+		v.doubt(now, &s.From, &s.Doubts[i])
+	}
+	if s.Anew && !s.Reply {
+		v.self.Beat++
+	}
+	agrees := v.compare(now, s)
 	if !s.Reply && s.From.Life != v.self.Life {
-		reply = v.shuffle(now, s.From.Zone, !known && s.From.Beat < 8)
+		reply = v.shuffle(now, s.From.Zone, !known && s.From.Beat < 8, agrees)
 		reply.Reply = true
 	}
+	if d, ok := v.dead[s.From.Life]; ok && v.members[s.From.Life] == nil { // it hears so, to beat beyond
+		g := Gone{Life: s.From.Life, Address: s.From.Address, Beat: d.beat}
+		if reply != nil {
+			reply.Gone = append(reply.Gone, g)
+		} else if len(v.risen) < v.bounds.Told {
+			v.risen = append(v.risen, g)
+		}
+	}
 	return reply, changed
 }
 
 // told hears that a life ended.
 func (v *View) told(now time.Duration, g Gone) bool {
 	if g.Life == v.self.Life {
-		v.self.Beat = max(v.self.Beat, g.Beat+1)
+		if v.self.Beat <= g.Beat {
+			v.self.Beat = g.Beat + 1
+			v.stir(now, &v.news)
+		}
 		return false
 	}
 	e := v.members[g.Life]
 	if e != nil && e.Beat > g.Beat {
+		if e.doubt < g.Beat && e.state == fresh { // one of the two has old news
+			e.doubt, e.doubted, e.awaited = g.Beat, true, false
+		}
 		return false
 	}
 	v.bury(now, g.Life, ended{beat: g.Beat, address: g.Address})
 	if e != nil {
 		v.drop(e)
+		v.ended = now
+		v.stir(now, &v.news)
 	}
 	return e != nil
 }
@@ -417,6 +477,8 @@
 	}
 	if e := v.members[m.Life]; e != nil {
 		switch {
+		case m.Beat == e.Beat && direct:
+			e.seen = now
 		case m.Beat == e.Beat:
 			e.seen = min(e.seen, seen)
 		case m.Beat > e.Beat:
@@ -425,7 +487,11 @@
 				return false // a life has one address
 			}
 			if changed {
-				v.ranked = nil
+				v.shifted()
+			}
+			if e.awaited && e.doubt < m.Beat {
+				e.awaited, e.told = false, 0
+				v.stir(now, &v.news)
 			}
 			e.Member, e.seen = m, max(e.seen, seen)
 			e.shift(now, fresh)
@@ -437,17 +503,24 @@
 			return false
 		}
 		v.remove(o)
-		v.bury(now, o.Life, ended{beat: o.Beat, address: o.Address, replaced: true})
+		d := ended{beat: o.Beat, address: o.Address, replaced: true}
+		if direct {
+			d.beat += surely
+		}
+		v.bury(now, o.Life, d)
 	} else if !v.room(&m) {
 		return false
 	}
 	v.unbury(m.Life)
 	v.arrived++
-	v.news = now
-	e := &entry{Member: m, seen: seen, order: v.arrived, asked: -time.Hour + time.Duration(v.rng.IntN(int(time.Minute)))}
+	v.stir(now, &v.news)
+	e := &entry{Member: m, mix: rendezvous.Mix(m.Life), seen: seen, order: v.arrived, asked: -time.Hour + time.Duration(v.rng.IntN(int(time.Minute)))}
 	v.members[m.Life], v.at[m.Address] = e, e
 	i, _ := slices.BinarySearchFunc(v.all, m.Life, byLife)
-	v.all, v.ranked = slices.Insert(v.all, i, e), nil
+	v.all = slices.Insert(v.all, i, e)
+	v.shifted()
+	i, _ = slices.BinarySearchFunc(v.ring, e, before)
+	v.ring = slices.Insert(v.ring, i, e)
 	v.Place(m.Zone, m.Region)
 	v.former = slices.DeleteFunc(v.former, func(a string) bool { return a == m.Address })
 	return true
@@ -459,7 +532,7 @@
 	for _, e := range v.all {
 		if e.Role == m.Role && (m.Role == Core || e.Zone == m.Zone) {
 			n++
-			if last == nil || before(&last.Member, &e.Member) < 0 {
+			if last == nil || before(last, e) < 0 {
 				last = e
 			}
 		}
@@ -471,7 +544,7 @@
 		return n < v.bounds.Own
 	case n < v.bounds.Other:
 		return true
-	case before(m, &last.Member) > 0:
+	case before(&entry{Member: *m, mix: rendezvous.Mix(m.Life)}, last) > 0:
 		return false
 	}
 	v.remove(last)
@@ -483,6 +556,7 @@
 	if e := v.at[address]; e != nil && e.state != missed {
 		e.shift(now, missed)
 		e.asked = now - v.bounds.Pace // so it is asked at the next tick
+		v.stir(now, &v.quiet.differed)
 	}
 }
 
@@ -545,42 +619,40 @@
 	_, _ = h.Write([]byte(service))
 	item := rendezvous.Mix(h.Sum64())
 	all := v.candidates()
-	among := filter(all, func(m *Member) bool { return m.Zone == zone })
+	among := filter(all, func(e *entry) bool { return e.Zone == zone })
 	if region := v.regions[zone]; len(among) == 0 && region != "" {
-		among = filter(all, func(m *Member) bool { return m.Region == region })
+		among = filter(all, func(e *entry) bool { return e.Region == region })
 	}
 	if len(among) == 0 {
 		among = slices.Clone(all)
 	}
-	score := func(m *Member) uint64 { return rendezvous.Mix(item ^ rendezvous.Mix(m.Life)) }
-	slices.SortFunc(among, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(score(&b), score(&a)), cmp.Compare(a.Life, b.Life))
+	score := func(e *entry) uint64 { return rendezvous.Mix(item ^ e.mix) }
+	slices.SortFunc(among, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Life, b.Life))
 	})
-	return among[:min(n, len(among))]
+	var out []Member
+	for _, e := range among[:min(n, len(among))] {
+		out = append(out, e.Member)
+	}
+	return out
 }
 
 // candidates are those members that can be homes, whatever their beats.
-func (v *View) candidates() []Member {
+func (v *View) candidates() []*entry {
 	if v.ranked == nil {
-		v.ranked = v.rank()
+		zones := map[string]int{}
+		v.ranked = filter(v.ring, func(e *entry) bool {
+			zones[e.Zone]++
+			return zones[e.Zone] <= v.bounds.Other
+		})
 	}
 	return v.ranked
 }
 
-func (v *View) rank() []Member {
-	all := v.Members()
-	slices.SortFunc(all, func(a, b Member) int { return before(&a, &b) })
-	zones := map[string]int{}
-	return filter(all, func(m *Member) bool {
-		zones[m.Zone]++
-		return zones[m.Zone] <= v.bounds.Other
-	})
-}
-
-func filter(all []Member, keep func(*Member) bool) (out []Member) {
-	for i := range all {
-		if keep(&all[i]) {
-			out = append(out, all[i])
+func filter(all []*entry, keep func(*entry) bool) (out []*entry) {
+	for _, e := range all {
+		if keep(e) {
+			out = append(out, e)
 		}
 	}
 	return out
@@ -588,10 +660,10 @@
 
 // Zones are those with live members, in order.
 func (v *View) Zones() []string {
-	var zones []string
-	for _, m := range v.Members() {
-		zones = append(zones, m.Zone)
-	}
-	slices.Sort(zones)
-	return slices.Compact(zones)
+	v.learn()
+	return slices.Clone(v.quiet.zones)
 }
+
+// Changes rises with each arrival, each end and each change of a record, so that what rests on the members need not be worked
+// out again while it stays.
+func (v *View) Changes() uint64 { return v.quiet.changes }
