--- a/internal/mesh/backstage/config.go
+++ b/internal/mesh/backstage/config.go
@@ -41,6 +41,7 @@
 		for _, s := range conf.Services {
 			c.services = append(c.services, s.Name)
 		}
+		c.placed = 0
 	}
 	to := c.hear()
 	c.mu.Unlock()
--- a/internal/mesh/backstage/crew.go
+++ b/internal/mesh/backstage/crew.go
@@ -63,6 +63,7 @@
 	changed     map[string]bool
 	expire      time.Duration
 	sidecars    int
+	placed      uint64            // changes of the view when place last worked, and one; 0 if it is to
 	life        map[string]uint64 // of homes that were told
 	settings    sync.Mutex        // one configuration after the other
 	limits      atomic.Pointer[map[string]boxoffice.Limit]
@@ -185,6 +186,10 @@
 
 // place follows the view: which homes are told and asked, and how many sidecars there are. The lock is held.
 func (c *Crew) place(now time.Duration) {
+	if c.placed == c.view.Changes()+1 {
+		return
+	}
+	c.placed = c.view.Changes() + 1
 	if c.o.Role == company.Access && c.o.Sheet.Service != "" {
 		var homes []string
 		for _, zone := range c.view.Zones() {
--- a/internal/mesh/cue/hub.go
+++ b/internal/mesh/cue/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -24,6 +25,23 @@
 	serve   map[uint64]func(*Call)
 	lost    func(address, why string)
 	closing bool
+
+	sentBytes, sentFrames, receivedBytes, receivedFrames atomic.Uint64
+}
+
+// Traffic is what all links of a hub carried so far.
+type Traffic struct{ SentBytes, SentFrames, ReceivedBytes, ReceivedFrames uint64 }
+
+// Traffic counts frames and their bytes, without the headers of TCP and IP.
+func (h *Hub) Traffic() Traffic {
+	return Traffic{h.sentBytes.Load(), h.sentFrames.Load(), h.receivedBytes.Load(), h.receivedFrames.Load()}
+}
+
+// Links is how many there are: dialled and accepted.
+func (h *Hub) Links() (dialled, accepted int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.links), len(h.taken)
 }
 
 // NewHub makes a hub. most bounds the bytes of one ask that it takes.
@@ -43,7 +61,7 @@
 
 func (h *Hub) room(n int) bool { return n <= h.most }
 
-// OnLost has f called, without locks, when a link that this process dialled ends.
+// OnLost has f called, without locks, when a link that this process dialled ends, unless it was closed here as idle.
 func (h *Hub) OnLost(f func(address, why string)) { h.lost = f }
 
 // Serve has f called for each ask of a method, on the link's reader: it must not block.
@@ -82,7 +100,8 @@
 func (h *Hub) Send(address string, method uint64, body []byte, expire time.Duration,
 	done func(body []byte, err error)) *Ask {
 	a := &Ask{method: method, body: body, expire: expire, done: done}
-	h.link(address).ask(a)
+	for !h.link(address).ask(a) { // it was closed as idle just now
+	}
 	return a
 }
 
@@ -191,6 +210,24 @@
 	}
 }
 
+// rest closes a dialled link that nobody has used for long. Whoever asks next dials anew.
+func (h *Hub) rest(l *Link, now time.Duration) bool {
+	h.mu.Lock()
+	l.mu.Lock()
+	idle := h.links[l.peer] == l && l.up && !l.dead && len(l.asks) == 0 && now-l.used > idleMost
+	if idle {
+		delete(h.links, l.peer)
+		l.dead, l.rested, l.why = true, true, "idle"
+	}
+	l.mu.Unlock()
+	h.mu.Unlock()
+	if idle {
+		l.conn.Close()
+		l.rouse()
+	}
+	return idle
+}
+
 func (h *Hub) handle(c *Call) {
 	if f := h.serve[c.method]; f != nil {
 		f(c)
@@ -217,7 +254,9 @@
 			return
 		}
 		for _, l := range all {
-			l.look(now)
+			if !h.rest(l, now) {
+				l.look(now)
+			}
 		}
 	}
 }
--- a/internal/mesh/cue/link.go
+++ b/internal/mesh/cue/link.go
@@ -19,9 +19,11 @@
 	dialMost    = 600 * time.Millisecond  // until a connection that is not up counts as failed
 	quietMost   = 300 * time.Millisecond  // without a word, while something is awaited: a ping goes out
 	restMost    = 2 * time.Second         // the same while nothing is
+	idleMost    = 30 * time.Second        // without an ask: whoever dialled closes it
 	silentMost  = 1000 * time.Millisecond // after a ping without a word: the link is dead
 	wokenAfter  = 500 * time.Millisecond  // between two looks that should be closer: this process stood still
 	lookEvery   = 100 * time.Millisecond
+	readBuffer  = 4 << 10
 	bufferBytes = 128 << 10 // of a socket: what is in it can't be overtaken
 )
 
@@ -91,19 +93,22 @@
 
 // Link is a connection to one neighbour. Whoever dialled asks, whoever accepted answers.
 type Link struct {
-	hub   *Hub
-	peer  string // address, for people
-	conn  net.Conn
-	mu    sync.Mutex
-	wake  chan struct{}
-	dead  bool
-	up    bool
-	why   string
-	from  Hello
-	next  uint64
-	asks  map[uint64]*Ask
-	calls map[uint64]*Call
-	parts map[uint64]*Call // not whole yet
+	hub  *Hub
+	peer string // address, for people
+	conn net.Conn
+	mu   sync.Mutex
+	wake chan struct{}
+	dead bool
+	// closed here as idle, after the last answer
+	rested bool
+	used   time.Duration // the last ask
+	up     bool
+	why    string
+	from   Hello
+	next   uint64
+	asks   map[uint64]*Ask
+	calls  map[uint64]*Call
+	parts  map[uint64]*Call // not whole yet
 
 	urgent  deque.Deque[envelope]
 	streams deque.Deque[any] // *Ask and *reply with something left to write
@@ -127,9 +132,14 @@
 	}
 }
 
-// ask puts a question in line. Called with no lock of the link's held.
-func (l *Link) ask(a *Ask) {
+// ask puts a question in line; false if the link was closed as idle. Called with no lock of the link's held.
+func (l *Link) ask(a *Ask) bool {
 	l.mu.Lock()
+	if l.rested {
+		l.mu.Unlock()
+		return false
+	}
+	l.used = l.hub.Now()
 	if l.dead || len(l.asks) >= asksMost {
 		why := l.why
 		if !l.dead {
@@ -137,7 +147,7 @@
 		}
 		l.mu.Unlock()
 		go a.done(nil, &ErrLost{Peer: l.peer, Why: why})
-		return
+		return true
 	}
 	l.next++
 	a.link, a.stream = l, l.next
@@ -148,6 +158,7 @@
 	}
 	l.mu.Unlock()
 	l.rouse()
+	return true
 }
 
 // Withdraw gives an ask up: what has not gone out never will, and its answer says so; of what has, the other side tells how
@@ -229,6 +240,7 @@
 	var buf []byte
 	for range l.wake {
 		for {
+			frames := uint64(0)
 			buf = buf[:0]
 			l.mu.Lock()
 			if l.dead {
@@ -240,14 +252,18 @@
 				e := l.urgent.PopFront()
 				e.clock = now
 				buf = appendFrame(buf, &e)
+				frames++
 			}
 			for l.streams.Len() > 0 && len(buf) < 4*pieceMost {
 				buf = l.piece(buf, now)
+				frames++
 			}
 			l.mu.Unlock()
 			if len(buf) == 0 {
 				break
 			}
+			l.hub.sentBytes.Add(uint64(len(buf)))
+			l.hub.sentFrames.Add(frames)
 			if _, err := l.conn.Write(buf); err != nil {
 				l.fail(err.Error())
 				return
@@ -285,9 +301,21 @@
 	return appendFrame(buf, &e)
 }
 
+// counted counts what is read.
+type counted struct {
+	net.Conn
+	hub *Hub
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.hub.receivedBytes.Add(uint64(n))
+	return n, err
+}
+
 // read is the link's one reader; it ends with the link.
 func (l *Link) read() {
-	r := bufio.NewReaderSize(l.conn, 8<<10)
+	r := bufio.NewReaderSize(counted{l.conn, l.hub}, readBuffer)
 	for {
 		var e envelope
 		if err := readFrame(r, &e); err != nil {
@@ -298,6 +326,7 @@
 			l.fail(err.Error())
 			return
 		}
+		l.hub.receivedFrames.Add(1)
 		if err := l.take(&e); err != nil {
 			l.hub.Log.WithField("peer", l.peer).WithField("name", l.from.Name).Warn("cue: " + err.Error())
 			l.fail(err.Error())
