--- a/internal/mesh/cue/link.go
+++ b/internal/mesh/cue/link.go
@@ -19,9 +19,11 @@
 	dialMost    = 600 * time.Millisecond  // until a connection that is not up counts as failed
 	quietMost   = 300 * time.Millisecond  // without a word, while something is awaited: a ping goes out
 	restMost    = 2 * time.Second         // the same while nothing is
+	idleMost    = 30 * time.Second        // without an ask: whoever dialled closes it
 	silentMost  = 1000 * time.Millisecond // after a ping without a word: the link is dead
 	wokenAfter  = 500 * time.Millisecond  // between two looks that should be closer: this process stood still
 	lookEvery   = 100 * time.Millisecond
+	readBuffer  = 4 << 10
 	bufferBytes = 128 << 10 // of a socket: what is in it can't be overtaken
 )
 
@@ -102,19 +104,22 @@
 
 // Link is a connection to one neighbour. Whoever dialled asks, whoever accepted answers.
 type Link struct {
-	hub   *Hub
-	peer  string // address, for people
-	conn  net.Conn
-	mu    sync.Mutex
-	wake  chan struct{}
-	dead  bool
-	up    bool
-	why   string
-	from  Hello
-	next  uint64
-	asks  map[uint64]*Ask
-	calls map[uint64]*Call
-	parts map[uint64]*Call // not whole yet
+	hub  *Hub
+	peer string // address, for people
+	conn net.Conn
+	mu   sync.Mutex
+	wake chan struct{}
+	dead bool
+	// closed here as idle, after the last answer
+	rested bool
+	used   time.Duration // the last ask
+	up     bool
+	why    string
+	from   Hello
+	next   uint64
+	asks   map[uint64]*Ask
+	calls  map[uint64]*Call
+	parts  map[uint64]*Call // not whole yet
 
 	urgent deque.Deque[envelope]
 	small  deque.Deque[any] // *Ask and *reply that fit into one piece,
@@ -139,9 +144,14 @@
 	}
 }
 
-// ask puts a question in line. Called with no lock of the link's held.
-func (l *Link) ask(a *Ask) {
+// ask puts a question in line; false if the link was closed as idle. Called with no lock of the link's held.
+func (l *Link) ask(a *Ask) bool {
 	l.mu.Lock()
+	if l.rested {
+		l.mu.Unlock()
+		return false
+	}
+	l.used = l.hub.Now()
 	if l.dead || len(l.asks) >= asksMost {
 		why := l.why
 		if !l.dead {
@@ -149,7 +159,7 @@
 		}
 		l.mu.Unlock()
 		go a.done(nil, &ErrLost{Peer: l.peer, Why: why})
-		return
+		return true
 	}
 	l.next++
 	a.link, a.stream = l, l.next
@@ -160,6 +170,7 @@
 	}
 	l.mu.Unlock()
 	l.rouse()
+	return true
 }
 
 // Withdraw gives an ask up: what has not gone out never will, and its answer says so; of what has, the other side tells how
@@ -291,6 +302,7 @@
 				}
 				break
 			}
+			l.hub.sentBytes.Add(uint64(len(buf)))
 			if _, err := l.conn.Write(buf); err != nil {
 				l.fail(err.Error())
 				return
@@ -318,6 +330,7 @@
 		e := l.urgent.PopFront()
 		e.clock = now
 		buf = appendFrame(buf, &e)
+		l.hub.sentFrames.Add(1)
 	}
 	for l.small.Len() > 0 && len(buf) < 4*pieceMost {
 		buf = l.piece(buf, now, &l.small, pieceMost)
@@ -368,12 +381,25 @@
 		e.last = true
 	}
 	*off += len(e.body)
+	l.hub.sentFrames.Add(1)
 	return appendFrame(buf, &e)
 }
 
+// counted counts what is read.
+type counted struct {
+	net.Conn
+	hub *Hub
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.hub.receivedBytes.Add(uint64(n))
+	return n, err
+}
+
 // read is the link's one reader; it ends with the link.
 func (l *Link) read() {
-	r := bufio.NewReaderSize(l.conn, 8<<10)
+	r := bufio.NewReaderSize(counted{l.conn, l.hub}, readBuffer)
 	for {
 		var e envelope
 		if err := readFrame(r, &e); err != nil {
@@ -384,6 +410,7 @@
 			l.fail(err.Error())
 			return
 		}
+		l.hub.receivedFrames.Add(1)
 		if err := l.take(&e); err != nil {
 			l.hub.Log.WithField("peer", l.peer).WithField("name", l.from.Name).Warn("cue: " + err.Error())
 			l.fail(err.Error())
