--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -47,6 +47,7 @@
 	open     atomic.Int64 // requests under way
 	bodies   atomic.Int64 // bytes of their bodies
 	ending   atomic.Bool
+	idlers   idlers
 }
 
 // request is one client's request.
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -27,7 +28,7 @@
 // Server is the clients' server.
 func (d *Desk) Server() *http.Server {
 	return &http.Server{Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headTime, IdleTimeout: restTime,
-		MaxHeaderBytes: headMost, ErrorLog: nil}
+		MaxHeaderBytes: headMost, ConnState: d.state, ErrorLog: log.New(io.Discard, "", 0)}
 }
 
 // own are headers that the system alone sets, whatever a client sent.
@@ -245,6 +246,8 @@
 	h := w.Header()
 	if d.ending.Load() {
 		h.Set("Connection", "close")
+	} else {
+		d.keep(h)
 	}
 	if res.kind == curtain.Answered {
 		o := res.outcome
--- a/internal/mesh/house/house_test.go
+++ b/internal/mesh/house/house_test.go
@@ -51,7 +51,9 @@
 	cmd                           *exec.Cmd
 }
 
-func newMesh(t *testing.T, net string) *mesh {
+// newMesh starts one; its addresses are of this test process alone, so that several may run on a machine.
+func newMesh(t *testing.T, n int) *mesh {
+	net := fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%80*3+n)
 	m := &mesh{C: qt.New(t), folder: t.TempDir(), net: net, machines: map[string]*machine{}, apps: map[string]*application.Endpoint{}}
 	t.Cleanup(func() {
 		for _, x := range m.machines {
@@ -219,7 +221,7 @@
 
 // A configuration, beats, keys, routes that come and go, a drain, a crash and a new life at one address, as clients see them.
 func TestMeshServes(t *testing.T) {
-	m := newMesh(t, "127.77.1")
+	m := newMesh(t, 1)
 	m.ready()
 	a, id := m.ask("access-2", "POST", "/book/one?x=1", "k2", []byte("booking"))
 	m.Assert(a.status, qt.Equals, 200)
@@ -236,6 +238,7 @@
 	m.Assert(big.status, qt.Equals, 413)
 	whole, _ := m.ask("access-0", "POST", "/book/x", "k1", make([]byte, 100000))
 	m.Assert(whole.body, qt.Matches, ".*: 100000 bytes")
+	m.Assert(whole.header.Get("Keep-Alive"), qt.Equals, "timeout=14")
 	// A key goes, a route comes; what is refused, lost its race or can't be used is never in force.
 	added := `,{"name":"new","hostName":"shop.example","pathPrefix":"/read/new/","routeKind":"idempotent","timeout":"1000ms","target":"300ms","priority":1,"serviceName":"desk","maxAttempts":1,"publicAccess":true}`
 	m.Assert(m.put(1, []byte(`{"configVersion":"r2","routeTable":[{`)), qt.Equals, 400)
@@ -287,7 +290,7 @@
 // Processes are killed and stand still while clients ask: what must not run twice never does, and the rest is served again
 // within seconds.
 func TestMeshOutlivesItsProcesses(t *testing.T) {
-	m := newMesh(t, "127.77.2")
+	m := newMesh(t, 2)
 	m.ready()
 	stop, done := make(chan struct{}), make(chan struct{})
 	var mu sync.Mutex
@@ -378,7 +381,7 @@
 
 // SIGTERM with requests under way: all of them are answered, and the process ends by itself before the grace is over.
 func TestSidecarEndsInOrder(t *testing.T) {
-	m := newMesh(t, "127.77.3")
+	m := newMesh(t, 3)
 	m.ready()
 	before := len(m.apps["access-0"].Runs()) + len(m.apps["access-1"].Runs())
 	release := m.apps["access-0"].Hold()
