--- a/internal/mesh/backstage/state.go
+++ b/internal/mesh/backstage/state.go
@@ -55,7 +55,7 @@
 func (d *Duties) State() State {
 	c := d.crew
 	now := c.o.Hub.Now()
-	s := State{Node: c.o.Sheet.Name, Voters: d.voters()}
+	s := State{Node: c.o.Sheet.Name, Voters: d.voters.Electorate().Voters}
 	d.mu.Lock()
 	duty := DutyState{Name: dutyTeller, Holder: d.teller.Holder(now)}
 	duty.Epoch, _ = d.teller.Holds(now)
