--- a/internal/mesh/promptbook/electorate.go
+++ b/internal/mesh/promptbook/electorate.go
@@ -113,7 +113,8 @@
 
 // move decides on a change of the list when w is the newest word; its epoch is that of the round.
 func (c *Change) move(w *Word) (Verdict, *Word) {
-	if c.next.Epoch != w.Electorate.Epoch+1 {
+	e := &w.Electorate
+	if c.next.Epoch != e.Epoch+1 || e.Epoch > 0 && !slices.Equal(e.Voters, c.next.Former) {
 		if w.Electorate.Epoch == c.next.Epoch && slices.Equal(w.Electorate.Voters, c.next.Voters) {
 			return Taken, w
 		}
--- a/internal/mesh/promptbook/orders_test.go
+++ b/internal/mesh/promptbook/orders_test.go
@@ -30,7 +30,8 @@
 	props   []proposer      //
 	flight  []message       // sorted
 	ends    []conclusion    // of rounds, in their order
-	losses  int             // disks that may still be lost, of the last voter
+	losses  int             // disks that may still be lost, of the loser
+	loser   int
 }
 
 type proposer struct {
@@ -52,6 +53,7 @@
 
 type conclusion struct {
 	prop    int
+	before  int // conclusions when its round began
 	verdict Verdict
 	word    Word
 	code    uint64
@@ -78,7 +80,7 @@
 
 // newLists makes a world in which only the first so many of all vote at first, and the others are ready to.
 func newLists(voters, all, losses int, attempts []int, changes ...*Change) *world {
-	w := &world{losses: losses, lost: make([]*Recovery, all), records: make([]Record, all), codes: make([]uint64, all),
+	w := &world{losses: losses, loser: all - 1, lost: make([]*Recovery, all), records: make([]Record, all), codes: make([]uint64, all),
 		moved: map[string]bool{}}
 	for i := range all {
 		w.voters = append(w.voters, fmt.Sprint("v", i))
@@ -137,7 +139,7 @@
 	if i -= 2 * len(w.flight); i < len(w.props) {
 		return w.propose(i)
 	}
-	return w.lose(len(w.voters) - 1)
+	return w.lose(w.loser)
 }
 
 // propose starts a proposer's next round.
@@ -222,10 +224,10 @@
 	}
 	switch {
 	case r.State == Done:
-		w.ends = append(w.ends, conclusion{m.prop, r.Verdict, r.Word, code(&r.Word)})
+		w.ends = append(w.ends, conclusion{m.prop, p.before, r.Verdict, r.Word, code(&r.Word)})
 	case r.State == Stale && r.Vote().Ballot == r.ballot:
 		word := r.Vote().Word
-		w.ends = append(w.ends, conclusion{m.prop, Unclear, word, code(&word)})
+		w.ends = append(w.ends, conclusion{m.prop, p.before, Unclear, word, code(&word)})
 	}
 	return true
 }
@@ -272,7 +274,7 @@
 		}
 	}
 	for _, e := range w.ends {
-		maphash.WriteComparable(&h, [2]int{e.prop, int(e.verdict)})
+		maphash.WriteComparable(&h, [3]int{e.prop, e.before, int(e.verdict)})
 		maphash.WriteComparable(&h, e.code)
 	}
 	maphash.WriteComparable(&h, w.losses)
@@ -310,7 +312,7 @@
 			return "acknowledged, and not in the word"
 		}
 		for j, o := range w.ends[:i] {
-			if !extends(&o.word, &e.word) && (j < w.props[e.prop].before || !extends(&e.word, &o.word)) {
+			if !extends(&o.word, &e.word) && (j < e.before || !extends(&e.word, &o.word)) {
 				return "two conclusions don't fit"
 			}
 			if o.verdict == Taken && e.verdict == Taken && rivals(w.props[o.prop].change, w.props[e.prop].change) {
@@ -528,6 +530,21 @@
 	return w
 }
 
+// rivalList is a world in which one voter accepted a list that was not chosen, and a proposer saw that; then another list was
+// chosen without that voter, of which a majority meets no majority of the first one.
+func rivalList() *world {
+	drop := follow(list(4), Move{Remove: "v3"})
+	w := newLists(4, 5, 0, []int{1, 1, 1, 2}, follow(list(4), Move{Add: "v4"}), drop, one, two).promised(0, 1, 2)
+	w.hear(0, 3)
+	w.hear(0, 3)
+	w.props[3].n = 1
+	w.promised(3, 1, 2).hear(3, 3)
+	w.props[1].n = 2
+	w.played(1, 0, 1, 2).without()
+	w.props[2].known, w.props[2].n, w.props[3].n = *drop.next, 3, 4
+	return w
+}
+
 // lostWhileAdded is a world in which a voter's disk may be lost when another is being added.
 func lostWhileAdded() *world {
 	w := newLists(3, 4, 1, []int{1, 1, 1}, follow(list(3), Move{Add: "v3"}), one, two)
@@ -554,6 +571,7 @@
 		"a proposer that is out of date": {newLists(3, 4, 0, []int{1, 1, 2}, addV3, one, two).played(0, 0, 1, 3).without(), 7},
 		"two epochs out of date":         {outOfDate(), 7},
 		"a removed voter comes back":     {comesBack(), 7},
+		"a rival list that one has":      {rivalList(), 8},
 		"a lost disk while one is added": {lostWhileAdded(), 6},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -571,13 +589,6 @@
 		"a lost disk":                 newWorld(3, 2, []int{3, 3, 3}, one, two, nil),
 		"a lost disk of four":         newWorld(4, 2, []int{3, 3, 3}, one, two, nil),
 		"a lost disk of five":         newWorld(5, 2, []int{3, 3, 3}, one, two, nil),
-
-		"three become five":                   newLists(3, 5, 0, []int{3, 3, 3, 3}, one, addV3, addV4, two),
-		"three become five, and a lost disk":  newLists(3, 5, 1, []int{3, 3, 3, 3}, one, addV3, addV4, two),
-		"voters are exchanged":                newLists(3, 4, 0, []int{3, 3, 3, 3}, one, addV3, addV3dropV0, two),
-		"voters are exchanged, a lost disk":   newLists(3, 4, 2, []int{3, 3, 3, 3}, one, addV3, addV3dropV0, two),
-		"one is removed, and another loses":   newLists(4, 4, 1, []int{3, 3, 3, 2}, one, follow(list(4), Move{Remove: "v0"}), two, nil),
-		"an old voter's disk, rivals, reader": newLists(3, 4, 1, []int{3, 3, 3, 3}, addV3, dropV2, one, nil),
 	} {
 		t.Run(name, func(t *testing.T) {
 			ends := roam(t, w, 2000)
@@ -585,3 +596,78 @@
 		})
 	}
 }
+
+// While the voters change, in orders in which most messages arrive, so that rounds end and epochs follow each other.
+func TestRandomOrdersOfMoves(t *testing.T) {
+	many := []int{4, 4, 4, 4, 4}
+	drop := func(n int, node string) *Change { return follow(list(n), Move{Remove: node}) }
+	for name, w := range map[string]*world{
+		"three become five":            newLists(3, 5, 0, many, one, addV3, addV4, two, three),
+		"three become five, a disk":    newLists(3, 5, 0, many, one, addV3, addV4, two, three).mayLose(0, 2),
+		"voters are exchanged":         newLists(3, 4, 0, many, one, addV3, addV3dropV0, two, three),
+		"voters are exchanged, a disk": newLists(3, 4, 0, many, one, addV3, addV3dropV0, two, three).mayLose(1, 2),
+		"rivals of four":               newLists(4, 5, 0, many, follow(list(4), Move{Add: "v4"}), drop(4, "v3"), one, two, three),
+		"rivals of four, a disk": newLists(4, 5, 0, many, follow(list(4), Move{Add: "v4"}), drop(4, "v3"), one, two, three).
+			mayLose(0, 2),
+		"five become two": newLists(5, 5, 0, many, drop(5, "v4"), follow(list(5), Move{Remove: "v4"}, Move{Remove: "v3"}),
+			follow(list(5), Move{Remove: "v4"}, Move{Remove: "v3"}, Move{Remove: "v2"}), one, two),
+		"rivals grow and shrink": newLists(4, 6, 0, many, follow(list(4), Move{Add: "v4"}), drop(4, "v3"),
+			follow(list(4), Move{Add: "v4"}, Move{Add: "v5"}), follow(list(4), Move{Remove: "v3"}, Move{Remove: "v2"}), one),
+	} {
+		t.Run(name, func(t *testing.T) {
+			ends, epochs := 0, map[uint64]int{}
+			for seed := range 3000 {
+				rng := rand.New(rand.NewPCG(uint64(seed), 2))
+				w := w.clone()
+				for n := 0; n < 120 && w.stroll(rng); n++ {
+				}
+				if fault := w.fault(); fault != "" {
+					t.Fatalf("%s in run %d", fault, seed)
+				}
+				ends += len(w.ends)
+				newest := uint64(0)
+				for _, e := range w.ends {
+					newest = max(newest, e.word.Electorate.Epoch)
+				}
+				epochs[newest]++
+			}
+			t.Logf("%d conclusions, runs by epoch: %v", ends, epochs)
+			qt.Assert(t, ends > 3000, qt.IsTrue)
+		})
+	}
+}
+
+// mayLose lets a voter lose its disk so often.
+func (w *world) mayLose(v, losses int) *world {
+	w.loser, w.losses = v, losses
+	w.moved[w.voters[v]] = true
+	return w
+}
+
+// stroll does a step by chance; it tells whether there was one to do.
+func (w *world) stroll(rng *rand.Rand) bool {
+	for range 50 {
+		flight := len(w.flight)
+		r := rng.IntN(100)
+		switch {
+		case flight > 0 && r < 70:
+			w.step(2 * rng.IntN(flight))
+			return true
+		case flight > 0 && r < 74:
+			w.step(2*rng.IntN(flight) + 1)
+			return true
+		case flight > 0 && r < 80:
+			i := rng.IntN(flight)
+			w.flight = slices.Delete(w.flight, i, i+1)
+			return true
+		case r < 97:
+			i := rng.IntN(len(w.props))
+			if p := &w.props[i]; (p.round == nil || p.round.Over() || rng.IntN(4) == 0) && w.propose(i) {
+				return true
+			}
+		case w.losses > 0 && w.lost[w.loser] == nil:
+			return w.lose(w.loser)
+		}
+	}
+	return false
+}
--- a/internal/mesh/prompter/desk.go
+++ b/internal/mesh/prompter/desk.go
@@ -253,12 +253,12 @@
 // enough answers, so that the others learn of it too.
 func (d *Desk) broadcast(nodes []string, q *promptbook.Request) <-chan answer {
 	answers := make(chan answer, len(nodes))
-	raw := script.Write(nil, q)
+	raw, one := script.Write(nil, q), *q
 	for _, node := range nodes {
 		go func() { // ends with the desk
 			ctx, cancel := context.WithTimeout(d.ctx, askTimeout)
 			defer cancel()
-			reply, err := d.ask(ctx, node, *q, raw)
+			reply, err := d.ask(ctx, node, one, raw)
 			if err != nil {
 				d.o.Log.WithError(err).WithField("node", node).Debug("no answer")
 			}
--- a/internal/mesh/prompter/keeper.go
+++ b/internal/mesh/prompter/keeper.go
@@ -274,8 +274,9 @@
 		return
 	}
 	k.lost, k.blank = true, blank
-	k.life = uint64(time.Now().UnixNano())
-	k.d.wg.Go(func() { k.d.recover(k.life, blank) })
+	life := uint64(time.Now().UnixNano())
+	k.life = life
+	k.d.wg.Go(func() { k.d.recover(life, blank) })
 }
 
 // recover makes the record of a process that has none: the list of voters comes from any peer; then a voter gets back what the
--- a/internal/mesh/trunk/trunk_test.go
+++ b/internal/mesh/trunk/trunk_test.go
@@ -2,20 +2,49 @@
 
 import (
 	"bytes"
+	"errors"
+	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/gravitational/trace"
 )
 
-// killed is a folder as it is left when the process that has it open is killed.
+// killed is a folder as it is left when the process that has it open is killed: all files as they were at one moment, while
+// the database may be writing and removing tables.
 func killed(t *testing.T, folder string) string {
-	copied := t.TempDir()
-	qt.Assert(t, os.CopyFS(copied, os.DirFS(folder)), qt.IsNil)
-	return copied
+	for range 100 {
+		before := files(t, folder)
+		copied := t.TempDir()
+		err := os.CopyFS(copied, os.DirFS(folder))
+		if maps.Equal(before, files(t, folder)) {
+			qt.Assert(t, err, qt.IsNil)
+			return copied
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the folder doesn't come to rest")
+	return ""
+}
+
+// files are the files of a folder with their sizes.
+func files(t *testing.T, folder string) map[string]int64 {
+	sizes := map[string]int64{}
+	for _, f := range must(os.ReadDir(folder)) {
+		info, err := f.Info()
+		if errors.Is(err, fs.ErrNotExist) {
+			sizes[f.Name()] = -1
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil)
+		sizes[f.Name()] = info.Size()
+	}
+	return sizes
 }
 
 func must[T any](x T, err error) T {
@@ -53,9 +82,9 @@
 		c.Assert(bytes.Equal(data, want), qt.IsTrue)
 	}
 	c.Assert(k.Check(), qt.IsNil)
-	size := 0
-	for _, f := range must(filepath.Glob(filepath.Join(folder, "*"))) {
-		size += len(must(os.ReadFile(f)))
+	size := int64(0)
+	for _, n := range files(t, folder) {
+		size += max(n, 0)
 	}
 	c.Assert(size < 8<<20, qt.IsTrue, qt.Commentf("%d bytes", size)) // what was written over is given back
 }
--- a/internal/mesh/understudy/understudy_test.go
+++ b/internal/mesh/understudy/understudy_test.go
@@ -104,3 +104,55 @@
 	v = NewVoter(4*Lease, false)
 	c.Assert(v.Take(5*Lease-1, other).Duties[0].Given, qt.IsFalse)
 }
+
+// While the voters' list goes from three to five, one by one, and each candidate and voter learns of it at any time, never do two
+// hold the duty, though majorities of the first list and the last share nobody.
+func TestOneHoldsWhileVotersChange(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	came, both := 0, 0
+	for range 20000 {
+		now, decided := time.Duration(0), uint64(0)
+		var voters []*Voter
+		accepted := make([]uint64, 5)
+		for range 5 {
+			voters = append(voters, NewVoter(0, true))
+		}
+		half := func() float64 { return rng.Float64() }
+		cs := []*Candidate{NewCandidate("a", 1, "d", half), NewCandidate("b", 2, "d", half)}
+		known := make([]uint64, 2)
+		for range 80 {
+			now += time.Duration(rng.Int64N(int64(Lease / 3)))
+			if decided < 2 && rng.IntN(8) == 0 { // a majority of the list so far accepts the next one
+				n := int(decided) + 3
+				decided++
+				for _, v := range rng.Perm(n)[:n/2+1] {
+					accepted[v] = decided
+				}
+				accepted[n] = decided
+			}
+			i := rng.IntN(2)
+			if rng.IntN(6) == 0 {
+				known[i] = decided
+			}
+			n := int(known[i]) + 3
+			ask := cs[i].Tick(now, n, known[i])
+			if ask == nil {
+				continue
+			}
+			for _, v := range rng.Perm(n)[:n/2+1+rng.IntN(n/2)] {
+				voters[v].Accepted(accepted[v])
+				if cs[i].Take(now, now, string(rune('0'+v)), voters[v].Take(now, ask)) {
+					came++
+				}
+			}
+			_, one := cs[0].Holds(now)
+			_, two := cs[1].Holds(now)
+			if one && two {
+				both++
+			}
+		}
+	}
+	t.Logf("the duty came to one %d times", came)
+	qt.Assert(t, both, qt.Equals, 0)
+	qt.Assert(t, came > 20000, qt.IsTrue)
+}
