--- a/internal/mesh/foyer/cast.go
+++ b/internal/mesh/foyer/cast.go
@@ -31,7 +31,6 @@
 type player struct {
 	number gingerlead.EndpointID
 	callboard.Endpoint
-	listed bool
 }
 
 // classKey is what makes requests alike for the module.
--- a/internal/mesh/house/house_test.go
+++ b/internal/mesh/house/house_test.go
@@ -41,7 +41,6 @@
 	machines map[string]*machine
 	apps     map[string]*application.Endpoint
 	n        int
-	version  int
 	mu       sync.Mutex
 }
 
--- a/internal/mesh/wings/wings.go
+++ b/internal/mesh/wings/wings.go
@@ -70,7 +70,6 @@
 	queue   []waiting // in the order of going on
 	work    time.Duration
 	steps   []Step
-	sum     float64
 }
 
 // New makes a gate that lets nobody on until a life is told.
