--- /dev/null
+++ b/internal/mesh/boxoffice/teller_bench_test.go
@@ -0,0 +1,51 @@
+package boxoffice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gingerlead/internal/mesh/script"
+)
+
+// BenchmarkTeller is the teller's own work for one message of a sidecar, without the link: each sidecar says something each
+// 200 ms, and has a wish for each of some tenants. A second of the duty is as many messages as sidecars times five.
+func BenchmarkTeller(b *testing.B) {
+	for _, sidecars := range []int{20, 200, 2000} {
+		for _, wishes := range []int{1, 8} {
+			b.Run(fmt.Sprintf("sidecars-%d/wishes-%d", sidecars, wishes), func(b *testing.B) {
+				t := NewTeller(0, true, func(string) (Limit, bool) { return Limit{Rate: 1e5, Burst: 1e5, Spare: 100}, true })
+				all := make([]Wishes, sidecars)
+				for i := range all {
+					all[i] = Wishes{Who: fmt.Sprintf("10.%d.%d.%d:7301", i/62500, i/250%250, i%250+1), Life: uint64(i + 1)}
+					for j := range wishes {
+						all[i].Wishes = append(all[i].Wishes, Wish{Tenant: fmt.Sprintf("tenant-%d", j), Tokens: 2, Demand: 6.5,
+							Share: 1.25, Left: 9 * time.Second})
+					}
+				}
+				now, each := time.Second, beat/time.Duration(sidecars)
+				sizes, sent, got := 0, 0, 0
+				round := func(w *Wishes) {
+					now += each
+					a := Tickets{Granted: true, Epoch: 3, Teller: "10.0.0.1:7301", Tickets: t.Take(now, w)}
+					if len(a.Tickets) != wishes {
+						b.Fatalf("%d tickets for %d wishes", len(a.Tickets), wishes)
+					}
+					if sizes++; sizes <= sidecars {
+						sent, got = sent+len(script.Write(nil, w)), got+len(script.Write(nil, &a))
+					}
+				}
+				for i := range all {
+					round(&all[i])
+				}
+				i := 0
+				for b.Loop() {
+					round(&all[i%sidecars])
+					i++
+				}
+				b.ReportMetric(float64(sent)/float64(sidecars), "B-wishes")
+				b.ReportMetric(float64(got)/float64(sidecars), "B-tickets")
+			})
+		}
+	}
+}
