TestGivenUp waits for its endpoint's read before it ends

Cause: make test failed once: the read of the endpoint's end raced with the test's own closing of that end, and gave 'read/write on closed pipe' in place of EOF. Change: the test waits; what it demands is the same.

--- a/internal/network/http1/transport_test.go
+++ b/internal/network/http1/transport_test.go
@@ -300,8 +300,9 @@
 		"time-out": {100 * time.Millisecond, false, gingerlead.Timeout},
 		"cancel":   {patience, true, gingerlead.Cancelled},
 	} {
-		written := make(chan bool)
+		written, ended := make(chan bool), make(chan bool)
 		near := pipe(t, func(far net.Conn) {
+			defer close(ended)
 			readRequest(far)
 			close(written)
 			if n, err := far.Read(make([]byte, 1)); err != io.EOF {
@@ -314,6 +315,7 @@
 				cancel()
 			}
 		})
+		<-ended // else the pipe's own end, closed with the test, may be what it reads
 		if res.Status != c.want || res.Conn != nil {
 			t.Errorf("%s: status %v, conn %v", name, res.Status, res.Conn)
 		}
