--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -56,7 +56,8 @@
 	route    *playbill.Route
 	cast     *cast
 	perform  stagedoor.Perform
-	aim      time.Duration
+	aim      time.Duration // counted from this try,
+	first    time.Duration // and from its client's first
 	deadline time.Duration
 	attempts int
 	arrivals int
