--- a/internal/mesh/foyer/cast.go
+++ b/internal/mesh/foyer/cast.go
@@ -143,7 +143,7 @@
 		return
 	}
 	perform := r.perform
-	perform.Endpoint, perform.Left, perform.Aim, perform.First = p.ID, r.deadline-now, r.aim-now, r.first-now
+	perform.Endpoint, perform.Left, perform.Aim = p.ID, r.deadline-now, r.aim-now
 	done := func(o *stagedoor.Outcome) {
 		c.desk.do(func(now time.Duration) { c.ended(now, a, o) })
 	}
--- a/internal/mesh/foyer/foyer.go
+++ b/internal/mesh/foyer/foyer.go
@@ -56,8 +56,7 @@
 	route    *playbill.Route
 	cast     *cast
 	perform  stagedoor.Perform
-	aim      time.Duration // counted from this try,
-	first    time.Duration // and from its client's first
+	aim      time.Duration
 	deadline time.Duration
 	attempts int
 	arrivals int
--- a/internal/mesh/foyer/http.go
+++ b/internal/mesh/foyer/http.go
@@ -125,13 +125,13 @@
 		}
 	}
 	r.deadline = now + left
-	target := r.route.Target
-	if r.aim = min(r.deadline, now+target); target <= 0 {
-		r.aim, target = r.deadline, left
-	}
-	// Its client's aim counts from its first try. Who has missed it may wait, but not as long as those that can still be in time.
-	if r.first = min(r.deadline, now+target-spent); spent >= target {
-		r.first = min(r.deadline, now+target/2)
+	switch target := r.route.Target; {
+	case target <= 0:
+		r.aim = r.deadline
+	case spent < target:
+		r.aim = min(r.deadline, now+target-spent)
+	default: // it is late already: it may wait, but not as long as those that can still be in time
+		r.aim = min(r.deadline, now+target/2)
 	}
 	p.Service = r.route.Draw(d.random())
 	hop := map[string]bool{}
--- a/internal/mesh/stagedoor/message.go
+++ b/internal/mesh/stagedoor/message.go
@@ -28,7 +28,6 @@
 	Repeatable bool
 	Aim        time.Duration // left until an answer is worth little, when it was sent
 	Left       time.Duration // left until the client gives up, when it was sent
-	First      time.Duration // left of the aim as it counts from the client's first try, when it was sent
 	Route      string        // its name: requests of one route are taken to be alike
 }
 
@@ -51,7 +50,6 @@
 	v.Time(15, &p.Aim)
 	v.Time(16, &p.Left)
 	v.Text(17, &p.Route)
-	v.Time(18, &p.First)
 }
 
 // Outcome is how a Perform ended.
--- a/internal/mesh/stagedoor/stagedoor.go
+++ b/internal/mesh/stagedoor/stagedoor.go
@@ -104,7 +104,6 @@
 	large := 0.0
 	if size := d.sizes[p.Route]; afar && d.way != nil && size > sizeLarge {
 		large = size
-		aim = min(aim, deadline-p.Left+p.First) // on a full link late ones would only make others late
 		back := d.way(d.under + size)
 		aim, deadline = aim-back, deadline-back
 	}
