Signals are caught first of all and never given up: none ends a process that ends

Change: internal/lifecycle, called first in each program; the control plane and the event log answer what they have read before they end; a server's failure ends a process in order; accept errors of links pass; a read deadline that crosses a request is taken back.

--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/assembly"
 	"gingerlead/internal/mesh/operations/settings"
 )
@@ -16,9 +17,10 @@
 }
 
 func main() {
+	signals := lifecycle.Catch()
 	kong.Parse(&line, kong.Name("controlplane"), kong.Description("The mesh's core process, which keeps the configuration."),
 		kong.Vars{"variable": settings.Variable})
-	if err := assembly.Core(line.Settings); err != nil {
+	if err := assembly.Core(line.Settings, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "controlplane:", err)
 		os.Exit(1)
 	}
--- a/cmd/eventlog/main.go
+++ b/cmd/eventlog/main.go
@@ -8,19 +8,20 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/control/storage"
 	"gingerlead/internal/mesh/operations/eventfeed"
 	"gingerlead/internal/mesh/operations/eventlog"
 )
 
+const shutdownMost = 3 * time.Second // to answer the calls that were read
+
 type line struct {
 	Core   []string `help:"Control addresses of core processes, the first one first." required:"" sep:","`
 	Listen string   `help:"Where tools read: GET /events?after=CURSOR&follow=1." default:"127.0.0.1:8170"`
@@ -28,7 +29,7 @@
 	Keep   uint64   `help:"How many events are kept." default:"100000"`
 }
 
-func (l *line) Run() error {
+func (l *line) Run(signals lifecycle.Signals) error {
 	store, err := storage.Open(l.Folder)
 	if err != nil {
 		return trace.Wrap(err, "folder %s", l.Folder)
@@ -47,26 +48,34 @@
 	if err != nil {
 		return trace.Wrap(err, "--listen %s", l.Listen)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	mux := http.NewServeMux()
-	mux.Handle("/events", eventfeed.Handler(log))
+	mux.Handle("/events", lifecycle.EndingWith(ctx, eventfeed.Handler(log)))
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: 32 << 10}
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(n) }()
-	go eventlog.Follow(ctx, log, l.Core, logrus.StandardLogger())
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		eventlog.Follow(ctx, log, l.Core, logrus.StandardLogger())
+	}()
 	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-failed:
-		return trace.Wrap(err)
+	case <-signals.Terminate:
+	case err = <-failed:
 	}
+	stop()
+	<-followed // it writes to the store, which is closed after it
+	ending, cancel := context.WithTimeout(context.Background(), shutdownMost)
+	defer cancel()
+	return trace.NewAggregate(err, s.Shutdown(ending))
 }
 
 func main() {
+	signals := lifecycle.Catch()
 	var l line
 	k := kong.Parse(&l, kong.Name("eventlog"), kong.Description("Follows the mesh's events, keeps them, and serves them to other tools."))
-	if err := k.Run(); err != nil {
+	if err := k.Run(signals); err != nil {
 		fmt.Fprintln(os.Stderr, "eventlog:", trace.UserMessage(err))
 		os.Exit(1)
 	}
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/assembly"
 	"gingerlead/internal/mesh/operations/settings"
 )
@@ -17,9 +18,10 @@
 }
 
 func main() {
+	signals := lifecycle.Catch()
 	kong.Parse(&line, kong.Name("sidecar"), kong.Description("The mesh's sidecar beside an endpoint."),
 		kong.Vars{"variable": settings.Variable})
-	if err := assembly.Access(line.Settings); err != nil {
+	if err := assembly.Access(line.Settings, signals); err != nil {
 		fmt.Fprintln(os.Stderr, "sidecar:", err)
 		os.Exit(1)
 	}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -25,6 +25,7 @@
 	{"internal/wire", "."},
 	{"internal/network", "consul admin gossip | http1 http3 | exchange"},
 	{"internal/standin", "application authority booking consul disk h3 relay udp"},
+	{"internal/lifecycle", "."},
 	{"internal/files", "certfile store | atomicfile secretfile"},
 	{"internal/modules", "membership peers reach recall route turns"},
 	{"internal/config", "apps | appfile | schema | doc | finding settings"},
--- a/internal/mesh/assembly/access.go
+++ b/internal/mesh/assembly/access.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/agent"
 	"gingerlead/internal/mesh/control/configuration"
 	"gingerlead/internal/mesh/dataplane/admission"
@@ -26,35 +27,21 @@
 )
 
 // Access runs the sidecar beside an endpoint until it is told to end.
-func Access(path string) error {
-	p, err := begin(path)
+func Access(path string, signals lifecycle.Signals) error {
+	p, err := begin(path, signals)
 	if err != nil {
 		return err
 	}
-	a := &access{process: p}
-	a.inbound = inbound.New(p.settings.App, p.hub.Now, p.log, func(life string) { a.agent.Ended(life, discovery.Crashed) })
-	var quota *agent.QuotaClient
-	a.outbound = outbound.New(outbound.Options{Hub: p.hub, Inbound: a.inbound, Bounds: p.settings.Bounds, Service: p.settings.Service, Log: p.log,
-		Seed: p.seed, Bodies: max(int64(bodyShare*float64(p.settings.MemoryMB<<20)), bodiesLeast), Refresh: func(s string) { a.agent.Refresh(s) },
-		Take: func(t *configuration.Tenant, done func(bool, time.Duration)) { quota.Take(t, done) }})
-	a.agent = agent.New(agent.Options{Settings: p.settings, Hub: p.hub, Role: membership.Access, Log: p.log, Seed: p.seed,
-		Configure: func(c *configuration.Config) { a.outbound.Configure(c) }, EndpointsChanged: a.outbound.Told,
-		SidecarsChanged: a.outbound.Sidecars, EndpointFound: a.found})
-	a.inbound.Serve(p.hub)
-	quota = a.agent.QuotaClient()
-	if err := p.link(); err != nil {
-		return err
-	}
-	clients, err := listen(p.settings.Outbound)
+	listeners, err := listenAll(p.settings.Internal(), p.settings.Outbound, p.settings.Control, p.settings.Readiness)
 	if err != nil {
 		return err
 	}
-	if err := p.serve(small(a.agent.KeepaliveHandler(a)), p.settings.Control); err != nil {
-		return err
-	}
-	if err := p.serve(small(http.HandlerFunc(a.readiness)), p.settings.Readiness); err != nil {
-		return err
-	}
+	internal, clients, control, readiness := listeners[0], listeners[1], listeners[2], listeners[3]
+	a := newAccess(p)
+	go p.follow(func(s *settings.Settings) { a.agent.Seeds(s.SeedPeers()) })
+	p.link(internal)
+	p.serve(a.agent.KeepaliveHandler(a), control)
+	p.serve(http.HandlerFunc(a.readiness), readiness)
 	go func() {
 		if err := a.outbound.Server().Serve(clients); err != nil {
 			p.errors <- trace.Wrap(err, "serve %s", p.settings.Outbound)
@@ -63,12 +50,25 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go a.agent.Run(ctx)
-	go quota.Run(ctx)
-	if err := p.wait(ctx, func(s *settings.Settings) { a.agent.Seeds(s.SeedPeers()) }); err != nil {
-		return err
-	}
+	go a.quota.Run(ctx)
+	err = p.untilEnd()
 	a.shutDown(clients)
-	return nil
+	return err
+}
+
+// newAccess puts a sidecar's planes together.
+func newAccess(p *process) *access {
+	a := &access{process: p}
+	a.inbound = inbound.New(p.settings.App, p.hub.Now, p.log, func(life string) { a.agent.Ended(life, discovery.Crashed) })
+	a.outbound = outbound.New(outbound.Options{Hub: p.hub, Inbound: a.inbound, Bounds: p.settings.Bounds, Service: p.settings.Service, Log: p.log,
+		Seed: p.seed, Bodies: max(int64(bodyShare*float64(p.settings.MemoryMB<<20)), bodiesLeast), Refresh: func(s string) { a.agent.Refresh(s) },
+		Take: func(t *configuration.Tenant, done func(bool, time.Duration)) { a.quota.Take(t, done) }})
+	a.agent = agent.New(agent.Options{Settings: p.settings, Hub: p.hub, Role: membership.Access, Log: p.log, Seed: p.seed,
+		Configure: func(c *configuration.Config) { a.outbound.Configure(c) }, EndpointsChanged: a.outbound.Told,
+		SidecarsChanged: a.outbound.Sidecars, EndpointFound: a.found})
+	a.inbound.Serve(p.hub)
+	a.quota = a.agent.QuotaClient()
+	return a
 }
 
 type access struct {
@@ -76,6 +76,7 @@
 	inbound  *inbound.Proxy
 	outbound *outbound.Proxy
 	agent    *agent.Agent
+	quota    *agent.QuotaClient
 	mu       sync.Mutex
 	seq      uint64   // callSequence of the newest keepalive of the endpoint's present life
 	past     []string // lives that are over, the oldest first
--- a/internal/mesh/assembly/assembly.go
+++ b/internal/mesh/assembly/assembly.go
@@ -8,39 +8,41 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/operations/logging"
 	"gingerlead/internal/mesh/operations/settings"
 	"gingerlead/internal/mesh/transport"
 )
 
 const (
-	callsMost  = 68 << 20 // bytes of calls at once: the largest body, and its head
-	gcPercent  = 150
-	heapShare  = 0.6 // of the machine's memory that the runtime keeps to
-	listenMost = 2 * time.Second
+	callsMost      = 68 << 20 // bytes of calls at once: the largest body, and its head
+	gcPercent      = 150
+	heapShare      = 0.6 // of the machine's memory that the runtime keeps to
+	listenMost     = 2 * time.Second
+	reloadInterval = 5 * time.Second // between two looks at the settings file, which may change without SIGHUP
 )
 
 // process is what both programs have.
 type process struct {
 	settings *settings.Settings
 	path     string
+	signals  lifecycle.Signals
 	hub      *transport.Hub
 	log      *logrus.Logger
 	book     *logging.Book
 	seed     uint64
 	errors   chan error
+	servers  []*http.Server
 }
 
-// begin reads the settings and opens the internal listener.
-func begin(path string) (*process, error) {
+// begin reads the settings, and makes what speaks with other processes.
+func begin(path string, signals lifecycle.Signals) (*process, error) {
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return nil, err
@@ -48,13 +50,29 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(loaded.MemoryMB<<20)))
 	log, book := logging.New(os.Stderr)
-	p := &process{settings: loaded, path: path, log: log, book: book, seed: rand.Uint64(), errors: make(chan error, 8)}
+	p := &process{settings: loaded, path: path, signals: signals, log: log, book: book, seed: rand.Uint64(), errors: make(chan error, 8)}
 	p.hub = transport.NewHub(transport.Hello{Life: rand.Uint64() | 1, Address: loaded.Internal(), Name: loaded.Name, Zone: loaded.Zone,
 		Service: loaded.Service}, time.Now(), callsMost, log)
 	p.hub.Shape(loaded.LinkMbps * 1e6)
 	return p, nil
 }
 
+// listenAll takes all addresses of a process before it serves on any: where one can't be had, nobody's call has been read.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		l, err := listen(address)
+		if err != nil {
+			for _, l := range listeners {
+				l.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
 // listen takes an address, again and again for a while: an earlier life may still hold it.
 func listen(address string) (net.Listener, error) {
 	for began := time.Now(); ; {
@@ -66,69 +84,64 @@
 	}
 }
 
-// serve runs a server on an address until it is shut down.
-func (p *process) serve(s *http.Server, address string) error {
-	l, err := listen(address)
-	if err != nil {
-		return err
-	}
+// serve runs a server of short calls until the process ends.
+func (p *process) serve(h http.Handler, l net.Listener) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 32 << 10}
+	p.servers = append(p.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			p.errors <- trace.Wrap(err, "serve %s", address)
+			p.errors <- trace.Wrap(err, "serve %s", l.Addr())
 		}
 	}()
-	return nil
 }
 
-func (p *process) link() error {
-	l, err := listen(p.settings.Internal())
-	if err != nil {
-		return err
+// shutDownServers ends the servers of short calls: each call that was read is answered, for as long as ctx allows.
+func (p *process) shutDownServers(ctx context.Context) {
+	for _, s := range p.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			p.log.WithError(err).Warn("assembly: a call is cut off")
+			s.Close()
+		}
 	}
+}
+
+// link takes links from other processes.
+func (p *process) link(l net.Listener) {
 	go func() {
 		if err := p.hub.Listen(l); err != nil {
 			p.errors <- err
 		}
 	}()
-	return nil
 }
 
-// wait waits for the signal to end, or a server's failure; SIGHUP and a clock have the settings read again.
-func (p *process) wait(ctx context.Context, reload func(*settings.Settings)) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	defer signal.Stop(signals)
-	every := time.NewTicker(5 * time.Second)
+// follow does what signals and a clock ask for, until the process exits: also while it starts and while it ends.
+func (p *process) follow(reload func(*settings.Settings)) {
+	every := time.NewTicker(reloadInterval)
 	defer every.Stop()
-	again := func() {
+	for {
+		select {
+		case <-p.signals.Dump:
+			p.book.Write("SIGUSR1")
+			continue
+		case <-p.signals.Reload:
+		case <-every.C:
+		}
 		if s, err := settings.Load(p.path); err != nil {
 			p.log.Warn("assembly: settings are kept as they were: " + err.Error())
 		} else {
 			reload(s)
 		}
 	}
-	for {
-		select {
-		case s := <-signals:
-			switch s {
-			case syscall.SIGHUP:
-				again()
-			case syscall.SIGUSR1:
-				p.book.Write("SIGUSR1")
-			default:
-				return nil
-			}
-		case <-every.C:
-			again()
-		case err := <-p.errors:
-			return err
-		case <-ctx.Done():
-			return nil
-		}
-	}
 }
 
-// small is a server of short calls.
-func small(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 32 << 10}
+// untilEnd returns when the process has to end: nil when it is told to, the error of a server that failed. Either way it
+// ends in order after that.
+func (p *process) untilEnd() error {
+	select {
+	case <-p.signals.Terminate:
+		return nil
+	case err := <-p.errors:
+		p.log.WithError(err).Error("assembly: a server failed, the process ends")
+		return err
+	}
 }
--- a/internal/mesh/assembly/assembly_test.go
+++ b/internal/mesh/assembly/assembly_test.go
@@ -17,17 +17,18 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/operations/settings"
 	"gingerlead/internal/standin/application"
 )
 
 // The test program is also the two programs that it tests, by the role in its environment.
 func TestMain(m *testing.M) {
-	run := map[string]func(string) error{"access": Access, "core": Core}[os.Getenv("MESH_TEST_ROLE")]
+	run := map[string]func(string, lifecycle.Signals) error{"access": Access, "core": Core}[os.Getenv("MESH_TEST_ROLE")]
 	if run == nil {
 		os.Exit(m.Run())
 	}
-	if err := run(os.Getenv(settings.Variable)); err != nil {
+	if err := run(os.Getenv(settings.Variable), lifecycle.Catch()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/mesh/assembly/core.go
+++ b/internal/mesh/assembly/core.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/agent"
 	"gingerlead/internal/mesh/control/consensus"
 	"gingerlead/internal/mesh/control/controlplane"
@@ -13,42 +14,79 @@
 	"gingerlead/internal/mesh/operations/settings"
 )
 
-// Times that a process that ends may take.
+// Times that a process that ends may take, one after the other; each at most a part of the grace time.
 const (
 	releaseMost  = 300 * time.Millisecond  // to give its duties to another
 	handOverMost = 2500 * time.Millisecond // to give its place among the voters to another
+	answerMost   = time.Second             // to answer the calls that it has read
+	drainMost    = 400 * time.Millisecond  // until its answers to other processes have gone out
 )
 
 // Core runs a process that holds the configuration until it is told to end.
-func Core(path string) error {
-	p, err := begin(path)
+func Core(path string, signals lifecycle.Signals) error {
+	p, err := begin(path, signals)
 	if err != nil {
 		return err
 	}
-	var server *controlplane.Server
-	ready := make(chan struct{})
-	controlAgent := agent.New(agent.Options{Settings: p.settings, Hub: p.hub, Role: membership.Core, Log: p.log, Seed: p.seed})
-	controlAgent.ServeConsensus(func(ctx context.Context, request []byte) ([]byte, error) {
-		select {
-		case <-ready:
-			return server.Serve(ctx, request)
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	})
-	if err := p.link(); err != nil {
+	listeners, err := listenAll(p.settings.Internal(), p.settings.Control)
+	if err != nil {
 		return err
 	}
-	server, err = controlplane.Open(controlplane.Options{Self: p.settings.Control, Seeds: p.settings.Seeds, InitialStart: p.settings.InitialStart,
-		Folder: p.settings.Folder, Transport: controlAgent.ConsensusTransport(), Tolerated: p.settings.Tolerated, Cores: controlAgent.Cores, Log: p.log, Seed: p.seed,
-		OnCommit: func(w consensus.Value) { controlAgent.Committed(uint64(w.Version), w.Body) }})
+	internal, control := listeners[0], listeners[1]
+	c := &core{process: p, ready: make(chan struct{})}
+	c.agent = agent.New(agent.Options{Settings: p.settings, Hub: p.hub, Role: membership.Core, Log: p.log, Seed: p.seed})
+	c.agent.ServeConsensus(c.serveConsensus)
+	p.link(internal)
+	c.server, err = controlplane.Open(controlplane.Options{Self: p.settings.Control, Seeds: p.settings.Seeds, InitialStart: p.settings.InitialStart,
+		Folder: p.settings.Folder, Transport: c.agent.ConsensusTransport(), Tolerated: p.settings.Tolerated, Cores: c.agent.Cores, Log: p.log, Seed: p.seed,
+		OnCommit: func(w consensus.Value) { c.agent.Committed(uint64(w.Version), w.Body) }})
 	if err != nil {
 		return err
 	}
-	duties := controlAgent.Duties(server, p.settings.InitialStart)
-	close(ready)
-	beats, operator, events, state := controlAgent.KeepaliveHandler(nil), server.Handler(), controlAgent.Events(), duties.Handler()
-	err = p.serve(small(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	c.duties = c.agent.Duties(c.server, p.settings.InitialStart)
+	close(c.ready)
+	go p.follow(func(s *settings.Settings) {
+		c.agent.Seeds(s.SeedPeers())
+		c.server.Seeds(s.Seeds)
+	})
+	streams, endStreams := context.WithCancel(context.Background())
+	defer endStreams()
+	p.serve(c.handler(streams), control)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.agent.Run(ctx)
+	go c.duties.Run(ctx)
+	err = p.untilEnd()
+	c.leave()
+	endStreams()
+	c.shutDown()
+	return err
+}
+
+// core is a process of the control plane.
+type core struct {
+	*process
+	agent  *agent.Agent
+	server *controlplane.Server
+	duties *agent.Duties
+	ready  chan struct{} // closed once server is there
+}
+
+// serveConsensus answers other processes' requests about the configuration.
+func (c *core) serveConsensus(ctx context.Context, request []byte) ([]byte, error) {
+	select {
+	case <-c.ready:
+		return c.server.Serve(ctx, request)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// handler serves operators, endpoints and tools. Streams of events end with a context, as nothing else ends them.
+func (c *core) handler(streams context.Context) http.Handler {
+	keepalives, operator, state := c.agent.KeepaliveHandler(nil), c.server.Handler(), c.duties.Handler()
+	events := lifecycle.EndingWith(streams, c.agent.Events())
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		switch {
 		case strings.HasPrefix(q.URL.Path, "/configuration/"):
 			operator.ServeHTTP(w, q)
@@ -57,38 +95,32 @@
 		case strings.HasPrefix(q.URL.Path, "/mesh/"):
 			state.ServeHTTP(w, q)
 		default:
-			beats.ServeHTTP(w, q)
+			keepalives.ServeHTTP(w, q)
 		}
-	})), p.settings.Control)
-	if err != nil {
-		return err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go controlAgent.Run(ctx)
-	go duties.Run(ctx)
-	err = p.wait(ctx, func(s *settings.Settings) {
-		controlAgent.Seeds(s.SeedPeers())
-		server.Seeds(s.Seeds)
 	})
-	if err == nil {
-		leave(p, server, duties)
-	}
-	server.Close()
-	p.hub.Close()
-	return err
 }
 
 // leave gives this process's duties and then its place among the voters to others before it ends. In this order the next holder
 // has a duty at once: after a change of the voters nobody asks for one for the time of a lease. The process answers as before
 // meanwhile.
-func leave(p *process, server *controlplane.Server, duties *agent.Duties) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseMost)
-	duties.Release(ctx)
+func (c *core) leave() {
+	grace := c.settings.Bounds.Grace
+	ctx, cancel := context.WithTimeout(context.Background(), min(releaseMost, grace/12))
+	c.duties.Release(ctx)
 	cancel()
-	ctx, cancel = context.WithTimeout(context.Background(), min(handOverMost, p.settings.Bounds.Grace/2))
+	ctx, cancel = context.WithTimeout(context.Background(), min(handOverMost, grace/2))
 	defer cancel()
-	if err := server.HandOver(ctx); err != nil {
-		p.log.WithError(err).Warn("assembly: this process ends as a voter")
+	if err := c.server.HandOver(ctx); err != nil {
+		c.log.WithError(err).Warn("assembly: this process ends as a voter")
 	}
 }
+
+// shutDown answers what was read: operators' calls while the agreement still works, then other processes' requests.
+func (c *core) shutDown() {
+	grace := c.settings.Bounds.Grace
+	ctx, cancel := context.WithTimeout(context.Background(), min(answerMost, grace/6))
+	defer cancel()
+	c.shutDownServers(ctx)
+	c.server.Close()
+	c.hub.Drain(c.hub.Now() + min(drainMost, grace/12))
+}
--- a/internal/mesh/assembly/shutdown.go
+++ b/internal/mesh/assembly/shutdown.go
@@ -1,6 +1,7 @@
 package assembly
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -11,7 +12,8 @@
 // How long before SIGKILL a sidecar has done what, and how long it goes on taking requests after SIGTERM.
 const (
 	readinessNotice = 2400 * time.Millisecond // the platform looks each second, and turns away after two misses
-	answerMargin    = 900 * time.Millisecond  // in which answers that are being written go out, also over a slow link
+	answerMargin    = 900 * time.Millisecond  // in which answers that are being written go out, also over a slow link;
+	answerShare     = 7                       // at most this part of the grace time: requests may run for five sixths of it
 	exitMargin      = 250 * time.Millisecond
 	shutdownTick    = 20 * time.Millisecond
 )
@@ -28,7 +30,7 @@
 func planShutdown(now, grace time.Duration) shutdownPlan {
 	return shutdownPlan{
 		refuse:     now + min(readinessNotice, grace*2/5),
-		lastAnswer: now + grace - min(answerMargin, grace/4),
+		lastAnswer: now + grace - min(answerMargin, grace/answerShare),
 		exit:       now + grace - min(exitMargin, grace/12),
 	}
 }
@@ -53,6 +55,9 @@
 	clients.Close()
 	a.outbound.CloseConnections()
 	a.waitUntil(plan.exit, func() bool { return a.outbound.Open() == 0 && a.outbound.Connections() == 0 })
+	ctx, cancel := context.WithTimeout(context.Background(), plan.exit-a.hub.Now())
+	defer cancel()
+	a.shutDownServers(ctx)
 	a.hub.Drain(plan.exit)
 }
 
--- a/internal/mesh/assembly/shutdown_test.go
+++ b/internal/mesh/assembly/shutdown_test.go
@@ -18,6 +18,7 @@
 	c := qt.New(t)
 	for _, grace := range []time.Duration{200 * time.Millisecond, time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
 		p := planShutdown(time.Hour, grace)
+		c.Check(p.lastAnswer-time.Hour > grace*5/6, qt.IsTrue, qt.Commentf("%v: requests may run for five sixths: %+v", grace, p))
 		c.Check(time.Hour < p.refuse && p.refuse < p.lastAnswer && p.lastAnswer < p.exit && p.exit < time.Hour+grace, qt.IsTrue,
 			qt.Commentf("%v: %+v", grace, p))
 	}
--- /dev/null
+++ b/internal/mesh/assembly/signals_test.go
@@ -0,0 +1,134 @@
+package assembly
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// disturbances are the signals that reach a process while it ends: some platforms repeat SIGTERM, tools send SIGHUP to all processes
+// after they have changed settings, and several may come at one moment.
+var disturbances = []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGQUIT, syscall.SIGPIPE,
+	syscall.SIGUSR2, syscall.SIGHUP, syscall.SIGTERM}
+
+// signal sends signals to a machine's process, one right after the other.
+func (m *mesh) signal(x *machine, signals ...os.Signal) {
+	for _, s := range signals {
+		_ = x.cmd.Process.Signal(s) // one that has ended is found by wait
+	}
+}
+
+// exits waits until a machine's process has ended by itself, and returns its error.
+func (m *mesh) exits(x *machine, most time.Duration) error {
+	m.Helper()
+	ended := make(chan error, 1)
+	go func() { ended <- x.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		x.cmd = nil
+		return err
+	case <-time.After(most):
+		m.Fatalf("%s has not ended within %v", x.name, most)
+		return nil
+	}
+}
+
+// A sidecar gets SIGTERM with requests under way, and each other signal, alone and all at one moment, at several moments of its
+// shutdown: each request that it has read is answered by its endpoint.
+func TestSignalsDuringShutdownLoseNoRequest(t *testing.T) {
+	m := newMesh(t, 5)
+	m.ready()
+	hold := []func(){m.apps["access-0"].Hold(), m.apps["access-1"].Hold()}
+	before := len(m.apps["access-0"].Runs()) + len(m.apps["access-1"].Runs())
+	answers := make(chan answer, 4)
+	for range 4 {
+		go func() {
+			a, _ := m.ask("access-2", "GET", "/book/slow", "k1", nil)
+			answers <- a
+		}()
+	}
+	m.until("requests are under way", func() bool {
+		return len(m.apps["access-0"].Runs())+len(m.apps["access-1"].Runs()) == before+4
+	})
+	x := m.machines["access-2"]
+	m.signal(x, syscall.SIGTERM)
+	for _, s := range disturbances {
+		m.signal(x, s)
+		time.Sleep(30 * time.Millisecond)
+	}
+	m.signal(x, disturbances...)
+	time.Sleep(200 * time.Millisecond)
+	for _, release := range hold {
+		release()
+	}
+	for range 4 {
+		a := <-answers
+		m.Check(a.status, qt.Equals, 200, qt.Commentf("%s", a.body))
+	}
+	m.Assert(m.exits(x, 6*time.Second), qt.IsNil)
+}
+
+// A process that is still starting, here as its port is taken, outlives a change of its settings, and one that is told to end then
+// ends in order.
+func TestSignalsDuringStart(t *testing.T) {
+	m := newMesh(t, 6)
+	m.ready()
+	for _, name := range []string{"access-3", "core-c"} {
+		x := m.machines[name]
+		m.kill(x)
+		taken, err := net.Listen("tcp4", x.ip+":7640")
+		m.Assert(err, qt.IsNil)
+		m.start(x)
+		time.Sleep(400 * time.Millisecond) // the settings are read, and the port is waited for
+		m.signal(x, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+		taken.Close()
+		m.until(name+" has started", func() bool {
+			path := "http://" + x.ip + ":8105/mesh/state"
+			if x.role == "access" {
+				path = "http://" + x.ip + ":8100/readiness"
+			}
+			r, err := http.Get(path)
+			if err != nil {
+				return false
+			}
+			r.Body.Close()
+			return r.StatusCode == http.StatusOK
+		})
+		m.kill(x)
+		taken, err = net.Listen("tcp4", x.ip+":7640")
+		m.Assert(err, qt.IsNil)
+		m.start(x)
+		time.Sleep(400 * time.Millisecond)
+		m.signal(x, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+		taken.Close()
+		m.Check(m.exits(x, 6*time.Second), qt.IsNil, qt.Commentf("%s", name))
+		m.start(x)
+	}
+}
+
+// A control machine gets other signals while it gives its place among the voters away: it is given, and what was acknowledged stays.
+func TestSignalsDuringHandOver(t *testing.T) {
+	m := newMesh(t, 7)
+	m.until("the first configuration", func() bool { return m.put(0, m.config(1, "", "k1")) == http.StatusOK })
+	a, b := m.machines["core-a"], m.machines["core-b"]
+	d := m.join("core-d", ".4", "a")
+	m.until("the successor is ready", func() bool {
+		s, ok := m.state(d)
+		return ok && s.Ready
+	})
+	m.until("a change", func() bool { return m.put(1, m.config(2, "", "k2")) == http.StatusOK })
+	m.signal(a, syscall.SIGTERM)
+	m.signal(a, disturbances...)
+	time.Sleep(20 * time.Millisecond)
+	m.signal(a, disturbances...)
+	m.Assert(m.exits(a, 6*time.Second), qt.IsNil)
+	m.votes(b, a, false)
+	m.votes(b, d, true)
+	m.until("the change is there", func() bool { return string(m.retrieve(d)) == string(m.config(2, "", "k2")) })
+}
--- a/internal/mesh/dataplane/outbound/connections.go
+++ b/internal/mesh/dataplane/outbound/connections.go
@@ -18,6 +18,7 @@
 type clientConnection struct {
 	state     http.ConnState
 	idleUntil time.Time // it is kept open so long without a request
+	expired   bool      // sweep has set a read deadline in the past
 }
 
 // ended tells whether a connection is to be closed now: it has no request under way, and none is awaited any more.
@@ -68,6 +69,9 @@
 	if t.open == nil {
 		t.open = map[net.Conn]clientConnection{}
 	}
+	if s == http.StateActive && t.open[c].expired {
+		_ = c.SetReadDeadline(time.Time{}) // its request was read all the same; the deadline would count as the client's end
+	}
 	t.open[c] = clientConnection{state: s, idleUntil: time.Now().Add(d.idle())}
 	if !t.sweeping {
 		t.sweeping = true
@@ -77,7 +81,8 @@
 
 // sweep ends connections that have been idle for too long, or all idle ones if the process is about to end. It does so by a read
 // deadline in the past, not by Close: the server's own reader then either has the whole of a request, and answers it, or has
-// not, and closes. So a request that was read is never dropped.
+// not, and closes. So a request that was read is never dropped. The deadline may be set after the server has read a request and
+// before it says so (connectionState); it is taken back then.
 func (d *Proxy) sweep() {
 	t := &d.connections
 	t.mu.Lock()
@@ -86,6 +91,8 @@
 	for c, known := range t.open {
 		if known.ended(now, t.phase) {
 			_ = c.SetReadDeadline(now.Add(-time.Second))
+			known.expired = true
+			t.open[c] = known
 		}
 	}
 	interval := sweepInterval
--- /dev/null
+++ b/internal/mesh/dataplane/outbound/connections_test.go
@@ -0,0 +1,41 @@
+package outbound
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// deadlineConn remembers its read deadline.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// A request is read just as its connection is ended as idle: the deadline that was to end the connection is taken back before the
+// request is served, as the server would take it for the end of the client, and have the request given up.
+func TestARequestThatCrossesTheCloseIsServed(t *testing.T) {
+	c := qt.New(t)
+	d := New(Options{})
+	conn := &deadlineConn{}
+	d.connectionState(conn, http.StateNew)
+	d.connectionState(conn, http.StateActive)
+	c.Assert(conn.deadline.IsZero(), qt.IsTrue)
+	d.connectionState(conn, http.StateIdle)
+	d.closeConnections(closingIdle)
+	c.Assert(conn.deadline.Before(time.Now()) && !conn.deadline.IsZero(), qt.IsTrue)
+	d.connectionState(conn, http.StateActive)
+	c.Assert(conn.deadline.IsZero(), qt.IsTrue)
+	d.sweep()
+	c.Assert(conn.deadline.IsZero(), qt.IsTrue, qt.Commentf("a request is under way"))
+	d.connectionState(conn, http.StateClosed)
+	c.Assert(d.Connections(), qt.Equals, 0)
+}
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,11 @@
 	"gingerlead/internal/mesh/transport/codec"
 )
 
-const drainInterval = 10 * time.Millisecond // between two looks at links that end
+const (
+	drainInterval  = 10 * time.Millisecond // between two looks at links that end
+	acceptPauseMin = 5 * time.Millisecond  // after a connection could not be accepted; it doubles while that goes on
+	acceptPauseMax = 500 * time.Millisecond
+)
 
 // Hub holds a process's links: those that it dialled, by address, and those that it accepted.
 type Hub struct {
@@ -194,22 +199,27 @@
 	l.read()
 }
 
-// Listen takes links from others until the listener is closed.
+// Listen takes links from others until the listener is closed. Another error of the listener, such as that the process has no file
+// descriptors left, passes: links that are up go on meanwhile.
 func (h *Hub) Listen(n net.Listener) error {
 	h.mu.Lock()
 	h.accept = append(h.accept, n)
 	h.mu.Unlock()
+	pause := acceptPauseMin
 	for {
 		conn, err := n.Accept()
-		if err != nil {
-			h.mu.Lock()
-			closing := h.closing
-			h.mu.Unlock()
-			if closing {
-				return nil
-			}
+		switch {
+		case err != nil && h.isClosing():
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return trace.Wrap(err)
+		case err != nil:
+			h.Log.WithError(err).Warn("transport: a link can't be accepted")
+			time.Sleep(pause)
+			pause = min(2*pause, acceptPauseMax)
+			continue
 		}
+		pause = acceptPauseMin
 		l := newLink(h, conn.RemoteAddr().String())
 		h.mu.Lock()
 		h.taken[l] = true
@@ -218,6 +228,12 @@
 	}
 }
 
+func (h *Hub) isClosing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.closing
+}
+
 func (h *Hub) gone(l *Link, why string) {
 	h.mu.Lock()
 	mine := h.links[l.peer] == l
--- a/internal/mesh/transport/transport_test.go
+++ b/internal/mesh/transport/transport_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -261,3 +263,38 @@
 	}
 	<-drained
 }
+
+// brokenListener fails to accept for a while, as where a process has no file descriptors left.
+type brokenListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *brokenListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+func TestListenOutlivesErrorsOfTheListener(t *testing.T) {
+	c := qt.New(t)
+	from, _, _ := hub(t, "from", 1<<20)
+	n, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	to := NewHub(Hello{Life: 8, Address: n.Addr().String(), Name: "to"}, time.Now(), 1<<20, log)
+	Handle(to, 1, func(_ context.Context, _ *Hello, l *line) *line { return l })
+	broken := &brokenListener{Listener: n}
+	broken.failures.Store(3)
+	ended := make(chan error, 1)
+	go func() { ended <- to.Listen(broken) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	answer, err := Request[line](ctx, from, n.Addr().String(), 1, &line{"x"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Text, qt.Equals, "x")
+	to.Drain(to.Now() + time.Second)
+	c.Assert(<-ended, qt.IsNil)
+}
