A repeat does not cost the attempt before it: that goes on until a client has its answer

Change: an attempt that the module gives up in favour of another one is superseded, not withdrawn: the first answer of either is the request's, and the module's final answer waits for what is out.

--- a/internal/mesh/dataplane/outbound/outbound.go
+++ b/internal/mesh/dataplane/outbound/outbound.go
@@ -62,7 +62,10 @@
 	deadline   time.Duration
 	attempts   int              // sent, whether or not they reached an endpoint
 	arrivals   int              // those that reached one
-	out        *attempt         // the one under way; nil for none
+	out        *attempt         // the one under way that the module knows; nil for none
+	superseded []*attempt       // those under way in whose place the module has another sent
+	finished   bool             // the module has given its final answer, with
+	back       time.Duration    // when the client is to come back
 	last       *inbound.Outcome // of the attempt that ended last, but for withdrawn ones
 	failure    *inbound.Outcome // an endpoint's own failure: the answer, unless a later attempt is served
 	mayRun     bool             // some attempt ran or may have run
@@ -73,16 +76,6 @@
 	answered   chan result
 }
 
-// attempt is one sending of a request.
-type attempt struct {
-	request  *request
-	to       gingerlead.EndpointID
-	number   int
-	at       time.Duration
-	quit     bool // withdrawn
-	withdraw func()
-}
-
 // result is what a client is answered.
 type result struct {
 	kind    outcome.Kind
@@ -203,13 +196,9 @@
 			return
 		}
 		r.lapsed = true
-		a := r.out
+		c.withdrawAll(r)
 		c.balancer.Lapsed(now, r.id)
-		if a != nil && !a.quit && a.withdraw != nil {
-			a.quit = true
-			d.later(func(time.Duration) { a.withdraw() })
-		}
-		if a == nil {
+		if !r.outstanding() {
 			d.close(r)
 		}
 	})
@@ -230,14 +219,12 @@
 	switch {
 	case r.failure != nil:
 		res = result{kind: outcome.Answered, outcome: r.failure}
-	case r.mayRun || r.out != nil:
+	case r.mayRun || r.outstanding():
 		res.kind = outcome.Silent
 	}
 	res.back = res.kind.Back()
 	d.answer(r, res)
-	if r.out == nil {
-		delete(r.balancer.requests, r.id)
-	}
+	r.balancer.forget(r)
 }
 
 func asLost(err error) (*transport.ConnectionError, bool) {
