That an endpoint leaves is acknowledged only once it outlives who acknowledged it

Cause: read while searching for what is accepted and then lost: a sidecar that restarted took others' word that its endpoint serves, though it had acknowledged its leaving just before its end; core processes acknowledged leaving without knowing the endpoint, or that anybody hears. Ruled out: the configuration's acknowledgement, which rests on disks. Change: own word only for serving, anybody's for leaving; an acknowledgement waits for a home; core processes answer 503 where no home in some zone has it; first heard of as draining lets nobody on.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -36,8 +36,9 @@
 	EndpointsChanged func(service string, all []discovery.Endpoint)
 	// SidecarsChanged is called when the number of sidecars has changed.
 	SidecarsChanged func(n int)
-	// EndpointFound is called when others know of an endpoint at this machine's address that this process has not heard of.
-	EndpointFound func(e discovery.Endpoint)
+	// EndpointLeaves is called when others know that an endpoint at this machine's address drains or has deregistered: it may have
+	// told them, or an earlier life of this process.
+	EndpointLeaves func(e discovery.Endpoint)
 }
 
 // Agent is one process's part in the control plane.
@@ -50,12 +51,14 @@
 	mu          sync.Mutex
 	rng         *rand.Rand
 	view        *membership.View
-	viewed      uint64 // changes of the view when followView last worked, and one; 0: it is to work again
-	sidecars    int    // that are there
+	viewed      uint64                   // changes of the view when followView last worked, and one; 0: it is to work again
+	sidecars    int                      // that are there
+	zonesSeen   map[string]time.Duration // when zones last had members
 	registry    *discovery.Registry
 	changed     map[string]uint64 // services whose endpoints have changed, with the registry's version before the first change
 	expireAt    time.Duration     // when leases are looked at next
 	publisher   *discovery.Publisher
+	confirmed   chan struct{}     // closed when a home has acknowledged a record
 	homeLives   map[string]uint64 // of homes that endpoints are published to, by address
 	subscribed  *discovery.Subscription
 	subscribers *discovery.Subscribers
@@ -73,8 +76,9 @@
 		Service: o.Settings.Service, App: o.Settings.App}
 	a := &Agent{o: o, view: membership.New(self, membership.Bounds{}, rand.New(rand.NewPCG(o.Seed, hello.Life))),
 		registry: discovery.New(discovery.Bounds{}), publisher: discovery.NewPublisher(discovery.Bounds{}),
+		confirmed:  make(chan struct{}),
 		subscribed: discovery.NewSubscription(discovery.Bounds{}), subscribers: discovery.NewSubscribers(discovery.Bounds{}),
-		changed: map[string]uint64{}, homeLives: map[string]uint64{}, rng: rand.New(rand.NewPCG(o.Seed, 1))}
+		zonesSeen: map[string]time.Duration{}, changed: map[string]uint64{}, homeLives: map[string]uint64{}, rng: rand.New(rand.NewPCG(o.Seed, 1))}
 	for zone, region := range o.Settings.Regions {
 		a.view.Place(zone, region)
 	}
@@ -117,6 +121,7 @@
 	if shuffle != nil {
 		shuffle.Version = a.conf.Version
 	}
+	a.noteZones(now)
 	a.followView(now)
 	records := a.publisher.Tick(now)
 	asks := a.subscribed.Tick(now)
--- a/internal/mesh/agent/endpoints.go
+++ b/internal/mesh/agent/endpoints.go
@@ -9,7 +9,11 @@
 	"gingerlead/internal/mesh/transport/codec"
 )
 
-const expireInterval = time.Second // between two looks at leases of endpoints
+const (
+	expireInterval = time.Second            // between two looks at leases of endpoints
+	zoneMemory     = 2 * time.Minute        // for which a zone counts whose members are gone
+	publishTimeout = 250 * time.Millisecond // for a home to acknowledge a record that an endpoint waits for
+)
 
 // Publish publishes the endpoint beside this process as it is now.
 func (a *Agent) Publish(e discovery.Endpoint) {
@@ -29,19 +33,64 @@
 	a.step()
 }
 
-// PassOn publishes a record that this process received in place of the endpoint's own sidecar, which could not be reached.
-func (a *Agent) PassOn(e discovery.Endpoint) {
-	a.mu.Lock()
-	to := map[string]bool{}
-	for _, m := range a.homesOf(e.Service) {
-		to[m.Address] = true
+// AwaitConfirmed waits until a home on another machine knows a life as it is now, for publishTimeout at most: what an endpoint has
+// been told is taken then outlives this process.
+func (a *Agent) AwaitConfirmed(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	for {
+		a.mu.Lock()
+		done, more := a.publisher.Confirmed(id, a.o.Hub.Self().Address), a.confirmed
+		a.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-more:
+		case <-ctx.Done():
+			return
+		}
 	}
+}
+
+// PassOn publishes a record that this process received in place of the endpoint's own sidecar, which could not be reached. It tells
+// whether a home in every zone has it, so that all callers learn of it: also in zones that were there lately, which may be cut off.
+// This process alone is not enough.
+func (a *Agent) PassOn(ctx context.Context, e discovery.Endpoint) bool {
+	self := a.o.Hub.Self().Address
+	a.mu.Lock()
+	homes, lacking := a.homesOf(e.Service), a.recentZones()
 	a.mu.Unlock()
-	delete(to, a.o.Hub.Self().Address)
 	a.applyAsHome(e)
-	for address := range to {
-		a.send(address, methodPublish, &published{Endpoint: e}, nil)
+	type confirmation struct {
+		zone  string
+		taken bool
 	}
+	confirmations := make(chan confirmation, len(homes))
+	others := 0
+	for _, home := range homes {
+		if home.Address == self {
+			delete(lacking, home.Zone)
+			continue
+		}
+		others++
+		go func() {
+			answer, err := transport.Request[published](ctx, a.o.Hub, home.Address, methodPublish, &published{Endpoint: e})
+			confirmations <- confirmation{home.Zone, err == nil && answer.Taken}
+		}()
+	}
+	confirmed := 0
+	for range others {
+		c := <-confirmations // each comes before ctx ends
+		if c.taken {
+			confirmed++
+			delete(lacking, c.zone)
+		}
+		if confirmed > 0 && len(lacking) == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // publish sends records to homes, of which this process may be one.
@@ -65,8 +114,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.publisher.Acked(a.o.Hub.Now(), r.To, r.Endpoint.ID, r.Endpoint.Edition)
+	close(a.confirmed)
+	a.confirmed = make(chan struct{})
 }
 
+// Tell takes a record of an endpoint that another process has told.
+func (a *Agent) Tell(e discovery.Endpoint) { a.applyAsHome(e) }
+
 func (a *Agent) takePublished(_ context.Context, _ *transport.Hello, p *published) *published {
 	a.applyAsHome(p.Endpoint)
 	return &published{Taken: true}
@@ -216,15 +270,15 @@
 	}
 }
 
-// findOwn looks for an endpoint at this machine's address that this process knows nothing of: it has just started, and others
-// remember the endpoint.
+// findOwn looks for what others know of the endpoint beside this process. That it serves counts by its own word only: who remembers
+// it may not have heard yet that it leaves.
 func (a *Agent) findOwn(endpoints []discovery.Endpoint) {
-	if a.o.EndpointFound == nil {
+	if a.o.EndpointLeaves == nil {
 		return
 	}
 	for _, e := range endpoints {
-		if e.App == a.o.Settings.App && e.State < discovery.Crashed && e.HostLife != a.o.Hub.Self().Life {
-			a.o.EndpointFound(e)
+		if e.App == a.o.Settings.App && (e.State == discovery.Draining || e.State == discovery.Gone) {
+			a.o.EndpointLeaves(e)
 		}
 	}
 }
--- a/internal/mesh/agent/keepalive.go
+++ b/internal/mesh/agent/keepalive.go
@@ -95,17 +95,35 @@
 		a.answerKeepalive(w, q.Context(), local, discovery.Endpoint{ID: q.PathValue("id"), State: discovery.Gone})
 	})
 	if local != nil {
-		transport.Handle(a.o.Hub, methodKeepalive, func(_ context.Context, _ *transport.Hello, p *published) *published {
-			return &published{Taken: local.Keepalive(p.Endpoint)}
+		transport.Handle(a.o.Hub, methodKeepalive, func(ctx context.Context, _ *transport.Hello, p *published) *published {
+			return &published{Taken: a.takeKeepalive(ctx, local, p.Endpoint)}
 		})
 	}
 	return mux
 }
 
+// takeKeepalive hands a keepalive to the endpoint beside this process; false if it is not that endpoint's. One that leaves may be told so
+// only once another machine knows: else the news would be lost with this process.
+func (a *Agent) takeKeepalive(ctx context.Context, local LocalEndpoint, e discovery.Endpoint) bool {
+	if !local.Keepalive(e) {
+		return false
+	}
+	if e.State >= discovery.Draining {
+		a.AwaitConfirmed(ctx, e.ID)
+	}
+	return true
+}
+
+// answerKeepalive acknowledges a keepalive. That an endpoint leaves is acknowledged only if whoever has to know it will: the endpoint
+// calls another process otherwise.
 func (a *Agent) answerKeepalive(w http.ResponseWriter, ctx context.Context, local LocalEndpoint, e discovery.Endpoint) {
 	target := ""
-	if local == nil || !local.Keepalive(e) {
-		target = a.forwardKeepalive(ctx, e)
+	if local == nil || !a.takeKeepalive(ctx, local, e) {
+		var taken bool
+		if target, taken = a.forwardKeepalive(ctx, e); !taken && e.State >= discovery.Draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if target != "" {
@@ -116,14 +134,15 @@
 }
 
 // forwardKeepalive passes a keepalive that this process received on to the endpoint's own sidecar, or, if that can't be reached,
-// to the homes of the service. It gives the own sidecar's address for later keepalives, if that has taken this one.
-func (a *Agent) forwardKeepalive(ctx context.Context, e discovery.Endpoint) (target string) {
+// to the homes of the service. It gives the own sidecar's address for later keepalives, if that has taken this one, and tells
+// whether the keepalive was taken.
+func (a *Agent) forwardKeepalive(ctx context.Context, e discovery.Endpoint) (target string, taken bool) {
 	if e.App == "" { // deregistered: only its id is known
 		e = a.knownEndpoint(e)
 	}
 	ip, _, err := net.SplitHostPort(e.App)
 	if err != nil {
-		return ""
+		return "", false
 	}
 	e.Host, e.Lease = a.o.Settings.Peer(ip), forwardedLease
 	if m, ok := a.At(ip); ok {
@@ -134,10 +153,11 @@
 	answer, err := transport.Request[published](ctx, a.o.Hub, e.Host, methodKeepalive, &published{Endpoint: e})
 	if err == nil && answer.Taken {
 		_, port, _ := net.SplitHostPort(a.o.Settings.Control)
-		return net.JoinHostPort(ip, port)
+		return net.JoinHostPort(ip, port), true
 	}
-	a.PassOn(e)
-	return ""
+	ctx, cancelHomes := context.WithTimeout(context.WithoutCancel(ctx), forwardTimeout)
+	defer cancelHomes()
+	return "", a.PassOn(ctx, e)
 }
 
 // knownEndpoint completes a deregistration with what is known of its endpoint.
--- a/internal/mesh/agent/members.go
+++ b/internal/mesh/agent/members.go
@@ -93,6 +93,28 @@
 	}
 }
 
+// noteZones takes note of which zones have members. The lock is held.
+func (a *Agent) noteZones(now time.Duration) {
+	for _, zone := range a.view.Zones() {
+		a.zonesSeen[zone] = now
+	}
+}
+
+// recentZones are the zones that have members, or had some lately. The lock is held.
+func (a *Agent) recentZones() map[string]bool {
+	now := a.o.Hub.Now()
+	a.noteZones(now)
+	recent := map[string]bool{}
+	for zone, seen := range a.zonesSeen {
+		if now-seen < zoneMemory {
+			recent[zone] = true
+		} else {
+			delete(a.zonesSeen, zone)
+		}
+	}
+	return recent
+}
+
 // publishingHomes are the homes of this process's service in all zones; one that has restarted gets all records again.
 func (a *Agent) publishingHomes() (homes []string) {
 	for _, m := range a.homesOf(a.o.Settings.Service) {
--- a/internal/mesh/assembly/access.go
+++ b/internal/mesh/assembly/access.go
@@ -65,7 +65,7 @@
 		Take: func(t *configuration.Tenant, done func(bool, time.Duration)) { a.quota.Take(t, done) }})
 	a.agent = agent.New(agent.Options{Settings: p.settings, Hub: p.hub, Role: membership.Access, Log: p.log, Seed: p.seed,
 		Configure: func(c *configuration.Config) { a.outbound.Configure(c) }, EndpointsChanged: a.outbound.Told,
-		SidecarsChanged: a.outbound.Sidecars, EndpointFound: a.found})
+		SidecarsChanged: a.outbound.Sidecars, EndpointLeaves: a.leaves})
 	a.inbound.Serve(p.hub)
 	a.quota = a.agent.QuotaClient()
 	return a
@@ -89,8 +89,12 @@
 	defer a.mu.Unlock()
 	life, _ := a.inbound.Life()
 	if e.State == discovery.Gone {
-		if e.ID != life.ID {
-			return e.App == a.settings.App // of an earlier life
+		if e.ID != life.ID { // of an earlier life, or one that was told to an earlier process; only the endpoint here calls without an address
+			own := e.App == "" || e.App == a.settings.App
+			if own {
+				a.over(e.ID)
+			}
+			return own
 		}
 		a.over(e.ID)
 		a.inbound.Tell(life, admission.Gone)
@@ -133,9 +137,10 @@
 	}
 }
 
-// found takes what others remember of the endpoint beside this process, which has just started.
-func (a *access) found(e discovery.Endpoint) {
-	if _, state := a.inbound.Life(); state == admission.Unknown {
+// leaves takes what others know of an endpoint at this machine's address: that it drains, or has deregistered.
+func (a *access) leaves(e discovery.Endpoint) {
+	if life, state := a.inbound.Life(); e.ID != life.ID || e.State == discovery.Gone && state != admission.Gone ||
+		e.State == discovery.Draining && state < admission.Draining {
 		a.Keepalive(e)
 	}
 }
--- /dev/null
+++ b/internal/mesh/assembly/leaving_test.go
@@ -0,0 +1,65 @@
+package assembly
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"gingerlead/internal/mesh/dataplane/admission"
+	"gingerlead/internal/mesh/discovery"
+	"gingerlead/internal/mesh/operations/settings"
+	"gingerlead/internal/mesh/transport"
+)
+
+// A sidecar acknowledged that its endpoint leaves, lost power at once, and is back. Others remember the endpoint as it was before, or
+// as it is; a keepalive may come late. It lets nobody on to the endpoint but by that one's own word that it serves, and not after
+// anybody's word that it leaves.
+func TestRestartedSidecarLetsNobodyOnToALeavingEndpoint(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	start := func() *access {
+		own := &settings.Settings{Name: "n", IP: "127.9.1.1", Zone: "z", Ports: [2]int{7401, 7401}, App: "127.9.1.1:8103", Service: "s"}
+		hub := transport.NewHub(transport.Hello{Life: 2, Address: own.Internal(), Zone: own.Zone}, time.Now(), 1<<20, log)
+		t.Cleanup(hub.Close)
+		return newAccess(&process{settings: own, hub: hub, log: log})
+	}
+	record := func(state discovery.State) discovery.Endpoint {
+		return discovery.Endpoint{ID: "x", Service: "s", App: "127.9.1.1:8103", Host: "127.9.1.1:7401", HostLife: 1, State: state, Slots: 4,
+			Sequence: 5, Edition: 3, Lease: 5 * time.Second}
+	}
+	state := func(a *access) admission.State {
+		_, s := a.inbound.Life()
+		return s
+	}
+	told := func(a *access, e discovery.Endpoint) { a.agent.Tell(e) }
+
+	a := start()
+	told(a, record(discovery.Serving))
+	c.Check(state(a), qt.Equals, admission.Unknown, qt.Commentf("others remember that it serves"))
+	told(a, record(discovery.Draining))
+	c.Check(state(a), qt.Equals, admission.Draining)
+	late := record(discovery.Serving)
+	c.Assert(a.Keepalive(late), qt.IsTrue)
+	c.Check(state(a), qt.Equals, admission.Draining, qt.Commentf("a keepalive that comes late"))
+
+	a = start()
+	told(a, record(discovery.Gone))
+	c.Assert(a.Keepalive(late), qt.IsTrue)
+	c.Check(state(a), qt.Equals, admission.Unknown, qt.Commentf("a keepalive of a life that is over"))
+
+	a = start()
+	c.Assert(a.Keepalive(discovery.Endpoint{ID: "x", State: discovery.Gone}), qt.IsTrue, qt.Commentf("it deregisters at a new process"))
+	c.Assert(a.Keepalive(late), qt.IsTrue)
+	c.Check(state(a), qt.Equals, admission.Unknown)
+
+	a = start()
+	own := record(discovery.Serving)
+	c.Assert(a.Keepalive(own), qt.IsTrue)
+	c.Check(state(a), qt.Equals, admission.Serving, qt.Commentf("its own word"))
+	told(a, record(discovery.Gone))
+	c.Check(state(a), qt.Equals, admission.Gone, qt.Commentf("it has told another process that it leaves"))
+}
--- a/internal/mesh/dataplane/admission/admission.go
+++ b/internal/mesh/dataplane/admission/admission.go
@@ -95,6 +95,9 @@
 	case life.ID != g.life.ID:
 		g.refuseAll(outcome.Mistaken)
 		g.life, g.state, g.marked = life, state, now
+		if state == Draining { // it said so before, to a process that has ended: nobody knows when
+			g.marked = now - drainGrace - 1
+		}
 		g.running = map[uint64]time.Duration{}
 	case state < g.state:
 	default:
--- a/internal/mesh/dataplane/admission/admission_test.go
+++ b/internal/mesh/dataplane/admission/admission_test.go
@@ -148,3 +148,12 @@
 	c.Assert(full, qt.Equals, 98-waiting)
 	c.Assert(time.Duration(waiting)*g.Work()/2 < 200*time.Millisecond, qt.IsTrue)
 }
+
+// An endpoint that a sidecar first hears of as draining told an earlier process so, nobody knows when: nobody is let on.
+func TestFirstHeardOfAsDraining(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	g.Tell(time.Hour, Life{ID: "one", Service: "s", Slots: 4}, Draining)
+	steps := g.Arrive(time.Hour, Arrival{Token: 1, Endpoint: "one", Service: "s", Aim: 2 * time.Hour, Deadline: 2 * time.Hour})
+	c.Assert(steps, qt.DeepEquals, []Step{{Token: 1, Kind: outcome.Leaving}})
+}
--- a/internal/mesh/discovery/publish.go
+++ b/internal/mesh/discovery/publish.go
@@ -162,6 +162,31 @@
 	return len(p.targets) > 0
 }
 
+// Confirmed tells whether a home other than one has acknowledged a life as it is now; also of a life that is not published, or that
+// no other home is there for.
+func (p *Publisher) Confirmed(id, self string) bool {
+	for _, t := range p.own {
+		if t.ID == id {
+			return p.confirmed(t, self)
+		}
+	}
+	return true
+}
+
+func (p *Publisher) confirmed(t *publication, self string) bool {
+	others := 0
+	for _, home := range p.targets {
+		if home == self {
+			continue
+		}
+		others++
+		if g := t.to[home]; g != nil && g.edition == t.Edition {
+			return true
+		}
+	}
+	return others == 0
+}
+
 // Acked reports that a home has an edition of a life.
 func (p *Publisher) Acked(_ time.Duration, home, id string, edition uint64) {
 	for _, t := range p.own {
