A voter's record outlives any loss of power: goleveldb's files are synced in their order

Cause: searched for what is acknowledged and then lost: goleveldb 1.0.0 puts a manifest in use before it is synced, and Recover one that lists no tables; a loss of power then, or two in a row, removes acknowledged records or brings older ones back. Change: storage.durableFiles: manifests synced before use, tables' names synced, a repair gives nothing up before it is whole.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 soak:
 	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m . ./internal/rehearsal/dryrun ./internal/files/store ./internal/modules/recall
 	SOAK=1 go test -count=1 -timeout 30m ./internal/rehearsal/fleet ./internal/network/gossip ./internal/mesh/control/consensus \
-		./internal/mesh/control/lease ./internal/mesh/control/controlplane ./internal/mesh/dataplane/outbound
+		./internal/mesh/control/storage ./internal/mesh/control/lease ./internal/mesh/control/controlplane ./internal/mesh/dataplane/outbound
 	SOAK=1 KILLS=50 go test -race -count=1 -timeout 30m -run 'Killed|RandomFaults' ./cmd/quincegap
 
 # Deliberate faults in the control plane, one at a time, and the tests that they make fail (docs/testing.md). A few minutes.
--- /dev/null
+++ b/internal/mesh/control/storage/files.go
@@ -0,0 +1,132 @@
+package storage
+
+import (
+	"sync"
+
+	"github.com/gravitational/trace"
+	lstorage "github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+// durableFiles are goleveldb's files in an order that any loss of power may interrupt. A folder keeps a name that was made, removed or
+// set since its last sync, or loses it, each by itself; goleveldb 1.0.0 alone does not cover that:
+//
+//   - A journal's content is synced with each write, its name in the folder only once the journal before it is compacted.
+//   - A table's name may be lost while the list of files, which is synced at once, names the table.
+//   - A new list of files (manifest) is put in use before its content is synced, and the files that the old one needs are removed then.
+//   - leveldb.Recover puts an empty list in use first and fills it later: after a loss of power in between, the next start takes the
+//     database for an empty one and removes all tables.
+type durableFiles struct {
+	lstorage.Storage
+	syncFolder func() error
+
+	mu        sync.Mutex
+	manifests map[lstorage.FileDesc]lstorage.Writer // open ones
+	deferring bool                                  // until recovered: nothing that is on disk is given up
+	meta      lstorage.FileDesc                     // deferred; zero for none
+	removed   []lstorage.FileDesc                   // deferred
+}
+
+func newDurableFiles(files lstorage.Storage, syncFolder func() error) *durableFiles {
+	return &durableFiles{Storage: files, syncFolder: syncFolder, manifests: map[lstorage.FileDesc]lstorage.Writer{}}
+}
+
+// Create makes a file.
+func (d *durableFiles) Create(fd lstorage.FileDesc) (lstorage.Writer, error) {
+	w, err := d.Storage.Create(fd)
+	if err != nil {
+		return nil, err
+	}
+	switch fd.Type {
+	case lstorage.TypeJournal:
+		if err := d.syncFolder(); err != nil {
+			_ = w.Close() // has nothing to add to the error
+			return nil, err
+		}
+	case lstorage.TypeTable:
+		return &durableTable{w, d.syncFolder}, nil
+	case lstorage.TypeManifest:
+		d.mu.Lock()
+		d.manifests[fd] = w
+		d.mu.Unlock()
+		return &openManifest{w, d, fd}, nil
+	}
+	return w, nil
+}
+
+// SetMeta puts a list of files in use, once it is on disk.
+func (d *durableFiles) SetMeta(fd lstorage.FileDesc) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w := d.manifests[fd]; w != nil {
+		if err := w.Sync(); err != nil {
+			return err
+		}
+	}
+	if d.deferring {
+		d.meta = fd
+		return nil
+	}
+	return d.Storage.SetMeta(fd)
+}
+
+// Remove removes a file.
+func (d *durableFiles) Remove(fd lstorage.FileDesc) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.deferring {
+		d.removed = append(d.removed, fd)
+		return nil
+	}
+	return d.Storage.Remove(fd)
+}
+
+// deferChanges has the list of files that is in use, and all files, stay until recovered is called.
+func (d *durableFiles) deferChanges() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deferring = true
+}
+
+// recovered puts the list that was made anew in use, and then removes what it does not need.
+func (d *durableFiles) recovered() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deferring = false
+	if !d.meta.Zero() {
+		if err := d.Storage.SetMeta(d.meta); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	for _, fd := range d.removed {
+		_ = d.Storage.Remove(fd) // one that stays is found, and removed, at the next start
+	}
+	d.removed = nil
+	return nil
+}
+
+// durableTable syncs the folder with a table's content: from then on a list may name the table.
+type durableTable struct {
+	lstorage.Writer
+	syncFolder func() error
+}
+
+func (t *durableTable) Sync() error {
+	if err := t.Writer.Sync(); err != nil {
+		return err
+	}
+	return t.syncFolder()
+}
+
+// openManifest is a list of files that is being written.
+type openManifest struct {
+	lstorage.Writer
+	files *durableFiles
+	fd    lstorage.FileDesc
+}
+
+func (m *openManifest) Close() error {
+	m.files.mu.Lock()
+	delete(m.files.manifests, m.fd)
+	m.files.mu.Unlock()
+	return m.Writer.Close()
+}
--- /dev/null
+++ b/internal/mesh/control/storage/power_test.go
@@ -0,0 +1,369 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+
+	lstorage "github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+// powerDisk is a folder of goleveldb's files on a disk that loses power. Of what was written since a file's last sync any part may be
+// there; each name that was made, removed or set since the folder's last sync is kept or lost by itself.
+type powerDisk struct {
+	mu     sync.Mutex
+	names  map[lstorage.FileDesc]*powerFile // as the process sees them
+	synced map[lstorage.FileDesc]*powerFile // as they are on the disk
+	meta   [2]lstorage.FileDesc             // the list of files in use: as the process sees it, and on the disk
+	calls  int                              // that change something, until the power goes
+	after  *powerDisk                       // what is left; nil while the power is on
+	random *rand.Rand
+}
+
+// powerFile is a file; goleveldb only appends to files.
+type powerFile struct {
+	data   []byte
+	synced int // bytes
+}
+
+var errNoPower = errors.New("the power is gone")
+
+func newPowerDisk(random *rand.Rand) *powerDisk {
+	return &powerDisk{names: map[lstorage.FileDesc]*powerFile{}, synced: map[lstorage.FileDesc]*powerFile{}, random: random}
+}
+
+// change counts a call that changes something; the power goes in place of the last one. The lock is held.
+func (d *powerDisk) change() error {
+	if d.after != nil {
+		return errNoPower
+	}
+	if d.calls--; d.calls != 0 {
+		return nil
+	}
+	d.after = d.left()
+	return errNoPower
+}
+
+// left is what a loss of power leaves. The lock is held.
+func (d *powerDisk) left() *powerDisk {
+	left := newPowerDisk(d.random)
+	left.meta = [2]lstorage.FileDesc{d.meta[1], d.meta[1]}
+	if d.random.IntN(2) == 0 {
+		left.meta = [2]lstorage.FileDesc{d.meta[0], d.meta[0]}
+	}
+	keep := func(fd lstorage.FileDesc, f *powerFile) {
+		data := f.data[:f.synced+d.random.IntN(len(f.data)-f.synced+1)]
+		if d.random.IntN(4) == 0 {
+			data = f.data[:f.synced]
+		}
+		left.names[fd] = &powerFile{data: bytes.Clone(data), synced: len(data)}
+	}
+	for fd, f := range d.names {
+		if d.synced[fd] == f || d.random.IntN(2) == 0 {
+			keep(fd, f)
+		}
+	}
+	for fd, f := range d.synced {
+		if d.names[fd] != f && left.names[fd] == nil && d.random.IntN(2) == 0 {
+			keep(fd, f)
+		}
+	}
+	for fd, f := range left.names {
+		left.synced[fd] = f
+	}
+	return left
+}
+
+func (d *powerDisk) syncFolder() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
+	d.synced = map[lstorage.FileDesc]*powerFile{}
+	for fd, f := range d.names {
+		d.synced[fd] = f
+	}
+	d.meta[1] = d.meta[0]
+	return nil
+}
+
+func (d *powerDisk) Lock() (lstorage.Locker, error) { return powerLock{}, nil }
+
+type powerLock struct{}
+
+func (powerLock) Unlock() {}
+
+func (d *powerDisk) Log(string) {}
+
+func (d *powerDisk) Close() error { return nil }
+
+// SetMeta replaces the name of the list of files, and syncs the folder, as goleveldb's own files do.
+func (d *powerDisk) SetMeta(fd lstorage.FileDesc) error {
+	d.mu.Lock()
+	err := d.change()
+	if err == nil {
+		d.meta[0] = fd
+	}
+	d.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return d.syncFolder()
+}
+
+func (d *powerDisk) GetMeta() (lstorage.FileDesc, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.names[d.meta[0]] == nil {
+		return lstorage.FileDesc{}, os.ErrNotExist
+	}
+	return d.meta[0], nil
+}
+
+func (d *powerDisk) List(kinds lstorage.FileType) (all []lstorage.FileDesc, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for fd := range d.names {
+		if fd.Type&kinds != 0 {
+			all = append(all, fd)
+		}
+	}
+	return all, nil
+}
+
+func (d *powerDisk) Open(fd lstorage.FileDesc) (lstorage.Reader, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.names[fd]
+	if f == nil {
+		return nil, os.ErrNotExist
+	}
+	return struct {
+		*bytes.Reader
+		io.Closer
+	}{bytes.NewReader(bytes.Clone(f.data)), io.NopCloser(nil)}, nil
+}
+
+func (d *powerDisk) Create(fd lstorage.FileDesc) (lstorage.Writer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return nil, err
+	}
+	f := &powerFile{}
+	d.names[fd] = f
+	return &powerWriter{d, fd, f}, nil
+}
+
+func (d *powerDisk) Remove(fd lstorage.FileDesc) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
+	delete(d.names, fd)
+	return nil
+}
+
+func (d *powerDisk) Rename(from, to lstorage.FileDesc) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
+	d.names[to] = d.names[from]
+	delete(d.names, from)
+	return nil
+}
+
+type powerWriter struct {
+	disk *powerDisk
+	fd   lstorage.FileDesc
+	file *powerFile
+}
+
+func (w *powerWriter) Write(data []byte) (int, error) {
+	w.disk.mu.Lock()
+	defer w.disk.mu.Unlock()
+	if w.disk.after != nil {
+		return 0, errNoPower
+	}
+	w.file.data = append(w.file.data, data...)
+	return len(data), w.disk.change()
+}
+
+func (w *powerWriter) Sync() error {
+	w.disk.mu.Lock()
+	err := w.disk.change()
+	if err == nil {
+		w.file.synced = len(w.file.data)
+	}
+	w.disk.mu.Unlock()
+	if err == nil && w.fd.Type == lstorage.TypeManifest {
+		return w.disk.syncFolder()
+	}
+	return err
+}
+
+func (w *powerWriter) Close() error { return nil }
+
+// powerLife is one life of a process with its folder: it writes so many records, or until the power goes. Each record has a number that
+// rises; acknowledged is the last one that Put has written, by key, and attempted the last that it was given.
+type powerLife struct {
+	number                  int
+	acknowledged, attempted map[string]int
+}
+
+// errOlder is that a record is not what was written last.
+var errOlder = errors.New("not the newest record")
+
+func (l *powerLife) live(disk *powerDisk, records int) error {
+	k := &Store{folder: "folder", opened: func(string) (*durableFiles, error) {
+		return newDurableFiles(disk, disk.syncFolder), nil
+	}}
+	defer func() { _ = k.Close() }()
+	for key, last := range l.acknowledged {
+		data, err := k.Get(key)
+		if err != nil {
+			return fmt.Errorf("get %s: %w", key, err)
+		}
+		found := 0
+		if _, err := fmt.Sscanf(string(data), "%d ", &found); err != nil || found < last || found > l.attempted[key] {
+			return fmt.Errorf("%w: %s is %d (%v), %d was acknowledged, %d tried", errOlder, key, found, err, last, l.attempted[key])
+		}
+		l.acknowledged[key] = found // it may have been written, though Put did not say so
+	}
+	for range records {
+		key := []string{"vote", "standing", "vote"}[l.number%3]
+		l.number++
+		l.attempted[key] = l.number
+		body := []byte(fmt.Sprintf("%d ", l.number))
+		if key == "vote" {
+			body = append(body, bytes.Repeat([]byte("0123456789abcdef"), 1+l.number%7<<9)...)
+		}
+		if err := k.Put(key, body); err != nil {
+			return fmt.Errorf("put %s: %w", key, err)
+		}
+		l.acknowledged[key] = l.number
+	}
+	return nil
+}
+
+// A process writes records again and again, as a voter does, and loses power at any call to its disk: while journals are begun, tables
+// written, lists of files exchanged and old files removed, and amid the recovery after a loss of power. What Put has written is there
+// afterwards, and nothing older.
+func TestAcknowledgedRecordsOutliveAnyLossOfPower(t *testing.T) {
+	seeds, lives := uint64(40), 0
+	if os.Getenv("SOAK") != "" {
+		seeds = 2000
+	}
+	for seed := range seeds {
+		random := rand.New(rand.NewPCG(seed, 1))
+		disk := newPowerDisk(random)
+		l := &powerLife{acknowledged: map[string]int{}, attempted: map[string]int{}}
+		for life := range 14 {
+			records := 1000
+			if disk.calls = 1 + random.IntN(1+random.IntN(300)); life == 13 {
+				disk.calls, records = -1, 0 // the last one only reads
+			}
+			err := l.live(disk, records)
+			disk.mu.Lock()
+			left := disk.after
+			disk.mu.Unlock()
+			if errors.Is(err, errOlder) || err != nil && left == nil || err == nil && life < 13 {
+				t.Fatalf("seed %d, life %d, %d records written: %v", seed, life, l.number, err)
+			}
+			if left != nil {
+				disk = left
+			}
+			lives++
+		}
+	}
+	t.Logf("%d lives", lives)
+}
+
+// clone is a disk as it is now, with chance of its own.
+func (d *powerDisk) clone(seed uint64) *powerDisk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := newPowerDisk(rand.New(rand.NewPCG(seed, 2)))
+	c.meta = d.meta
+	copies := map[*powerFile]*powerFile{}
+	for _, names := range []map[lstorage.FileDesc]*powerFile{d.names, d.synced} {
+		for _, f := range names {
+			if copies[f] == nil {
+				copies[f] = &powerFile{data: bytes.Clone(f.data), synced: f.synced}
+			}
+		}
+	}
+	for fd, f := range d.names {
+		c.names[fd] = copies[f]
+	}
+	for fd, f := range d.synced {
+		c.synced[fd] = copies[f]
+	}
+	return c
+}
+
+// interrupted opens a folder and loses power at a call; it returns what is left, nil if there was no such call.
+func interrupted(t *testing.T, l powerLife, disk *powerDisk, call int) *powerDisk {
+	disk.calls = call
+	err := l.live(disk, 0)
+	disk.mu.Lock()
+	defer disk.mu.Unlock()
+	if errors.Is(err, errOlder) || err != nil && disk.after == nil {
+		t.Fatalf("power lost at call %d: %v", call, err)
+	}
+	return disk.after
+}
+
+// Power is lost amid writes, again at any call of the start that follows, and once more at any call of the one after that; also where the
+// list of files is spoilt, so that it has to be made anew.
+func TestPowerLostAtEachCallOfTwoStarts(t *testing.T) {
+	for name, spoilt := range map[string]bool{"list of files whole": false, "list of files spoilt": true} {
+		t.Run(name, func(t *testing.T) {
+			starts := 0
+			for seed := range uint64(2) {
+				starts += playTwoStarts(t, seed, spoilt)
+			}
+			t.Logf("%d starts", starts)
+		})
+	}
+}
+
+func playTwoStarts(t *testing.T, seed uint64, spoilt bool) (starts int) {
+	l := powerLife{acknowledged: map[string]int{}, attempted: map[string]int{}}
+	disk := newPowerDisk(rand.New(rand.NewPCG(seed, 1)))
+	disk.calls = 90 + int(seed)*120
+	_ = l.live(disk, 1000) // it ends with the power
+	disk = disk.after
+	if spoilt { // after a start that has put all records into tables
+		if interrupted(t, l, disk, -1) != nil {
+			t.Fatal("power was lost without cause")
+		}
+		disk.names[disk.meta[0]].data = []byte("spoilt")
+		disk.names[disk.meta[0]].synced = len("spoilt")
+	}
+	for first := 1; ; first++ {
+		left := interrupted(t, l, disk.clone(uint64(first)), first)
+		if left == nil {
+			return starts
+		}
+		for second := 1; ; second++ {
+			again := interrupted(t, l, left.clone(uint64(second)), second)
+			if again == nil {
+				break
+			}
+			if interrupted(t, l, again, -1) != nil {
+				t.Fatal("power was lost without cause")
+			}
+			starts += 3
+		}
+	}
+}
--- a/internal/mesh/control/storage/storage.go
+++ b/internal/mesh/control/storage/storage.go
@@ -29,8 +29,8 @@
 // Store is a folder of records.
 type Store struct {
 	folder string
-	opened func(folder string) (lstorage.Storage, error) // gives the folder's files
-	files  lstorage.Storage
+	opened func(folder string) (*durableFiles, error) // gives the folder's files
+	files  *durableFiles
 	db     *leveldb.DB // nil after an error, until the next call
 }
 
@@ -78,12 +78,20 @@
 }
 
 // openDatabase opens the database in a folder's files, and makes its list of files anew if that is spoilt, or gone beside files.
-func openDatabase(files lstorage.Storage) (*leveldb.DB, error) {
+func openDatabase(files *durableFiles) (*leveldb.DB, error) {
 	db, err := leveldb.Open(files, options())
-	if lerrors.IsCorrupted(err) {
-		return leveldb.Recover(files, options())
+	if !lerrors.IsCorrupted(err) {
+		return db, err
 	}
-	return db, err
+	files.deferChanges()
+	if db, err = leveldb.Recover(files, options()); err != nil {
+		return nil, err
+	}
+	if err := files.recovered(); err != nil {
+		_ = db.Close() // has nothing to add to the error
+		return nil, err
+	}
+	return db, nil
 }
 
 // makeFolder makes a folder, and syncs the one that it is in: else a loss of power could take it away with all that it holds.
@@ -106,31 +114,12 @@
 	return trace.ConvertSystemError(f.Sync())
 }
 
-func openFiles(folder string) (lstorage.Storage, error) {
+func openFiles(folder string) (*durableFiles, error) {
 	files, err := lstorage.OpenFile(folder, false)
 	if err != nil {
 		return nil, err
 	}
-	return syncedJournals{files, func() error { return syncFolder(folder) }}, nil
-}
-
-// syncedJournals syncs the folder when a journal was made in it. goleveldb syncs a journal's content with each write, but its
-// name in the folder only once the journal before it is compacted; a loss of power in between could take away the whole file.
-type syncedJournals struct {
-	lstorage.Storage
-	syncFolder func() error
-}
-
-func (s syncedJournals) Create(fd lstorage.FileDesc) (lstorage.Writer, error) {
-	w, err := s.Storage.Create(fd)
-	if err != nil || fd.Type != lstorage.TypeJournal {
-		return w, err
-	}
-	if err := s.syncFolder(); err != nil {
-		_ = w.Close() // has nothing to add to the error
-		return nil, err
-	}
-	return w, nil
+	return newDurableFiles(files, func() error { return syncFolder(folder) }), nil
 }
 
 // drop closes the database after an error: its journal may be broken, and is read anew before the next write.
--- a/internal/mesh/control/storage/storage_test.go
+++ b/internal/mesh/control/storage/storage_test.go
@@ -241,10 +241,10 @@
 	c := qt.New(t)
 	folder := t.TempDir()
 	var files *volatileFiles
-	k := &Store{folder: folder, opened: func(folder string) (lstorage.Storage, error) {
+	k := &Store{folder: folder, opened: func(folder string) (*durableFiles, error) {
 		real, err := lstorage.OpenFile(folder, false)
 		files = &volatileFiles{Storage: real, unnamed: map[lstorage.FileDesc]bool{}}
-		return syncedJournals{files, func() error { files.syncFolder(); return nil }}, err
+		return newDurableFiles(files, func() error { files.syncFolder(); return nil }), err
 	}}
 	c.Assert(k.open(), qt.IsNil)
 	defer k.Close()
