Parts of a split route get even shares; a hanging disk holds no end up

Cause: the users' news count a part's share of 300 requests against its weight; draws by lot are 3 in 100 off in the mean, and twice that now and then. A control process waited for its disk, however long, when it ended.

--- a/internal/mesh/assembly/core.go
+++ b/internal/mesh/assembly/core.go
@@ -19,6 +19,7 @@
 	releaseMost  = 300 * time.Millisecond  // to give its duties to another
 	handOverMost = 2500 * time.Millisecond // to give its place among the voters to another
 	answerMost   = time.Second             // to answer the calls that it has read
+	closeMost    = 500 * time.Millisecond  // for its disk, which may hang; what counts was written through
 	drainMost    = 400 * time.Millisecond  // until its answers to other processes have gone out
 )
 
@@ -121,6 +122,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(answerMost, grace/6))
 	defer cancel()
 	c.shutDownServers(ctx)
-	c.server.Close()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		c.server.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(min(closeMost, grace/12)):
+		c.log.Warn("assembly: this process ends while its disk hangs")
+	}
 	c.hub.Drain(c.hub.Now() + min(drainMost, grace/12))
 }
--- a/internal/mesh/dataplane/outbound/http.go
+++ b/internal/mesh/dataplane/outbound/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/textproto"
 	"strconv"
+	"strings"
 	"time"
 
 	"gingerlead/internal/mesh/control/configuration"
@@ -120,7 +121,7 @@
 	}
 	p.Attempt, p.Method, p.URI, p.Host = ids[0], q.Method, q.RequestURI, q.Host
 	p.Caller, p.Repeatable = d.o.Service, r.route.Kind.Repeatable()
-	p.Service = r.route.Draw(d.random())
+	p.Service = d.splits.part(r.route)
 	p.Header = forwardedHeader(q.Header)
 	return r, 0
 }
@@ -165,8 +166,8 @@
 func forwardedHeader(h http.Header) (out []string) {
 	hop := map[string]bool{}
 	for _, v := range h["Connection"] {
-		for _, name := range splitComma(v) {
-			hop[textproto.CanonicalMIMEHeaderKey(name)] = true
+		for name := range strings.SplitSeq(v, ",") {
+			hop[textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))] = true
 		}
 	}
 	for name, values := range h {
--- a/internal/mesh/dataplane/outbound/outbound.go
+++ b/internal/mesh/dataplane/outbound/outbound.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	mu          sync.Mutex
 	balancers   map[string]*serviceBalancer
 	zones       map[string]int
+	splits      splitSequences
 	queue       []func(now time.Duration)
 	next        uint64
 	sidecars    int
@@ -135,6 +137,7 @@
 			return
 		}
 		d.conf.Store(c)
+		d.splits.keep(c)
 	})
 }
 
@@ -171,7 +174,7 @@
 			return
 		}
 		d.next++
-		r.id, r.balancer = gingerlead.RequestID(itoa(d.next)), c
+		r.id, r.balancer = gingerlead.RequestID(strconv.FormatUint(d.next, 36)), c
 		c.requests[r.id] = r
 		c.repeats.Request(now)
 		c.balancer.Request(now, gingerlead.Request{ID: r.id, Class: c.class(r.route), Left: r.deadline - now,
--- /dev/null
+++ b/internal/mesh/dataplane/outbound/split_test.go
@@ -0,0 +1,42 @@
+package outbound
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"gingerlead/internal/mesh/control/configuration"
+)
+
+// A dozen sidecars draw 300 requests of a route together, in turn and each for itself: every part has its share within three in a
+// hundred; and of each hundred of one sidecar, within three requests.
+func TestPartsOfARouteGetTheirShares(t *testing.T) {
+	c := qt.New(t)
+	route := &configuration.Route{Name: "r", Split: []configuration.Share{{Service: "a", Weight: 70}, {Service: "b", Weight: 20},
+		{Service: "c", Weight: 10}, {Service: "none", Weight: 0}}}
+	for range 50 {
+		sidecars := make([]splitSequences, 12)
+		count := map[string]float64{}
+		for i := range 300 {
+			count[sidecars[i%len(sidecars)].part(route)]++
+		}
+		for _, s := range route.Split {
+			off := math.Abs(count[s.Service]/300 - s.Weight/100)
+			c.Assert(off < 0.03, qt.IsTrue, qt.Commentf("%s: %v of 300", s.Service, count[s.Service]))
+		}
+	}
+	var one splitSequences
+	for range 20 {
+		count := map[string]float64{}
+		for range 100 {
+			count[one.part(route)]++
+		}
+		for _, s := range route.Split {
+			c.Assert(math.Abs(count[s.Service]-s.Weight) <= 3, qt.IsTrue, qt.Commentf("%s: %v of 100", s.Service, count[s.Service]))
+		}
+	}
+	one.keep(&configuration.Config{})
+	c.Assert(one.last, qt.HasLen, 0)
+	c.Assert(one.part(&configuration.Route{Name: "s", Split: route.Split[:1]}), qt.Equals, "a")
+}
