The sidecar program outlives the reader of its log; full disks join the power test

Change: it catches its signals by internal/lifecycle; the power test refuses writes for a while, as a full disk does.

--- a/cmd/quincegap/main.go
+++ b/cmd/quincegap/main.go
@@ -7,18 +7,15 @@
 	"fmt"
 	"log"
 	"os"
-	"os/signal"
-	"syscall"
 
+	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/product"
 	"gingerlead/internal/sidecar"
 )
 
 func main() {
+	signals := lifecycle.Catch()
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reload, syscall.SIGHUP) // first of all: uncaught, it ends the process
 	file := flag.String("config", "", "the product's file (TOML); without it, all comes from the environment")
 	flag.Parse()
 	if flag.NArg() > 0 {
@@ -27,7 +24,7 @@
 	}
 	config, err := product.Sidecar(*file, os.Getenv)
 	if err == nil {
-		err = sidecar.Run(config, stop, reload)
+		err = sidecar.Run(config, signals.Terminate, signals.Reload)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "quincegap: "+err.Error())
--- a/cmd/quincegap/main_test.go
+++ b/cmd/quincegap/main_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // TestMain lets the test binary stand in for the program.
@@ -48,8 +49,15 @@
 	}
 }
 
-// SIGHUP makes the program read its file again; uncaught it would end it. After SIGTERM it ends by itself.
-func TestSignals(t *testing.T) {
+// signalled is the program, started for a test of signals, with what it logs.
+type signalled struct {
+	*testing.T
+	cmd    *exec.Cmd
+	stderr io.ReadCloser
+	lines  *bufio.Scanner
+}
+
+func startSignalled(t *testing.T) *signalled {
 	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.WriteString(w, `{"rev":1,"all":true,"targets":[]}`+"\n")
 		http.NewResponseController(w).Flush()
@@ -57,8 +65,8 @@
 			<-r.Context().Done()
 		}
 	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
+	t.Cleanup(discovery.Close)
+	t.Cleanup(discovery.CloseClientConnections)
 	file := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"a1",
 		"limits":{"cores":1,"memory_mb":64,"sockets":256},"settings":{"allowed":{"connectTimeout":2000000},
@@ -76,29 +84,56 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer cmd.Process.Kill()
-	lines := bufio.NewScanner(stderr)
-	for _, step := range []struct {
-		word string // of the log, that shows that the step before is done
-		next os.Signal
-	}{
-		{"serving on", syscall.SIGHUP}, {"reload: discovery is", syscall.SIGHUP}, {"reload: discovery is", syscall.SIGTERM},
-	} {
-		for {
-			if !lines.Scan() {
-				t.Fatalf("it ended before it said %q", step.word)
-			}
-			if strings.Contains(lines.Text(), step.word) {
-				break
-			}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return &signalled{T: t, cmd: cmd, stderr: stderr, lines: bufio.NewScanner(stderr)}
+}
+
+// says waits until the program has logged a word.
+func (s *signalled) says(word string) {
+	s.Helper()
+	for s.lines.Scan() {
+		if strings.Contains(s.lines.Text(), word) {
+			return
 		}
-		if err := cmd.Process.Signal(step.next); err != nil {
-			t.Fatal(err)
+	}
+	s.Fatalf("it ended before it said %q", word)
+}
+
+func (s *signalled) signal(signals ...os.Signal) {
+	s.Helper()
+	for _, x := range signals {
+		if err := s.cmd.Process.Signal(x); err != nil {
+			s.Fatal(err)
 		}
 	}
-	for lines.Scan() {
+}
+
+// SIGHUP makes the program read its file again; uncaught it would end it. After SIGTERM it ends by itself.
+func TestSignals(t *testing.T) {
+	s := startSignalled(t)
+	s.says("serving on")
+	s.signal(syscall.SIGHUP)
+	s.says("reload: discovery is")
+	s.signal(syscall.SIGHUP)
+	s.says("reload: discovery is")
+	s.signal(syscall.SIGTERM)
+	for s.lines.Scan() {
 	}
-	if err := cmd.Wait(); err != nil {
+	if err := s.cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
+// Whoever reads the program's log goes away, and settings are read again, which is logged; then SIGTERM comes, and other signals while the
+// program ends: it ends by itself all the same.
+func TestSignalsWithoutAReaderOfTheLog(t *testing.T) {
+	s := startSignalled(t)
+	s.says("serving on")
+	s.stderr.Close()
+	s.signal(syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGPIPE)
+	time.Sleep(300 * time.Millisecond) // it is logged
+	s.signal(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGQUIT, syscall.SIGINT)
+	if err := s.cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v", err)
 	}
 }
--- a/internal/mesh/control/storage/power_test.go
+++ b/internal/mesh/control/storage/power_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 
 	lstorage "github.com/syndtr/goleveldb/leveldb/storage"
@@ -22,6 +23,8 @@
 	meta   [2]lstorage.FileDesc             // the list of files in use: as the process sees it, and on the disk
 	calls  int                              // that change something, until the power goes
 	after  *powerDisk                       // what is left; nil while the power is on
+	full   int                              // so many calls that change something are refused, after
+	fullIn int                              // so many that are not
 	random *rand.Rand
 }
 
@@ -42,11 +45,15 @@
 	if d.after != nil {
 		return errNoPower
 	}
-	if d.calls--; d.calls != 0 {
-		return nil
+	if d.calls--; d.calls == 0 {
+		d.after = d.left()
+		return errNoPower
+	}
+	if d.fullIn--; d.fullIn < 0 && d.full > 0 {
+		d.full--
+		return syscall.ENOSPC
 	}
-	d.after = d.left()
-	return errNoPower
+	return nil
 }
 
 // left is what a loss of power leaves. The lock is held.
@@ -230,6 +237,9 @@
 	defer func() { _ = k.Close() }()
 	for key, last := range l.acknowledged {
 		data, err := k.Get(key)
+		for errors.Is(err, syscall.ENOSPC) {
+			data, err = k.Get(key)
+		}
 		if err != nil {
 			return fmt.Errorf("get %s: %w", key, err)
 		}
@@ -247,7 +257,11 @@
 		if key == "vote" {
 			body = append(body, bytes.Repeat([]byte("0123456789abcdef"), 1+l.number%7<<9)...)
 		}
-		if err := k.Put(key, body); err != nil {
+		err := k.Put(key, body)
+		if errors.Is(err, syscall.ENOSPC) { // the next one may go through
+			continue
+		}
+		if err != nil {
 			return fmt.Errorf("put %s: %w", key, err)
 		}
 		l.acknowledged[key] = l.number
@@ -255,7 +269,7 @@
 	return nil
 }
 
-// A process writes records again and again, as a voter does, and loses power at any call to its disk: while journals are begun, tables
+// A process writes records again and again, as a voter does, meets a full disk now and then, and loses power at any call to it: while journals are begun, tables
 // written, lists of files exchanged and old files removed, and amid the recovery after a loss of power. What Put has written is there
 // afterwards, and nothing older.
 func TestAcknowledgedRecordsOutliveAnyLossOfPower(t *testing.T) {
@@ -269,6 +283,9 @@
 		l := &powerLife{acknowledged: map[string]int{}, attempted: map[string]int{}}
 		for life := range 14 {
 			records := 1000
+			if random.IntN(3) == 0 {
+				disk.full, disk.fullIn = 1+random.IntN(30), random.IntN(60)
+			}
 			if disk.calls = 1 + random.IntN(1+random.IntN(300)); life == 13 {
 				disk.calls, records = -1, 0 // the last one only reads
 			}
