Calls of endpoints are not held back by refusals of clients' requests to the same service

Change: a decision module of their own for calls of endpoints, with one budget of repeats for both; they wait at the endpoint by their deadline.

--- a/internal/mesh/dataplane/admission/admission.go
+++ b/internal/mesh/dataplane/admission/admission.go
@@ -14,7 +14,7 @@
 const (
 	workWeight = 0.05                    // of one run in the mean time that runs take
 	workFirst  = 60 * time.Millisecond   // taken for it before the first
-	waitShare  = 0.5                     // of the time to its aim that a request may be expected to wait
+	waitShare  = 0.5                     // of the time until it is worthless that a request may be expected to wait
 	waitLeast  = 20 * time.Millisecond   // and what it always may
 	drainGrace = 1500 * time.Millisecond // after the mark: who has not heard of it yet is still let on
 	queueMost  = 2048
@@ -55,6 +55,15 @@
 	at time.Duration
 }
 
+// worthless is when an answer comes too late to be of use: to an inner request when its deadline has passed, as what waits for it
+// is lost without it.
+func (w *waiting) worthless() time.Duration {
+	if w.Inner {
+		return w.Deadline
+	}
+	return w.Aim
+}
+
 // Step is what is to be done with a request: Kind 0 to let it on, else what it ended as.
 type Step struct {
 	Token uint64
@@ -195,7 +204,7 @@
 	for i := 0; i < len(g.queue); {
 		w := &g.queue[i]
 		expected := time.Duration(each * float64(i+1))
-		left := w.Aim - w.at - g.work
+		left := w.worthless() - w.at - g.work
 		may := max(time.Duration(waitShare*float64(left)), waitLeast)
 		if expected > may || i >= queueMost {
 			g.steps = append(g.steps, Step{w.Token, outcome.Full})
--- a/internal/mesh/dataplane/admission/admission_test.go
+++ b/internal/mesh/dataplane/admission/admission_test.go
@@ -157,3 +157,21 @@
 	steps := g.Arrive(time.Hour, Arrival{Token: 1, Endpoint: "one", Service: "s", Aim: 2 * time.Hour, Deadline: 2 * time.Hour})
 	c.Assert(steps, qt.DeepEquals, []Step{{Token: 1, Kind: outcome.Leaving}})
 }
+
+// The slots are taken by long runs. A request with a short aim is turned away, as it would be late; a call that a running request waits
+// for is let wait as long as its answer is of use.
+func TestInnerRequestsWaitByTheirDeadline(t *testing.T) {
+	c := qt.New(t)
+	g := New()
+	g.Tell(0, Life{ID: "one", Service: "s", Slots: 1}, Serving)
+	for i := range uint64(200) {
+		g.Arrive(0, Arrival{Token: i, Aim: time.Hour, Deadline: time.Hour})
+		g.Done(210*time.Millisecond, i)
+	}
+	g.Arrive(0, Arrival{Token: 1000, Aim: time.Hour, Deadline: time.Hour})
+	short := Arrival{Token: 1001, Priority: 1, Aim: 150 * time.Millisecond, Deadline: time.Second}
+	c.Assert(g.Arrive(0, short), qt.DeepEquals, []Step{{Token: 1001, Kind: outcome.Full}})
+	short.Token, short.Inner = 1002, true
+	c.Assert(g.Arrive(0, short), qt.HasLen, 0)
+	c.Assert(g.Done(100*time.Millisecond, 1000), qt.DeepEquals, []Step{{Token: 1002}})
+}
--- a/internal/mesh/dataplane/outbound/outbound.go
+++ b/internal/mesh/dataplane/outbound/outbound.go
@@ -14,6 +14,7 @@
 
 	"gingerlead"
 	"gingerlead/internal/mesh/control/configuration"
+	"gingerlead/internal/mesh/control/ratelimit"
 	"gingerlead/internal/mesh/dataplane/inbound"
 	"gingerlead/internal/mesh/dataplane/outcome"
 	"gingerlead/internal/mesh/discovery"
@@ -40,7 +41,8 @@
 	o           Options
 	conf        atomic.Pointer[configuration.Config]
 	mu          sync.Mutex
-	balancers   map[string]*serviceBalancer
+	balancers   map[balancerKey]*serviceBalancer
+	services    map[string]*service
 	zones       map[string]int
 	splits      splitSequences
 	queue       []func(now time.Duration)
@@ -87,7 +89,7 @@
 
 // New makes a proxy that knows no configuration yet.
 func New(o Options) *Proxy {
-	return &Proxy{o: o, balancers: map[string]*serviceBalancer{}, zones: map[string]int{}, sidecars: 1,
+	return &Proxy{o: o, balancers: map[balancerKey]*serviceBalancer{}, services: map[string]*service{}, zones: map[string]int{}, sidecars: 1,
 		lastAnswer: make(chan struct{})}
 }
 
@@ -117,15 +119,39 @@
 	return n
 }
 
-func (d *Proxy) balancer(service string) *serviceBalancer {
-	c := d.balancers[service]
+// balancerKey is what has a decision module of its own. Calls that endpoints make have one apart from clients' requests: in an
+// overload most of these are refused, and that must not hold back the others, for which slots of endpoints wait.
+type balancerKey struct {
+	service string
+	inner   bool
+}
+
+// service is what the balancers of one service share.
+type service struct {
+	endpoints []discovery.Endpoint // as they were told last
+	repeats   *ratelimit.Repeats
+}
+
+func (d *Proxy) service(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{repeats: ratelimit.NewRepeats(d.o.Bounds.BudgetWindow)}
+		d.services[name] = s
+	}
+	return s
+}
+
+// balancer is the decision module for some requests, made at the first of them.
+func (d *Proxy) balancer(key balancerKey) *serviceBalancer {
+	c := d.balancers[key]
 	if c == nil {
 		var err error
-		if c, err = newServiceBalancer(d, service, d.o.Seed+uint64(len(d.balancers))); err != nil {
+		if c, err = newServiceBalancer(d, key.service, d.o.Seed+uint64(len(d.balancers))); err != nil {
 			d.o.Log.Error("outbound: " + err.Error())
 			return nil
 		}
-		d.balancers[service] = c
+		d.balancers[key] = c
+		c.told(d.Now(), d.service(key.service).endpoints)
 	}
 	return c
 }
@@ -147,8 +173,11 @@
 // Told takes the list of a service's endpoints, all of them.
 func (d *Proxy) Told(service string, all []discovery.Endpoint) {
 	d.do(func(now time.Duration) {
-		if c := d.balancer(service); c != nil {
-			c.told(now, all)
+		d.service(service).endpoints = all
+		for _, inner := range []bool{false, true} {
+			if c := d.balancers[balancerKey{service, inner}]; c != nil {
+				c.told(now, all)
+			}
 		}
 	})
 }
@@ -164,11 +193,8 @@
 // submit has a request served; its result comes once on the channel.
 func (d *Proxy) submit(r *request, priority int) {
 	times := 1 / float64(int(1)<<min(max(priority, 0), 16))
-	if r.forward.Inner { // a slot waits for it, and what ran already is lost without it
-		times = innerTimes
-	}
 	d.do(func(now time.Duration) {
-		c := d.balancer(r.forward.Service)
+		c := d.balancer(balancerKey{r.forward.Service, r.forward.Inner})
 		if c == nil {
 			r.answered <- result{kind: outcome.Overloaded}
 			return
