--- a/internal/mesh/control/mutants.sh
+++ b/internal/mesh/control/mutants.sh
@@ -104,8 +104,9 @@
 fault "a write is not synced" storage/storage.go 's/Sync: true/Sync: false/'
 fault "a checksum is not held against its data" storage/storage.go 's/case sum != want:/case false:/'
 fault "a later format counts as spoilt" storage/storage.go 's/case number > format.*/case false:/'
-fault "a new journal's name is not synced" storage/storage.go 's/fd\.Type != lstorage\.TypeJournal/true/'
-fault "a spoilt list of files is an error for good" storage/storage.go 's/if lerrors\.IsCorrupted\(err\) \{/if false {/'
+fault "a new journal's name is not synced" storage/files.go 's/case lstorage\.TypeJournal:/case 0:/'
+fault "a spoilt list of files is an error for good" storage/storage.go 's/if !lerrors\.IsCorrupted\(err\) \{/if true {/'
+fault "a repair gives files up before it is whole" storage/files.go 's/d\.deferring = true/d.deferring = false/'
 
 # Leases.
 fault "a lease is granted while another holds it" lease/voter.go 's/now >= g\.until && d\.Epoch > g\.epoch/d.Epoch > g.epoch/'
