--- a/internal/mesh/assembly/assembly.go
+++ b/internal/mesh/assembly/assembly.go
@@ -35,7 +35,7 @@
 	signals  lifecycle.Signals
 	hub      *transport.Hub
 	log      *logrus.Logger
-	book     *logging.Book
+	ring     *logging.Ring
 	seed     uint64
 	errors   chan error
 	servers  []*http.Server
@@ -49,8 +49,8 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(loaded.MemoryMB<<20)))
-	log, book := logging.New(os.Stderr)
-	p := &process{settings: loaded, path: path, signals: signals, log: log, book: book, seed: rand.Uint64(), errors: make(chan error, 8)}
+	log, ring := logging.New(os.Stderr)
+	p := &process{settings: loaded, path: path, signals: signals, log: log, ring: ring, seed: rand.Uint64(), errors: make(chan error, 8)}
 	p.hub = transport.NewHub(transport.Hello{Life: rand.Uint64() | 1, Address: loaded.Internal(), Name: loaded.Name, Zone: loaded.Zone,
 		Service: loaded.Service}, time.Now(), callsMost, log)
 	p.hub.Shape(loaded.LinkMbps * 1e6)
@@ -121,7 +121,7 @@
 	for {
 		select {
 		case <-p.signals.Dump:
-			p.book.Write("SIGUSR1")
+			p.ring.Write("SIGUSR1")
 			continue
 		case <-p.signals.Reload:
 		case <-every.C:
--- a/internal/mesh/operations/logging/logging.go
+++ b/internal/mesh/operations/logging/logging.go
@@ -17,11 +17,11 @@
 	textMax       = 512              // bytes of one message
 )
 
-// Book is a logrus hook; the logger's own output is to be discarded.
-type Book struct {
+// Ring is a logrus hook; the logger's own output is to be discarded.
+type Ring struct {
 	mu     sync.Mutex
 	out    io.Writer
-	ring   []*logrus.Entry
+	kept   []*logrus.Entry
 	next   int
 	last   time.Time // when the ring was last written out because of a warning
 	missed int       // warnings since then that were not written out at once
@@ -29,15 +29,15 @@
 }
 
 // New makes a logger whose entries go into a ring; from a warning on the ring is written to out, at most every ten seconds.
-func New(out io.Writer) (*logrus.Logger, *Book) {
-	b := &Book{out: out, ring: make([]*logrus.Entry, 0, entriesMax),
+func New(out io.Writer) (*logrus.Logger, *Ring) {
+	r := &Ring{out: out, kept: make([]*logrus.Entry, 0, entriesMax),
 		format: logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano}}
 	l := logrus.New()
 	l.SetOutput(io.Discard)
 	l.SetFormatter(discard{})
 	l.SetLevel(logrus.DebugLevel)
-	l.AddHook(b)
-	return l, b
+	l.AddHook(r)
+	return l, r
 }
 
 // discard formats nothing: entries are formatted when they are written out.
@@ -46,29 +46,29 @@
 func (discard) Format(*logrus.Entry) ([]byte, error) { return nil, nil }
 
 // Levels are all (logrus.Hook).
-func (b *Book) Levels() []logrus.Level { return logrus.AllLevels }
+func (r *Ring) Levels() []logrus.Level { return logrus.AllLevels }
 
 // Fire takes an entry (logrus.Hook).
-func (b *Book) Fire(e *logrus.Entry) error {
+func (r *Ring) Fire(e *logrus.Entry) error {
 	c := *e
 	c.Message = cut(c.Message)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.ring) < entriesMax {
-		b.ring = append(b.ring, &c)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.kept) < entriesMax {
+		r.kept = append(r.kept, &c)
 	} else {
-		b.ring[b.next] = &c
+		r.kept[r.next] = &c
 	}
-	b.next = (b.next + 1) % entriesMax
+	r.next = (r.next + 1) % entriesMax
 	if e.Level > logrus.WarnLevel {
 		return nil
 	}
-	if !b.last.IsZero() && e.Time.Sub(b.last) < writeInterval && e.Level > logrus.ErrorLevel {
-		b.missed++
+	if !r.last.IsZero() && e.Time.Sub(r.last) < writeInterval && e.Level > logrus.ErrorLevel {
+		r.missed++
 		return nil
 	}
-	b.last = e.Time
-	b.write("")
+	r.last = e.Time
+	r.write("")
 	return nil
 }
 
@@ -80,33 +80,33 @@
 }
 
 // Write writes the ring out on request; why is written before it.
-func (b *Book) Write(why string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.write(why)
+func (r *Ring) Write(why string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write(why)
 }
 
 // write empties the ring into out, the oldest entry first.
-func (b *Book) write(why string) {
+func (r *Ring) write(why string) {
 	if why != "" {
-		fmt.Fprintf(b.out, "-- log written out: %s\n", why)
+		fmt.Fprintf(r.out, "-- log written out: %s\n", why)
 	}
-	if b.missed > 0 {
-		fmt.Fprintf(b.out, "-- %d faults since the last time are among these\n", b.missed)
-		b.missed = 0
+	if r.missed > 0 {
+		fmt.Fprintf(r.out, "-- %d faults since the last time are among these\n", r.missed)
+		r.missed = 0
 	}
 	from := 0
-	if len(b.ring) == entriesMax {
-		from = b.next
+	if len(r.kept) == entriesMax {
+		from = r.next
 	}
-	for i := range b.ring {
-		text, err := b.format.Format(b.ring[(from+i)%len(b.ring)])
+	for i := range r.kept {
+		text, err := r.format.Format(r.kept[(from+i)%len(r.kept)])
 		if err == nil {
-			_, err = b.out.Write(text)
+			_, err = r.out.Write(text)
 		}
 		if err != nil {
 			break
 		}
 	}
-	b.ring, b.next = b.ring[:0], 0
+	r.kept, r.next = r.kept[:0], 0
 }
--- a/internal/mesh/operations/logging/logging_test.go
+++ b/internal/mesh/operations/logging/logging_test.go
@@ -11,7 +11,7 @@
 func TestMomentsBeforeTheFaultAreThere(t *testing.T) {
 	c := qt.New(t)
 	var out strings.Builder
-	log, book := New(&out)
+	log, ring := New(&out)
 	for i := range 3000 {
 		log.Infof("step %d", i)
 	}
@@ -32,7 +32,7 @@
 	c.Assert(out.String(), qt.Contains, "-- 50 faults since")
 	out.Reset()
 	log.Info("calm " + strings.Repeat("x", 5000))
-	book.Write("SIGUSR1")
+	ring.Write("SIGUSR1")
 	c.Assert(out.String(), qt.Contains, "SIGUSR1")
 	c.Assert(len(out.String()) < 1000, qt.IsTrue)
 }
