One decision module for a service again; calls still wait by their deadline

Change: the module apart is reverted with its test (TestRefusedClientsHoldNoCallOfAnEndpointBack is of a behaviour that is gone); the wait stays.

--- a/internal/mesh/dataplane/outbound/balancer.go
+++ b/internal/mesh/dataplane/outbound/balancer.go
@@ -23,6 +23,7 @@
 	backMost    = time.Second
 	connectTime = 250 * time.Millisecond
 	classesMost = 256
+	innerTimes  = 4 // how much more calls of endpoints are worth than clients' requests of the highest rank
 	triesMost   = 8 // of one request, those that surely did not run among them
 )
 
@@ -38,8 +39,7 @@
 	target, timeout time.Duration
 }
 
-// serviceBalancer is one service's endpoints with the decision module that picks among them, for clients' requests or for calls of
-// endpoints. It is the module's host.
+// serviceBalancer is one service's endpoints with the decision module that picks among them. It is the module's host.
 type serviceBalancer struct {
 	proxy     *Proxy
 	service   string
@@ -56,7 +56,7 @@
 func newServiceBalancer(d *Proxy, service string, seed uint64) (*serviceBalancer, error) {
 	c := &serviceBalancer{proxy: d, service: service, endpoints: map[gingerlead.EndpointID]*knownEndpoint{}, byID: map[string]*knownEndpoint{},
 		classes: map[classKey]int{}, requests: map[gingerlead.RequestID]*request{},
-		repeats: d.service(service).repeats}
+		repeats: ratelimit.NewRepeats(d.o.Bounds.BudgetWindow)}
 	b, err := gingerlead.New(gingerlead.Settings{
 		Instances: 1, Tiers: 1, Quantum: quantum, GoalWhole: 1, MayCancel: true, MaxRetryAfter: backMost,
 		ConnectTimeout: connectTime, ColdFrom: coldFrom, Cold: cold, TipMultiple: tipMultiple, Fall: window,
--- a/internal/mesh/dataplane/outbound/outbound.go
+++ b/internal/mesh/dataplane/outbound/outbound.go
@@ -14,7 +14,6 @@
 
 	"gingerlead"
 	"gingerlead/internal/mesh/control/configuration"
-	"gingerlead/internal/mesh/control/ratelimit"
 	"gingerlead/internal/mesh/dataplane/inbound"
 	"gingerlead/internal/mesh/dataplane/outcome"
 	"gingerlead/internal/mesh/discovery"
@@ -41,8 +40,7 @@
 	o           Options
 	conf        atomic.Pointer[configuration.Config]
 	mu          sync.Mutex
-	balancers   map[balancerKey]*serviceBalancer
-	services    map[string]*service
+	balancers   map[string]*serviceBalancer
 	zones       map[string]int
 	splits      splitSequences
 	queue       []func(now time.Duration)
@@ -89,7 +87,7 @@
 
 // New makes a proxy that knows no configuration yet.
 func New(o Options) *Proxy {
-	return &Proxy{o: o, balancers: map[balancerKey]*serviceBalancer{}, services: map[string]*service{}, zones: map[string]int{}, sidecars: 1,
+	return &Proxy{o: o, balancers: map[string]*serviceBalancer{}, zones: map[string]int{}, sidecars: 1,
 		lastAnswer: make(chan struct{})}
 }
 
@@ -119,39 +117,15 @@
 	return n
 }
 
-// balancerKey is what has a decision module of its own. Calls that endpoints make have one apart from clients' requests: in an
-// overload most of these are refused, and that must not hold back the others, for which slots of endpoints wait.
-type balancerKey struct {
-	service string
-	inner   bool
-}
-
-// service is what the balancers of one service share.
-type service struct {
-	endpoints []discovery.Endpoint // as they were told last
-	repeats   *ratelimit.Repeats
-}
-
-func (d *Proxy) service(name string) *service {
-	s := d.services[name]
-	if s == nil {
-		s = &service{repeats: ratelimit.NewRepeats(d.o.Bounds.BudgetWindow)}
-		d.services[name] = s
-	}
-	return s
-}
-
-// balancer is the decision module for some requests, made at the first of them.
-func (d *Proxy) balancer(key balancerKey) *serviceBalancer {
-	c := d.balancers[key]
+func (d *Proxy) balancer(service string) *serviceBalancer {
+	c := d.balancers[service]
 	if c == nil {
 		var err error
-		if c, err = newServiceBalancer(d, key.service, d.o.Seed+uint64(len(d.balancers))); err != nil {
+		if c, err = newServiceBalancer(d, service, d.o.Seed+uint64(len(d.balancers))); err != nil {
 			d.o.Log.Error("outbound: " + err.Error())
 			return nil
 		}
-		d.balancers[key] = c
-		c.told(d.Now(), d.service(key.service).endpoints)
+		d.balancers[service] = c
 	}
 	return c
 }
@@ -173,11 +147,8 @@
 // Told takes the list of a service's endpoints, all of them.
 func (d *Proxy) Told(service string, all []discovery.Endpoint) {
 	d.do(func(now time.Duration) {
-		d.service(service).endpoints = all
-		for _, inner := range []bool{false, true} {
-			if c := d.balancers[balancerKey{service, inner}]; c != nil {
-				c.told(now, all)
-			}
+		if c := d.balancer(service); c != nil {
+			c.told(now, all)
 		}
 	})
 }
@@ -193,8 +164,11 @@
 // submit has a request served; its result comes once on the channel.
 func (d *Proxy) submit(r *request, priority int) {
 	times := 1 / float64(int(1)<<min(max(priority, 0), 16))
+	if r.forward.Inner { // a slot waits for it, and what ran already is lost without it
+		times = innerTimes
+	}
 	d.do(func(now time.Duration) {
-		c := d.balancer(balancerKey{r.forward.Service, r.forward.Inner})
+		c := d.balancer(r.forward.Service)
 		if c == nil {
 			r.answered <- result{kind: outcome.Overloaded}
 			return
