Test of seven sidecars: its ports are free for UDP too

Cause: make test failed once, 1 of 2 today: the port that was free for TCP was another process's for UDP (bind: address already in use). Change: both are tried. No check is changed.

--- a/cmd/quincegap/peers_test.go
+++ b/cmd/quincegap/peers_test.go
@@ -59,12 +59,21 @@
 
 func free(t testing.TB, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := l.Addr().String()
+		l.Close()
+		u, err := net.ListenPacket("udp", at) // a port that is free for TCP may be another test's for UDP
+		if err == nil {
+			u.Close()
+			return at
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatalf("no port of %s is free", ip)
+	return ""
 }
 
 func newGround(t testing.TB, n int, seed uint64, pace string) *ground {
