--- a/internal/mesh/dataplane/outbound/answers_test.go
+++ b/internal/mesh/dataplane/outbound/answers_test.go
@@ -619,15 +619,10 @@
 func endAs(t *testing.T, route string, first, others *inbound.Outcome) (sent, got int) {
 	n := newNetwork(1, false)
 	a := startSidecar(t, n, "a", 1)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	far := transport.NewHub(transport.Hello{Life: 2, Address: "b:7"}, time.Now(), 1<<20, log)
-	links := n.listen("b:7")
-	go far.Listen(links)
+	far, stopFar := startFar(n)
 	defer func() {
 		a.close()
-		far.Close()
-		links.Close()
+		stopFar()
 		time.Sleep(time.Second)
 	}()
 	far.Serve(inbound.MethodForward, func(call *transport.IncomingCall) {
@@ -650,3 +645,16 @@
 	qt.Assert(t, err, qt.IsNil)
 	return sent, answer.StatusCode
 }
+
+// startFar starts the links of a sidecar b, whose methods the test declares.
+func startFar(n *network) (far *transport.Hub, stop func()) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	far = transport.NewHub(transport.Hello{Life: 2, Address: "b:7"}, time.Now(), 1<<20, log)
+	links := n.listen("b:7")
+	go far.Listen(links)
+	return far, func() {
+		far.Close()
+		links.Close()
+	}
+}
--- a/internal/mesh/dataplane/outbound/supersede_test.go
+++ b/internal/mesh/dataplane/outbound/supersede_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -11,7 +10,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
 	"gingerlead/internal/mesh/dataplane/inbound"
 	"gingerlead/internal/mesh/dataplane/outcome"
@@ -32,15 +30,10 @@
 func playSlowRun(t *testing.T, length time.Duration, second inbound.Outcome) (status int, after time.Duration, run *slowRun) {
 	n := newNetwork(1, false)
 	a := startSidecar(t, n, "a", 1)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	far := transport.NewHub(transport.Hello{Life: 2, Address: "b:7"}, time.Now(), 1<<20, log)
-	links := n.listen("b:7")
-	go far.Listen(links)
+	far, stopFar := startFar(n)
 	defer func() {
 		a.close()
-		far.Close()
-		links.Close()
+		stopFar()
 		time.Sleep(5 * time.Second)
 	}()
 	run = &slowRun{}
