A sidecar that is its own home does not wait for itself when a new life begins

Seen: assembly.TestMeshServes never ended in one run: 1,897 goroutines wait for the lock of access.Keepalive, which publishes with it held; this process, a home of its own service, then finds an earlier life at the address and calls back into Keepalive. A record of an earlier life that drains also replaced the life that the endpoint itself had told. Change: Publish and Ended only note, the agent's own goroutine sends; what others remember never replaces the endpoint's own word (assembly/endpoint.go, split from access.go). Calls of process tests have a time limit.

--- a/internal/mesh/agent/agent.go
+++ b/internal/mesh/agent/agent.go
@@ -36,15 +36,16 @@
 	EndpointsChanged func(service string, all []discovery.Endpoint)
 	// SidecarsChanged is called when the number of sidecars has changed.
 	SidecarsChanged func(n int)
-	// EndpointLeaves is called when others know that an endpoint at this machine's address drains or has deregistered: it may have
-	// told them, or an earlier life of this process.
+	// EndpointLeaves is called, without locks, when others know that an endpoint at this machine's address drains or has deregistered: it
+	// may have told them, or an earlier life of this process. It may be of any life that was at that address.
 	EndpointLeaves func(e discovery.Endpoint)
 }
 
 // Agent is one process's part in the control plane.
 type Agent struct {
 	o           Options
-	configuring sync.Mutex // one configuration after the other
+	configuring sync.Mutex    // one configuration after the other
+	due         chan struct{} // something is to be sent before the next tick
 	limits      atomic.Pointer[map[string]ratelimit.Limit]
 	events      *eventRecorder // of core processes; nil elsewhere
 
@@ -76,7 +77,7 @@
 		Service: o.Settings.Service, App: o.Settings.App}
 	a := &Agent{o: o, view: membership.New(self, membership.Bounds{}, rand.New(rand.NewPCG(o.Seed, hello.Life))),
 		registry: discovery.New(discovery.Bounds{}), publisher: discovery.NewPublisher(discovery.Bounds{}),
-		confirmed:  make(chan struct{}),
+		due: make(chan struct{}, 1), confirmed: make(chan struct{}),
 		subscribed: discovery.NewSubscription(discovery.Bounds{}), subscribers: discovery.NewSubscribers(discovery.Bounds{}),
 		zonesSeen: map[string]time.Duration{}, changed: map[string]uint64{}, homeLives: map[string]uint64{}, rng: rand.New(rand.NewPCG(o.Seed, 1))}
 	for zone, region := range o.Settings.Regions {
@@ -106,12 +107,21 @@
 		a.step()
 		select {
 		case <-tick.C:
+		case <-a.due:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// wake has Run take a step at once, on its own goroutine.
+func (a *Agent) wake() {
+	select {
+	case a.due <- struct{}{}:
+	default: // it is to take one anyway
+	}
+}
+
 // step sends what is due: shuffles, records of endpoints and subscriptions.
 func (a *Agent) step() {
 	a.endSurvey()
--- a/internal/mesh/agent/config.go
+++ b/internal/mesh/agent/config.go
@@ -48,7 +48,7 @@
 	if a.events != nil {
 		a.events.add(events.Event{Kind: events.ConfigInForce, Version: conf.Version.String()})
 	}
-	a.step()
+	a.wake()
 }
 
 func readVersion(version uint64, text []byte) (*configuration.Config, error) {
--- a/internal/mesh/agent/endpoints.go
+++ b/internal/mesh/agent/endpoints.go
@@ -15,22 +15,23 @@
 	publishTimeout = 250 * time.Millisecond // for a home to acknowledge a record that an endpoint waits for
 )
 
-// Publish publishes the endpoint beside this process as it is now.
+// Publish publishes the endpoint beside this process as it is now. It only notes the record, and may be called with locks held that
+// EndpointLeaves or EndpointsChanged takes: this process may be a home of the record, and would call these.
 func (a *Agent) Publish(e discovery.Endpoint) {
 	self := a.o.Hub.Self()
 	e.Host, e.HostLife = self.Address, self.Life
 	a.mu.Lock()
 	a.publisher.Set(a.o.Hub.Now(), e)
 	a.mu.Unlock()
-	a.step()
+	a.wake()
 }
 
-// Ended publishes that a life of the endpoint beside this process has ended.
+// Ended publishes that a life of the endpoint beside this process has ended. Like Publish it only notes that.
 func (a *Agent) Ended(id string, s discovery.State) {
 	a.mu.Lock()
 	a.publisher.End(a.o.Hub.Now(), id, s)
 	a.mu.Unlock()
-	a.step()
+	a.wake()
 }
 
 // AwaitConfirmed waits until a home on another machine knows a life as it is now, for publishTimeout at most: what an endpoint has
--- a/internal/mesh/assembly/access.go
+++ b/internal/mesh/assembly/access.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"gingerlead/internal/lifecycle"
 	"gingerlead/internal/mesh/agent"
 	"gingerlead/internal/mesh/control/configuration"
-	"gingerlead/internal/mesh/dataplane/admission"
 	"gingerlead/internal/mesh/dataplane/inbound"
 	"gingerlead/internal/mesh/dataplane/outbound"
 	"gingerlead/internal/mesh/discovery"
@@ -21,7 +19,6 @@
 )
 
 const (
-	pastLives   = 16       // of the endpoint, that are remembered
 	bodyShare   = 0.3      // of the machine's memory, for clients' bodies
 	bodiesLeast = 68 << 20 // bytes: the largest body there may be
 )
@@ -77,72 +74,10 @@
 	outbound *outbound.Proxy
 	agent    *agent.Agent
 	quota    *agent.QuotaClient
-	mu       sync.Mutex
-	seq      uint64   // callSequence of the newest keepalive of the endpoint's present life
-	past     []string // lives that are over, the oldest first
-	gone     bool     // this process is about to end
-}
-
-// Keepalive takes a keepalive of the endpoint beside this process (agent.LocalEndpoint).
-func (a *access) Keepalive(e discovery.Endpoint) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	life, _ := a.inbound.Life()
-	if e.State == discovery.Gone {
-		if e.ID != life.ID { // of an earlier life, or one that was told to an earlier process; only the endpoint here calls without an address
-			own := e.App == "" || e.App == a.settings.App
-			if own {
-				a.over(e.ID)
-			}
-			return own
-		}
-		a.over(e.ID)
-		a.inbound.Tell(life, admission.Gone)
-		a.agent.Ended(e.ID, discovery.Gone)
-		return true
-	}
-	if e.App != a.settings.App {
-		return false
-	}
-	if e.ID == life.ID && e.Sequence < a.seq && e.State == discovery.Serving {
-		return true // late, and nothing that matters
-	}
-	if slices.Contains(a.past, e.ID) {
-		return true // late, of a life that is over
-	}
-	if e.ID != life.ID {
-		a.over(life.ID)
-		a.seq = 0
-	}
-	a.seq = max(a.seq, e.Sequence)
-	state := admission.Serving
-	if e.State == discovery.Draining {
-		state = admission.Draining
-	}
-	a.inbound.Tell(admission.Life{ID: e.ID, Service: e.Service, Slots: e.Slots}, state)
-	if !a.gone {
-		e.Zone = a.settings.Zone
-		a.agent.Publish(e)
-	}
-	return true
-}
-
-// over remembers that a life is over: a beat of it may still come, late, and must not bring it back. The lock is held.
-func (a *access) over(life string) {
-	if life == "" || slices.Contains(a.past, life) {
-		return
-	}
-	if a.past = append(a.past, life); len(a.past) > pastLives {
-		a.past = a.past[1:]
-	}
-}
-
-// leaves takes what others know of an endpoint at this machine's address: that it drains, or has deregistered.
-func (a *access) leaves(e discovery.Endpoint) {
-	if life, state := a.inbound.Life(); e.ID != life.ID || e.State == discovery.Gone && state != admission.Gone ||
-		e.State == discovery.Draining && state < admission.Draining {
-		a.Keepalive(e)
-	}
+	mu       sync.Mutex // held for no longer than a change takes: nothing that may call back is called with it
+	sequence uint64     // callSequence of the newest keepalive of the endpoint's present life
+	past     []string   // lives that are over, the oldest first
+	gone     bool       // this process is about to end
 }
 
 // readiness answers the platform.
--- a/internal/mesh/assembly/assembly_test.go
+++ b/internal/mesh/assembly/assembly_test.go
@@ -26,6 +26,7 @@
 func TestMain(m *testing.M) {
 	run := map[string]func(string, lifecycle.Signals) error{"access": Access, "core": Core}[os.Getenv("MESH_TEST_ROLE")]
 	if run == nil {
+		http.DefaultClient.Timeout = 10 * time.Second // a process that never answers fails its test
 		os.Exit(m.Run())
 	}
 	signals := lifecycle.Catch()
--- a/internal/mesh/assembly/leaving_test.go
+++ b/internal/mesh/assembly/leaving_test.go
@@ -1,7 +1,9 @@
 package assembly
 
 import (
+	"context"
 	"io"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -14,19 +16,22 @@
 	"gingerlead/internal/mesh/transport"
 )
 
+// startAccess is a sidecar that is alone, and not on any address.
+func startAccess(t *testing.T) *access {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	own := &settings.Settings{Name: "n", IP: "127.9.1.1", Zone: "z", Ports: [2]int{7401, 7401}, App: "127.9.1.1:8103", Service: "s"}
+	hub := transport.NewHub(transport.Hello{Life: 2, Address: own.Internal(), Zone: own.Zone}, time.Now(), 1<<20, log)
+	t.Cleanup(hub.Close)
+	return newAccess(&process{settings: own, hub: hub, log: log})
+}
+
 // A sidecar acknowledged that its endpoint leaves, lost power at once, and is back. Others remember the endpoint as it was before, or
 // as it is; a keepalive may come late. It lets nobody on to the endpoint but by that one's own word that it serves, and not after
 // anybody's word that it leaves.
 func TestRestartedSidecarLetsNobodyOnToALeavingEndpoint(t *testing.T) {
 	c := qt.New(t)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	start := func() *access {
-		own := &settings.Settings{Name: "n", IP: "127.9.1.1", Zone: "z", Ports: [2]int{7401, 7401}, App: "127.9.1.1:8103", Service: "s"}
-		hub := transport.NewHub(transport.Hello{Life: 2, Address: own.Internal(), Zone: own.Zone}, time.Now(), 1<<20, log)
-		t.Cleanup(hub.Close)
-		return newAccess(&process{settings: own, hub: hub, log: log})
-	}
+	start := func() *access { return startAccess(t) }
 	record := func(state discovery.State) discovery.Endpoint {
 		return discovery.Endpoint{ID: "x", Service: "s", App: "127.9.1.1:8103", Host: "127.9.1.1:7401", HostLife: 1, State: state, Slots: 4,
 			Sequence: 5, Edition: 3, Lease: 5 * time.Second}
@@ -63,3 +68,50 @@
 	told(a, record(discovery.Gone))
 	c.Check(state(a), qt.Equals, admission.Gone, qt.Commentf("it has told another process that it leaves"))
 }
+
+// A sidecar that is a home of its own endpoint's service remembers a life that has ended at that endpoint's address when the next life
+// begins there. What it remembers comes back to it while it publishes the new life: it goes on answering the endpoint and the platform.
+func TestASidecarThatIsItsOwnHomeTakesTheNextLife(t *testing.T) {
+	c := qt.New(t)
+	a := startAccess(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go a.agent.Run(ctx)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		for sequence, e := range []discovery.Endpoint{{ID: "first"}, {ID: "first", State: discovery.Draining}, {ID: "first", State: discovery.Gone},
+			{ID: "second"}, {ID: "second", State: discovery.Draining}, {ID: "third"}, {ID: "third"}} {
+			e.Service, e.App, e.Slots, e.Sequence = "s", a.settings.App, 4, uint64(sequence)
+			c.Check(a.Keepalive(e), qt.IsTrue)
+		}
+		a.readiness(httptest.NewRecorder(), nil)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a keepalive has no answer")
+	}
+	life, state := a.inbound.Life()
+	c.Check(life.ID, qt.Equals, "third")
+	c.Check(state, qt.Equals, admission.Serving)
+}
+
+// What others remember of an earlier life at the endpoint's address never takes the place of the life that the endpoint has told.
+func TestAnEarlierLifeDoesNotReplaceTheEndpointsOwn(t *testing.T) {
+	c := qt.New(t)
+	a := startAccess(t)
+	own := discovery.Endpoint{ID: "now", Service: "s", App: a.settings.App, Slots: 4, Sequence: 1}
+	c.Assert(a.Keepalive(own), qt.IsTrue)
+	for _, state := range []discovery.State{discovery.Draining, discovery.Gone} {
+		a.agent.Tell(discovery.Endpoint{ID: "before", Service: "s", App: a.settings.App, Host: "127.9.1.1:7401", HostLife: 1, State: state, Slots: 4,
+			Sequence: 50, Edition: 3, Lease: 5 * time.Second})
+		life, is := a.inbound.Life()
+		c.Check(life.ID, qt.Equals, "now", qt.Commentf("%v", state))
+		c.Check(is, qt.Equals, admission.Serving, qt.Commentf("%v", state))
+	}
+	own.Sequence = 2
+	c.Assert(a.Keepalive(own), qt.IsTrue)
+	life, _ := a.inbound.Life()
+	c.Check(life.ID, qt.Equals, "now")
+}
