A refusal goes out before its request's body, and outlives the close of its connection

Change: refusals are flushed at once, what comes of the body is read and thrown away (1 MiB, 1 s at most); the control plane reads a configuration before it judges its Base-Version. Before: TestARefusalOutlivesTheCloseOfItsConnection: broken pipe; TestARefusalDoesNotWaitForTheBody: no answer in 10 s.

--- a/internal/mesh/control/controlplane/http.go
+++ b/internal/mesh/control/controlplane/http.go
@@ -39,11 +39,6 @@
 var replaceCall = call{"POST /configuration/replace", (*Server).serveReplace}
 
 func (d *Server) serveReplace(w http.ResponseWriter, r *http.Request) {
-	base, err := configuration.ParseVersion(r.Header.Get("Base-Version"))
-	if err != nil {
-		writeError(w, http.StatusBadRequest, trace.Wrap(err, "Base-Version"))
-		return
-	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMax))
 	var large *http.MaxBytesError
 	switch {
@@ -54,6 +49,11 @@
 		writeError(w, http.StatusRequestTimeout, trace.Wrap(err, "the body")) // a link's fault, not the configuration's
 		return
 	}
+	base, err := configuration.ParseVersion(r.Header.Get("Base-Version"))
+	if err != nil { // told once the body has been read: a connection that is closed before may take the answer along
+		writeError(w, http.StatusBadRequest, trace.Wrap(err, "Base-Version"))
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTime)
 	defer cancel()
 	v := d.Replace(ctx, base, raw)
--- a/internal/mesh/dataplane/outbound/http.go
+++ b/internal/mesh/dataplane/outbound/http.go
@@ -22,6 +22,8 @@
 	headTime    = 5 * time.Second
 	restTime    = 90 * time.Second      // that a connection stands idle
 	bodyFirst   = 64 << 10              // bytes that are made room for before they come
+	discardMost = 1 << 20               // bytes of the body of a request that was turned away that are still read
+	discardTime = time.Second           // in which they are awaited
 	lapseMargin = 30 * time.Millisecond // before its deadline: a request is given up
 	lapseWait   = 22 * time.Millisecond // for its attempt to say how far it came
 )
@@ -36,18 +38,40 @@
 var own = map[string]bool{"Key": true, "Attempt-Id": true, "Time-Remaining": true, "Target-Endpoint": true,
 	"Subscriber-Id": true, "Calling-Service": true, "Host": true, "Base-Version": true, "Not-Executed": true}
 
-// serve takes one request from its head to its answer.
+// serve takes one request from its head to its answer, and what comes of its body after that.
 func (d *Proxy) serve(w http.ResponseWriter, q *http.Request) {
+	if d.answerRequest(w, q) {
+		return
+	}
+	discardBody(w, q)
+}
+
+// answerRequest answers a request; it tells whether its body was read whole. One that is turned away is answered at once, with its body
+// still on its way.
+func (d *Proxy) answerRequest(w http.ResponseWriter, q *http.Request) (whole bool) {
 	d.open.Add(1)
 	defer d.open.Add(-1)
+	res, whole := d.handle(w, q)
+	if whole {
+		d.end(w, res)
+		return true
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.EnableFullDuplex() // else the server reads on before it answers
+	d.end(w, res)
+	_ = controller.Flush()
+	return false
+}
+
+// handle has a request served, or turned away; whole tells whether its body was read.
+func (d *Proxy) handle(w http.ResponseWriter, q *http.Request) (res result, whole bool) {
+	whole = q.Body == nil || q.Body == http.NoBody
 	conf := d.conf.Load()
 	if conf == nil {
-		d.end(w, result{kind: outcome.Unready})
-		return
+		return result{kind: outcome.Unready}, whole
 	}
 	if d.ending.Load() {
-		d.end(w, result{kind: outcome.Ending})
-		return
+		return result{kind: outcome.Ending}, whole
 	}
 	r, kind := d.admit(conf, q)
 	if kind == 0 {
@@ -55,11 +79,10 @@
 		defer d.bodies.Add(-r.held)
 	}
 	if kind != 0 {
-		d.end(w, result{kind: kind, back: d.back(r, kind)})
-		return
+		return result{kind: kind, back: d.back(r, kind)}, whole
 	}
 	d.submit(r, r.forward.Priority)
-	d.end(w, d.await(r, q.Context().Done()))
+	return d.await(r, q.Context().Done()), true
 }
 
 // await returns a request's result: as it comes, or what is known of it when its time is up, its client has gone or this process
@@ -271,6 +294,16 @@
 	}
 }
 
+// discardBody reads what comes of the body of a request that is answered already, within bounds. A connection that is closed with bytes
+// unread is reset, and a reset takes an answer away that the client has not read yet.
+func discardBody(w http.ResponseWriter, q *http.Request) {
+	if q.Header.Get("Expect") != "" { // the client awaits a word before it sends any
+		return
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, q.Body, discardMost) // the connection ends if there is more, or it breaks
+}
+
 // end writes the answer, by the table alone.
 func (d *Proxy) end(w http.ResponseWriter, res result) {
 	h := w.Header()
