Calls of a request under way are served until the sidecar's end

Read in the code: 2.4 s after SIGTERM a sidecar refused everything, also calls that the endpoint beside it makes amid requests that it had let on; their clients got 500 for what had been accepted. Change: a call without a key is served while the endpoint here is at work, up to the time of the last answer. Before: assembly.TestCallsOfARequestUnderWayAreServedAtTheEnd (processes): 500. After: 200; outbound green with -race.

--- a/internal/mesh/assembly/assembly_test.go
+++ b/internal/mesh/assembly/assembly_test.go
@@ -95,7 +95,7 @@
 // app starts the endpoint on a machine.
 func (m *mesh) app(x *machine, id string) {
 	a, err := application.Start(application.Options{ID: id, Service: x.service, Zone: x.zone, Address: x.ip + ":8103", Slots: 4,
-		Control: []string{x.ip + ":8105", m.net + ".1:8105", m.net + ".2:8105"}, Every: 150 * time.Millisecond})
+		Outbound: x.ip + ":8106", Control: []string{x.ip + ":8105", m.net + ".1:8105", m.net + ".2:8105"}, Every: 150 * time.Millisecond})
 	m.Assert(err, qt.IsNil)
 	m.apps[x.name] = a
 }
--- a/internal/mesh/assembly/shutdown_test.go
+++ b/internal/mesh/assembly/shutdown_test.go
@@ -193,3 +193,51 @@
 	m.Assert(count[200] > 0 && count[503] > 0, qt.IsTrue, qt.Commentf("%v", count))
 	m.Assert(count[504], qt.Equals, 2, qt.Commentf("%v", count))
 }
+
+// A sidecar ends while the endpoint beside it is at work on a request that others brought, and which makes a call of its own late in
+// the grace time: that call is served, and so is the request.
+func TestCallsOfARequestUnderWayAreServedAtTheEnd(t *testing.T) {
+	m := newMeshWith(t, 8, "", "grace = \"6s\"\n")
+	routes := longRoute + `,{"name":"inner","hostName":"shop.example","pathPrefix":"/inner/","routeKind":"idempotent",` +
+		`"timeout":"1000ms","target":"150ms","priority":1,"serviceName":"board","maxAttempts":2,"publicAccess":true}`
+	m.until("the first configuration", func() bool { return m.put(0, m.config(1, routes, "k1")) == http.StatusOK })
+	for _, path := range []string{"/book/x", "/read/x", "/inner/x"} {
+		m.until("access-2 serves "+path, func() bool { a, _ := m.ask("access-2", "GET", path, "k1", nil); return a.status == http.StatusOK })
+	}
+	for _, name := range []string{"access-0", "access-1"} {
+		m.until(name+" serves calls", func() bool { a, _ := m.ask(name, "GET", "/inner/x", "", nil); return a.status == http.StatusOK })
+	}
+	release := map[string]func(){}
+	before := map[string]int{}
+	for _, name := range []string{"access-0", "access-1"} {
+		release[name], before[name] = m.apps[name].Hold(), len(m.apps[name].Runs())
+	}
+	answers := make(chan exchange, 1)
+	go func() {
+		c := &client{m: m, machine: "access-2"}
+		defer c.close()
+		a, _ := c.do("POST", "/book/long/x?call=/inner/x")
+		answers <- a
+	}()
+	at := ""
+	m.until("the request is under way", func() bool {
+		for name, n := range before {
+			if len(m.apps[name].Runs()) > n {
+				at = name
+			}
+		}
+		return at != ""
+	})
+	x := m.machines[at]
+	m.signal(x, syscall.SIGTERM)
+	m.until("the sidecar refuses new requests", func() bool {
+		a, _ := m.ask(at, "GET", "/read/x", "k1", nil)
+		return a.status == http.StatusServiceUnavailable
+	})
+	for _, f := range release {
+		f()
+	}
+	a := <-answers
+	m.Check(a.answered && a.status == http.StatusOK, qt.IsTrue, qt.Commentf("%+v", a))
+	m.Assert(m.exits(x), qt.IsNil)
+}
--- a/internal/mesh/dataplane/outbound/http.go
+++ b/internal/mesh/dataplane/outbound/http.go
@@ -70,7 +70,7 @@
 	if conf == nil {
 		return result{kind: outcome.Unready}, whole
 	}
-	if d.ending.Load() {
+	if d.ending.Load() && !d.servesCall(conf, q) {
 		return result{kind: outcome.Ending}, whole
 	}
 	r, kind := d.admit(conf, q)
@@ -122,7 +122,7 @@
 		return r, outcome.NoRoute
 	}
 	p := &r.forward
-	p.Inner = conf.Keyed && len(q.Header["Key"]) == 0
+	p.Inner = isCall(conf, q)
 	r.setTimes(now, q.Header.Get("Time-Remaining"))
 	if kind := d.fitBeforeEnd(r, now); kind != 0 {
 		return r, kind
@@ -149,6 +149,11 @@
 	return r, 0
 }
 
+// isCall tells whether a request is a call of an endpoint, amid a request that it works on: those carry no tenant's key.
+func isCall(conf *configuration.Config, q *http.Request) bool {
+	return conf.Keyed && len(q.Header["Key"]) == 0
+}
+
 // findTenant returns the tenant that holds a request's key; nil where the request needs none.
 func findTenant(conf *configuration.Config, route *configuration.Route, keys []string) (*configuration.Tenant, outcome.Kind) {
 	if !conf.Keyed {
--- a/internal/mesh/dataplane/outbound/shutdown.go
+++ b/internal/mesh/dataplane/outbound/shutdown.go
@@ -1,8 +1,10 @@
 package outbound
 
 import (
+	"net/http"
 	"time"
 
+	"gingerlead/internal/mesh/control/configuration"
 	"gingerlead/internal/mesh/dataplane/outcome"
 )
 
@@ -29,12 +31,24 @@
 	})
 }
 
-// Refuse has every request that comes from now on refused, and connections closed once they have no request under way.
+// Refuse has every request that comes from now on refused, but for calls of the endpoint here (servesCall), and connections closed once
+// they have no request under way.
 func (d *Proxy) Refuse() {
 	d.ending.Store(true)
 	d.closeConnections(closingIdle)
 }
 
+// servesCall tells whether a request is served although this process refuses others: a call of the endpoint here while it works on
+// requests. Without it a request that was taken before would fail.
+func (d *Proxy) servesCall(conf *configuration.Config, q *http.Request) bool {
+	select {
+	case <-d.lastAnswer:
+		return false
+	default:
+		return isCall(conf, q) && d.o.Inbound.Busy() > 0
+	}
+}
+
 // CloseConnections closes the connections that have no request under way, also those that never had one. It is to be called once
 // nobody accepts connections any more; Connections tells how many are left.
 func (d *Proxy) CloseConnections() { d.closeConnections(closingAll) }
--- a/internal/standin/application/application.go
+++ b/internal/standin/application/application.go
@@ -19,6 +19,7 @@
 	ID, Service, Zone string
 	Address           string   // to listen on
 	Control           []string // where its beats go: its own sidecar first
+	Outbound          string   // where its own calls go: its sidecar's address for requests
 	Slots             int
 	Work              time.Duration // of a request
 	Every             time.Duration // between two beats
@@ -84,12 +85,34 @@
 	if e.o.Work > 0 {
 		time.Sleep(e.o.Work)
 	}
+	if path := q.URL.Query().Get("call"); path != "" && !e.ownCall(q.Host, path, id) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Endpoint-Seal", e.o.ID+"."+id)
 	defer writePadding(w, q.URL.Query().Get("bytes"))
 	fmt.Fprintf(w, "%s %s %s %s from %s for %q: %d bytes", e.o.ID, e.o.Service, q.Method, q.RequestURI,
 		q.Header.Get("Calling-Service"), q.Header.Get("Subscriber-Id"), len(body))
 }
 
+// ownCall makes a call of the endpoint's own, without a tenant's key, amid a request; it tells whether it was served.
+func (e *Endpoint) ownCall(host, path, id string) bool {
+	q, err := http.NewRequest(http.MethodGet, "http://"+e.o.Outbound+path, nil)
+	if err != nil {
+		return false
+	}
+	q.Host = host
+	q.Header.Set("Attempt-Id", id+"-call")
+	q.Header.Set("Time-Remaining", "1000")
+	client := http.Client{Timeout: 2 * time.Second}
+	answer, err := client.Do(q)
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
 // writePadding makes an answer longer by as many bytes as a request's query asks for.
 func writePadding(w io.Writer, bytes string) {
 	if n, err := strconv.Atoi(bytes); err == nil && n > 0 {
