--- a/internal/mesh/dataplane/inbound/endpoint.go
+++ b/internal/mesh/dataplane/inbound/endpoint.go
@@ -163,7 +163,8 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
 }
 
-// readBody reads an answer's body whole.
+// readBody reads an answer's body whole. One that has neither a length nor chunks ends with its connection: it is whole if the endpoint
+// closed that in order, and not if it was reset.
 func readBody(resp *http.Response, method string) ([]byte, error) {
 	defer resp.Body.Close()
 	if method == http.MethodHead {
@@ -177,9 +178,6 @@
 		_, err := io.ReadFull(resp.Body, body)
 		return body, err
 	}
-	if len(resp.TransferEncoding) == 0 {
-		return nil, errors.New("its end can't be told from a break") // an answer that ends with its connection
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
 	if err == nil && len(body) > answerMost {
 		err = errors.New("too large")
