The first changes are acknowledged only once enough voters hold them

Cause: the first list has three voters whatever is to be borne, and grows to five in 1.5 s; a change acknowledged before that stood on two disks where two may be lost. The model test took the losses from the list's size, so it could not find it. Ruled out: later steps of the list. Before: controlplane.TestTwoDisksLostWhileTheVotersAreStillFew fails at 0, 0.3 and 0.9 s after the start.

--- a/internal/mesh/control/consensus/plan.go
+++ b/internal/mesh/control/consensus/plan.go
@@ -43,7 +43,7 @@
 			gone = p.Node
 		}
 	}
-	want := min(max(2*tolerated+1, votersLeast), votersMost)
+	want := VotersWanted(tolerated)
 	switch most := len(e.Voters) + len(spare); {
 	case gone != "" && len(e.Voters) > want:
 		return MembershipChange{Remove: gone}
@@ -55,6 +55,9 @@
 	return MembershipChange{}
 }
 
+// VotersWanted is how many voters bear so many losses.
+func VotersWanted(tolerated int) int { return min(max(2*tolerated+1, votersLeast), votersMost) }
+
 // PlanHandover decides who takes a voter's place before it ends; the zero change is none.
 func PlanHandover(e Membership, core []Presence, leaving string) MembershipChange {
 	core = slices.DeleteFunc(slices.Clone(core), func(p Presence) bool { return p.Node == leaving })
--- a/internal/mesh/control/controlplane/api.go
+++ b/internal/mesh/control/controlplane/api.go
@@ -51,6 +51,9 @@
 	case err != nil:
 		return Verdict{Unknown, trace.Wrap(err)}
 	case r.Verdict == consensus.Applied:
+		if err := d.awaitGrowth(ctx); err != nil {
+			return Verdict{Unknown, trace.Wrap(err, "%v is in force, but too few voters hold it yet", config.Version)}
+		}
 		return Verdict{Outcome: Applied}
 	case r.Verdict == consensus.Conflict:
 		return Verdict{Conflict, trace.CompareFailed("%v on %v: %v is in place", config.Version, base, r.Value.Version)}
--- a/internal/mesh/control/controlplane/server.go
+++ b/internal/mesh/control/controlplane/server.go
@@ -54,6 +54,7 @@
 	wg     sync.WaitGroup
 	jobs   chan *job
 	node   string        // for ballots: this process since its start
+	began  time.Time     // when this process started
 	writer chan struct{} // held by the one round of this process that may have a ballot
 	news   chan struct{} // a newer value is committed
 
@@ -83,7 +84,7 @@
 	if o.open == nil {
 		o.open = openStorage
 	}
-	d := &Server{o: o, seeds: o.Seeds, jobs: make(chan *job, 64), writer: make(chan struct{}, 1), news: make(chan struct{}, 1)}
+	d := &Server{o: o, seeds: o.Seeds, began: time.Now(), jobs: make(chan *job, 64), writer: make(chan struct{}, 1), news: make(chan struct{}, 1)}
 	d.ctx, d.end = context.WithCancel(context.Background())
 	life := uint64(time.Now().UnixNano())
 	d.rng = rand.New(rand.NewPCG(o.Seed, life))
