Bodies still coming are answered at the end; routes keep their kind through changes

Change: bodyReads ends the reading of bodies with the time of the last answer; such an answer is spoilt; the nearest class of the same kind is taken. Before: TestARequestWhoseBodyIsStillComing... answers after 9 s, TestOutcomeOfAnAsk and TestRoutesKeepTheirKind... fail. After: outbound green with -race, 4.7 s.

--- a/internal/mesh/dataplane/outbound/balancer.go
+++ b/internal/mesh/dataplane/outbound/balancer.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -25,6 +26,8 @@
 	classesMost = 256
 	innerTimes  = 4 // how much more calls of endpoints are worth than clients' requests of the highest rank
 	triesMost   = 8 // of one request, those that surely did not run among them
+	statusLeast = 200
+	statusMost  = 999 // of an answer that can be written
 )
 
 // knownEndpoint is one endpoint as the decision module knows it, by a number.
@@ -67,14 +70,15 @@
 	return c, err
 }
 
-// class is the number of a route's class; where there are too many, routes share the last.
+// class is the number of a route's class. Each change of a route's times may ask for a new one; once there are too many, routes share
+// those that are most like theirs.
 func (c *serviceBalancer) class(r *configuration.Route) int {
 	key := classKey{r.Kind, r.Target, r.Timeout}
 	if n, ok := c.classes[key]; ok {
 		return n
 	}
 	if len(c.classes) >= classesMost {
-		return 0
+		return c.nearestClass(key)
 	}
 	effect := gingerlead.Safe
 	if !r.Kind.Repeatable() {
@@ -94,6 +98,19 @@
 	return n
 }
 
+// nearestClass is the class of the same kind of requests whose times are nearest to a key's; 0, which may be sent once only, if there is
+// none of its kind.
+func (c *serviceBalancer) nearestClass(key classKey) (number int) {
+	nearest := time.Duration(math.MaxInt64)
+	for other, n := range c.classes {
+		distance := (other.timeout - key.timeout).Abs() + (other.target - key.target).Abs()
+		if other.kind == key.kind && (distance < nearest || distance == nearest && n < number) {
+			nearest, number = distance, n
+		}
+	}
+	return number
+}
+
 // told takes the list of the service's endpoints, all of them.
 func (c *serviceBalancer) told(now time.Duration, all []discovery.Endpoint) {
 	c.version++
@@ -173,7 +190,8 @@
 		return &inbound.Outcome{Kind: outcome.Full}
 	}
 	o := &inbound.Outcome{}
-	if err := codec.Read(body, o); err != nil || o.Kind == 0 || !o.Kind.Entry().Attempt {
+	noStatus := func() bool { return o.Kind == outcome.Answered && (o.Status < statusLeast || o.Status > statusMost) }
+	if err := codec.Read(body, o); err != nil || o.Kind == 0 || !o.Kind.Entry().Attempt || noStatus() {
 		return &inbound.Outcome{Kind: outcome.Spoilt, Arrived: true}
 	}
 	return o
--- a/internal/mesh/dataplane/outbound/discard_test.go
+++ b/internal/mesh/dataplane/outbound/discard_test.go
@@ -10,14 +10,22 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"gingerlead/internal/mesh/control/configuration"
+	"gingerlead/internal/mesh/transport"
 )
 
-// refuse sends a request with a body, on a connection of its own, to a proxy that turns it away, and reads the answer later, when the
-// proxy has done with the connection. send brings the body.
+// refuse sends a request with a body to a proxy that turns all away, as it has no configuration.
 func refuse(t *testing.T, headers string, bytes int, send func(conn net.Conn, body []byte)) (*http.Response, error) {
+	return post(t, New(Options{}), headers, bytes, send)
+}
+
+// post sends a request with a body to a proxy, on a connection of its own, and then reads its answer. send brings the body.
+func post(t *testing.T, d *Proxy, headers string, bytes int, send func(conn net.Conn, body []byte)) (*http.Response, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	server := New(Options{}).Server() // without a configuration it turns all away
+	server := d.Server()
 	go server.Serve(l)
 	t.Cleanup(func() { server.Close() })
 	conn, err := net.Dial("tcp4", l.Addr().String())
@@ -63,3 +71,40 @@
 	qt.Check(t, r.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	qt.Check(t, time.Since(began) < discardTime/2, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
+
+// A process ends while a body is still coming: its request is answered in time, and the client hears when to come back.
+func TestARequestWhoseBodyIsStillComingIsAnsweredAtTheEnd(t *testing.T) {
+	conf, err := configuration.Read([]byte(`{"configVersion":"r1","routeTable":[{"name":"x","hostName":"h","pathPrefix":"/","routeKind":"non_idempotent",
+		"timeout":"9000ms","target":"500ms","priority":1,"serviceName":"s","maxAttempts":1,"publicAccess":true}],
+		"serviceTable":[{"name":"s","healthPath":"/health","connectionCap":100,"protocol":"h1","tlsMode":false}],
+		"limitSet":{"headerMaxBytes":16384,"bodyMaxBytes":1000000,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}`))
+	qt.Assert(t, err, qt.IsNil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	hub := transport.NewHub(transport.Hello{Life: 1, Address: "127.0.0.1:1"}, time.Now(), 1<<20, log)
+	t.Cleanup(hub.Close)
+	d := New(Options{Hub: hub, Log: log, Bodies: 1 << 20})
+	d.Configure(conf)
+	began := time.Now()
+	r, err := post(t, d, "Attempt-Id: a\r\n", 100_000, func(conn net.Conn, body []byte) {
+		_, _ = conn.Write(body[:10])
+		for len(d.reads.reading()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		d.EndBy(d.Now() + 200*time.Millisecond)
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, r.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, r.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	qt.Check(t, time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
+// reading are the bodies that are being read.
+func (b *bodyReads) reading() (list []*http.ResponseController) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.open {
+		list = append(list, c)
+	}
+	return list
+}
--- a/internal/mesh/dataplane/outbound/http.go
+++ b/internal/mesh/dataplane/outbound/http.go
@@ -1,10 +1,8 @@
 package outbound
 
 import (
-	"errors"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -21,9 +19,6 @@
 	headMost    = 256 << 10 // bytes of a head that are read at all
 	headTime    = 5 * time.Second
 	restTime    = 90 * time.Second      // that a connection stands idle
-	bodyFirst   = 64 << 10              // bytes that are made room for before they come
-	discardMost = 1 << 20               // bytes of the body of a request that was turned away that are still read
-	discardTime = time.Second           // in which they are awaited
 	lapseMargin = 30 * time.Millisecond // before its deadline: a request is given up
 	lapseWait   = 22 * time.Millisecond // for its attempt to say how far it came
 )
@@ -242,73 +237,6 @@
 	return n
 }
 
-// body reads a request's body whole: only then can it go to an endpoint, and to another one after that.
-func (d *Proxy) body(conf *configuration.Config, w http.ResponseWriter, q *http.Request, r *request) outcome.Kind {
-	p := &r.forward
-	p.HasBody = q.ContentLength > 0 || len(q.TransferEncoding) > 0 || q.ContentLength == 0 && len(q.Header["Content-Length"]) > 0
-	if q.Body == nil || q.Body == http.NoBody {
-		return 0
-	}
-	if q.ContentLength > conf.Limits.BodyMax {
-		return outcome.TooLarge
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(r.deadline - d.Now()))
-	if q.ContentLength >= 0 {
-		p.Body = make([]byte, 0, min(q.ContentLength+1, bodyFirst))
-	}
-	body, err := readAll(http.MaxBytesReader(w, q.Body, conf.Limits.BodyMax), p.Body, func(n int) bool {
-		r.held += int64(n)
-		return d.bodies.Add(int64(n)) <= d.o.Bodies
-	})
-	var large *http.MaxBytesError
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errNoRoom):
-		return outcome.Overloaded
-	case errors.As(err, &large):
-		return outcome.TooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return outcome.Slow
-	case err != nil:
-		return outcome.Malformed
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	p.Body = body
-	return 0
-}
-
-var errNoRoom = errors.New("no room for the body")
-
-// readAll reads a body; room is told of the bytes as they come, and says whether there is room for them.
-func readAll(r io.Reader, b []byte, room func(n int) bool) ([]byte, error) {
-	for {
-		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
-		}
-		n, err := r.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		if n > 0 && !room(n) {
-			return nil, errNoRoom
-		}
-		if err == io.EOF {
-			return b, nil
-		}
-		if err != nil {
-			return b, err
-		}
-	}
-}
-
-// discardBody reads what comes of the body of a request that is answered already, within bounds. A connection that is closed with bytes
-// unread is reset, and a reset takes an answer away that the client has not read yet.
-func discardBody(w http.ResponseWriter, q *http.Request) {
-	if q.Header.Get("Expect") != "" { // the client awaits a word before it sends any
-		return
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTime))
-	_, _ = io.CopyN(io.Discard, q.Body, discardMost) // the connection ends if there is more, or it breaks
-}
-
 // end writes the answer, by the table alone.
 func (d *Proxy) end(w http.ResponseWriter, res result) {
 	h := w.Header()
--- a/internal/mesh/dataplane/outbound/outbound.go
+++ b/internal/mesh/dataplane/outbound/outbound.go
@@ -52,6 +52,7 @@
 	shutdown    atomic.Pointer[shutdownPlan]
 	lastAnswer  chan struct{} // closed when the time of the shutdown plan has come
 	connections clientConnections
+	reads       bodyReads
 }
 
 // request is one client's request.
--- a/internal/mesh/dataplane/outbound/outbound_test.go
+++ b/internal/mesh/dataplane/outbound/outbound_test.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"gingerlead"
+	"gingerlead/internal/mesh/control/configuration"
 	"gingerlead/internal/mesh/dataplane/inbound"
 	"gingerlead/internal/mesh/dataplane/outcome"
 	"gingerlead/internal/mesh/transport"
@@ -44,6 +46,9 @@
 		{whole, nil, outcome.Leaving},
 		{nil, nil, outcome.Full},
 		{[]byte{0xff}, nil, outcome.Spoilt},
+		{codec.Write(nil, &inbound.Outcome{Kind: outcome.Answered, Status: 200}), nil, outcome.Answered},
+		{codec.Write(nil, &inbound.Outcome{Kind: outcome.Answered}), nil, outcome.Spoilt}, // no server could write it
+		{codec.Write(nil, &inbound.Outcome{Kind: outcome.Answered, Status: 1000}), nil, outcome.Spoilt},
 		{nil, &transport.ConnectionError{Sent: true}, outcome.Lost},
 		{nil, &transport.ConnectionError{}, outcome.Unreachable},
 		{nil, errors.New("anything else"), outcome.Lost},
@@ -68,3 +73,30 @@
 	}
 	c.Assert(outcome.Kind(999).NotRun(), qt.IsFalse)
 }
+
+// Hundreds of changes each give a route new times. Its requests stay what they are: those that may be repeated, and those that may not,
+// by classes whose times are near.
+func TestRoutesKeepTheirKindThroughHundredsOfChanges(t *testing.T) {
+	c := qt.New(t)
+	b, err := newServiceBalancer(New(Options{}), "s", 1)
+	c.Assert(err, qt.IsNil)
+	route := func(kind configuration.Kind, change int) *configuration.Route {
+		return &configuration.Route{Kind: kind, Target: 300 * time.Millisecond, Timeout: 2*time.Second + time.Duration(change)*time.Millisecond}
+	}
+	used := map[int]classKey{}
+	for change := range 3 * classesMost {
+		for _, kind := range []configuration.Kind{configuration.Idempotent, configuration.NonIdempotent} {
+			r := route(kind, change)
+			n := b.class(r)
+			first, ok := used[n]
+			if !ok {
+				first = classKey{r.Kind, r.Target, r.Timeout}
+				used[n] = first
+			}
+			c.Assert(n, qt.Not(qt.Equals), 0)
+			c.Assert(first.kind, qt.Equals, kind, qt.Commentf("change %d", change))
+		}
+	}
+	c.Assert(len(used), qt.Equals, classesMost)
+	c.Assert(b.class(route(configuration.Idempotent, 7)), qt.Equals, b.class(route(configuration.Idempotent, 7)))
+}
--- a/internal/mesh/dataplane/outbound/shutdown.go
+++ b/internal/mesh/dataplane/outbound/shutdown.go
@@ -27,6 +27,7 @@
 	}
 	time.AfterFunc(lastAnswer-lapseMargin-d.Now(), func() {
 		d.ending.Store(true)
+		d.reads.stop()
 		close(d.lastAnswer)
 	})
 }
