--- a/internal/mesh/assembly/signals_test.go
+++ b/internal/mesh/assembly/signals_test.go
@@ -1,6 +1,8 @@
 package assembly
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 )
 
 // disturbances are the signals that reach a process while it ends: some platforms repeat SIGTERM, tools send SIGHUP to all processes
@@ -143,3 +146,43 @@
 	m.votes(b, d, true)
 	m.until("the change is there", func() bool { return string(m.retrieve(d)) == string(m.config(2, "", "k2")) })
 }
+
+// A server of a process fails, here as its address is lost, while another one is at work: the process ends with that error, and in
+// order, so that the request under way is answered.
+func TestAServerThatFailsEndsTheProcessInOrder(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p := &process{log: log, errors: make(chan error, 8)}
+	listeners, err := listenAll("127.0.0.1:0", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	underWay, release := make(chan struct{}), make(chan struct{})
+	p.serve(http.NotFoundHandler(), listeners[0])
+	p.serve(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(underWay)
+		<-release
+	}), listeners[1])
+	status := make(chan int, 1)
+	go func() {
+		r, err := http.Get("http://" + listeners[1].Addr().String())
+		if err != nil {
+			status <- 0
+			return
+		}
+		r.Body.Close()
+		status <- r.StatusCode
+	}()
+	<-underWay
+	listeners[0].Close()
+	c.Assert(p.untilEnd(), qt.ErrorMatches, `(?s).*serve 127\.0\.0\.1:.*`)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.shutDownServers(ctx)
+	}()
+	close(release)
+	c.Check(<-status, qt.Equals, http.StatusOK)
+	<-ended
+}
