--- /dev/null
+++ b/internal/mesh/assembly/gone_test.go
@@ -0,0 +1,53 @@
+package assembly
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// workAfterClient is how long an endpoint may be at work on a request that may be repeated after its client has left.
+const workAfterClient = 500 * time.Millisecond
+
+// Clients close their connections while endpoints beside other sidecars work on their requests: the endpoints hear of it, and no
+// further one gets them.
+func TestClientsThatLeaveEndTheWorkOnTheirRequests(t *testing.T) {
+	const clients = 4
+	m := newMesh(t, 10)
+	m.until("the first configuration", func() bool { return m.put(0, m.config(1, "", "k1")) == http.StatusOK })
+	m.until("access-0 serves", func() bool { a, _ := m.ask("access-0", "GET", "/read/x", "k1", nil); return a.status == http.StatusOK })
+	endpoints := []string{"access-2", "access-3"}
+	count := func() (runs, abandoned int) {
+		for _, name := range endpoints {
+			runs, abandoned = runs+len(m.apps[name].Runs()), abandoned+m.apps[name].Abandoned()
+		}
+		return runs, abandoned
+	}
+	for _, name := range endpoints {
+		defer m.apps[name].Hold()()
+	}
+	before, _ := count()
+	var connections []net.Conn
+	for i := range clients {
+		conn, err := net.Dial("tcp4", m.machines["access-0"].ip+":8106")
+		m.Assert(err, qt.IsNil)
+		fmt.Fprintf(conn, "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: leaves-%d\r\nKey: k1\r\nTime-Remaining: 2000\r\n\r\n", i)
+		connections = append(connections, conn)
+	}
+	m.until("all are under way", func() bool { runs, _ := count(); return runs >= before+clients })
+	left := time.Now()
+	for _, conn := range connections {
+		conn.Close()
+	}
+	m.until("their work has ended", func() bool { runs, abandoned := count(); return abandoned == runs-before })
+	m.Check(time.Since(left) < workAfterClient, qt.IsTrue, qt.Commentf("%v", time.Since(left)))
+	time.Sleep(workAfterClient - time.Since(left))
+	then, _ := count()
+	time.Sleep(workAfterClient)
+	runs, _ := count()
+	m.Check(runs, qt.Equals, then, qt.Commentf("a request reached an endpoint long after its client had left"))
+}
--- a/internal/standin/application/application.go
+++ b/internal/standin/application/application.go
@@ -27,17 +27,18 @@
 
 // Endpoint is one life.
 type Endpoint struct {
-	o        Options
-	server   *http.Server
-	mu       sync.Mutex
-	runs     map[string]int // by attempt
-	seq      uint64
-	draining bool
-	slots    chan struct{}
-	stop     chan struct{}
-	once     sync.Once
-	acked    chan struct{} // gets one when a beat was acknowledged
-	hold     chan struct{} // requests wait here while it is not nil
+	o         Options
+	server    *http.Server
+	mu        sync.Mutex
+	runs      map[string]int // by attempt
+	seq       uint64
+	draining  bool
+	slots     chan struct{}
+	stop      chan struct{}
+	once      sync.Once
+	acked     chan struct{} // gets one when a beat was acknowledged
+	hold      chan struct{} // requests wait here while it is not nil
+	abandoned int           // requests whose connections were closed while they waited
 }
 
 // Start begins a life.
@@ -80,7 +81,14 @@
 	hold := e.hold
 	e.mu.Unlock()
 	if hold != nil {
-		<-hold
+		select {
+		case <-hold:
+		case <-q.Context().Done(): // its connection was closed
+			e.mu.Lock()
+			e.abandoned++
+			e.mu.Unlock()
+			return
+		}
 	}
 	if e.o.Work > 0 {
 		time.Sleep(e.o.Work)
@@ -134,6 +142,13 @@
 	})
 }
 
+// Abandoned is how many requests were given up while they were held: their connections were closed.
+func (e *Endpoint) Abandoned() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.abandoned
+}
+
 // Runs is how often each attempt ran.
 func (e *Endpoint) Runs() map[string]int {
 	e.mu.Lock()
