--- a/internal/mesh/assembly/gone_test.go
+++ b/internal/mesh/assembly/gone_test.go
@@ -1,6 +1,7 @@
 package assembly
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -51,3 +52,41 @@
 	runs, _ := count()
 	m.Check(runs, qt.Equals, then, qt.Commentf("a request reached an endpoint long after its client had left"))
 }
+
+// A request is under way when its route is taken out of the configuration: it is served, and the next one is told that there is no route.
+func TestARequestOutlivesItsRoute(t *testing.T) {
+	m := newMesh(t, 11)
+	m.until("the first configuration", func() bool { return m.put(0, m.config(1, longRoute, "k1")) == http.StatusOK })
+	m.until("access-2 serves", func() bool { a, _ := m.ask("access-2", "GET", "/book/x", "k1", nil); return a.status == http.StatusOK })
+	endpoints := []string{"access-0", "access-1"}
+	runs := func() (n int) {
+		for _, name := range endpoints {
+			n += len(m.apps[name].Runs())
+		}
+		return n
+	}
+	var release []func()
+	for _, name := range endpoints {
+		release = append(release, m.apps[name].Hold())
+	}
+	before := runs()
+	answers := make(chan exchange, 1)
+	go func() {
+		c := &client{m: m, machine: "access-2"}
+		defer c.close()
+		a, _ := c.do("POST", "/book/long/x")
+		answers <- a
+	}()
+	m.until("the request is under way", func() bool { return runs() > before })
+	withoutBooking := bytes.Replace(m.config(2, "", "k1"), []byte("/book/"), []byte("/other/"), 1)
+	m.Assert(m.put(1, withoutBooking), qt.Equals, http.StatusOK)
+	m.until("the route is gone", func() bool {
+		a, _ := m.ask("access-2", "GET", "/book/long/x", "k1", nil)
+		return a.status == http.StatusNotFound
+	})
+	for _, f := range release {
+		f()
+	}
+	a := <-answers
+	m.Check(a.answered && a.status == http.StatusOK, qt.IsTrue, qt.Commentf("%+v", a))
+}
