--- a/review/lab/endpoint.go
+++ b/review/lab/endpoint.go
@@ -173,17 +173,3 @@
 	e.StopBeats()
 	_ = e.server.Close()
 }
-
-// Pause closes the listener and all connections; Resume opens it again. The endpoint lives on.
-func (e *Endpoint) Pause() { _ = e.server.Close() }
-
-// Resume opens the listener again.
-func (e *Endpoint) Resume() {
-	listener, err := net.Listen("tcp4", e.machine.App())
-	if err != nil {
-		e.machine.lab.Note("%v", err)
-		return
-	}
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), IdleTimeout: 10 * time.Second}
-	go func() { _ = e.server.Serve(listener) }()
-}
