--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -76,13 +76,14 @@
 	zones    []string
 }
 
-// New returns a deployment without machines. The record is written to record.txt in the folder of the case.
-func New(caseDir string) (*Lab, error) {
-	dir, err := os.MkdirTemp("", "quincegap-review-")
+// New returns a deployment without machines. The record of what is sent, answered and run is appended to a file: record.txt in the folder
+// of the case, which run.sh begins anew.
+func New(recordPath string) (*Lab, error) {
+	record, err := os.OpenFile(recordPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
+	dir, err := os.MkdirTemp("", "quincegap-review-")
 	if err != nil {
 		return nil, err
 	}
