--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -37,7 +37,7 @@
 			"operations/events", "control/ratelimit", "discovery", "discovery/membership", "control/consensus", "control/lease",
 			"dataplane/admission",
 		},
-		{"dataplane/outcome", "control/configuration", "transport/codec"},
+		{"dataplane/outcome", "control/configuration", "transport/codec", "transport/membudget"},
 	}},
 	{"internal/rehearsal", [][]string{
 		{"rehearse", "report"},
--- a/internal/mesh/agent/environment.go
+++ b/internal/mesh/agent/environment.go
@@ -64,9 +64,9 @@
 // send sends a message to an address. If a reply arrives, the link's reader calls answered with its encoded body, so answered must not
 // block. answered may be nil. Errors are ignored: messages that must arrive are sent again at a later tick.
 func (e *environment) send(address string, method uint64, m codec.Message, answered func(body []byte)) {
-	e.hub.Send(address, method, codec.MarshalAppend(nil, m), 0, func(body []byte, err error) {
+	e.hub.Send(address, method, codec.Marshal(m), 0, func(body codec.Buffers, err error) {
 		if err == nil && answered != nil {
-			answered(body)
+			answered(body.Join())
 		}
 	})
 }
--- a/internal/mesh/agent/golden_test.go
+++ b/internal/mesh/agent/golden_test.go
@@ -185,7 +185,7 @@
 		err  error
 	}
 	answered := make(chan answer, 1)
-	caller.Send(address, method, body, 0, func(body []byte, err error) { answered <- answer{body, err} })
+	caller.Send(address, method, codec.BuffersOf(body), 0, func(body codec.Buffers, err error) { answered <- answer{body.Join(), err} })
 	select {
 	case a := <-answered:
 		return a.body, a.err
--- a/internal/mesh/agent/roles.go
+++ b/internal/mesh/agent/roles.go
@@ -227,7 +227,7 @@
 	peers := s.otherCores()
 	answered := make(chan struct{}, len(peers))
 	for _, peer := range peers {
-		s.agent.hub.Send(s.agent.peerAddress(peer), methodLease, codec.MarshalAppend(nil, request), 0, func([]byte, error) {
+		s.agent.hub.Send(s.agent.peerAddress(peer), methodLease, codec.Marshal(request), 0, func(codec.Buffers, error) {
 			answered <- struct{}{} // an error counts as a reply, as no reply will follow
 		})
 	}
--- a/internal/mesh/assembly/golden_test.go
+++ b/internal/mesh/assembly/golden_test.go
@@ -292,8 +292,9 @@
 
 // Other processes and the platform depend on these limits of size and time, so that a change of one must be intended.
 func TestBoundsOfAProcess(t *testing.T) {
-	qt.Assert(t, []int{maxCallBytes, minBodyMemoryBytes, gcPercent, maxEndedIDs}, qt.DeepEquals, []int{71303168, 71303168, 150, 16})
-	qt.Assert(t, []float64{bodyMemoryFraction, heapFraction}, qt.DeepEquals, []float64{0.3, 0.6})
+	qt.Assert(t, []int{largestRequestBytes, gcPercent, maxEndedIDs}, qt.DeepEquals, []int{71303168, 150, 16})
+	qt.Assert(t, []float64{requestMemoryFraction, allRequestsMemoryFraction, answerMemoryFraction, heapFraction}, qt.DeepEquals,
+		[]float64{0.3, 0.7, 0.06, 0.88})
 	times := []time.Duration{
 		listenTimeout, reloadInterval, releaseTimeout, handOverTimeout, httpTimeout, closeTimeout, drainTimeout,
 		readinessNotice, answerMargin, exitMargin, shutdownPollInterval,
--- /dev/null
+++ b/internal/mesh/assembly/memory.go
@@ -0,0 +1,36 @@
+package assembly
+
+import "quincegap/internal/mesh/transport/membudget"
+
+// Fractions of the machine's memory. What is left is for everything else that the process holds, and for garbage that is not collected yet.
+const (
+	requestMemoryFraction     = 0.3  // for the bodies of clients' requests, and as much for the calls of peers
+	allRequestsMemoryFraction = 0.7  // for both together, on machines where largestRequestBytes is more than requestMemoryFraction
+	answerMemoryFraction      = 0.06 // for answers, beyond what requests may use
+	heapFraction              = 0.88 // the runtime's soft limit of all memory
+)
+
+// largestRequestBytes is the size of the largest request: the largest body that a configuration may allow, and its header.
+const largestRequestBytes = 68 << 20
+
+// memoryPools are the pools that the messages of a process share its memory by.
+type memoryPools struct {
+	bodies  *membudget.Pool // bodies of clients' requests
+	calls   *membudget.Pool // calls of peers
+	answers *membudget.Pool // answers of the endpoint and of peers, which may also use what requests leave
+}
+
+// newMemoryPools returns the pools of a machine with a number of bytes of memory. Each pool fits the largest request if the others are
+// empty.
+func newMemoryPools(machineBytes int64) memoryPools {
+	fraction := func(f float64) int64 { return int64(f * float64(machineBytes)) }
+	requestLimit := max(fraction(requestMemoryFraction), largestRequestBytes)
+	allRequests := max(min(2*requestLimit, fraction(allRequestsMemoryFraction)), largestRequestBytes)
+	total := allRequests + fraction(answerMemoryFraction)
+	budget := new(membudget.Budget)
+	return memoryPools{
+		bodies:  budget.Pool(requestLimit, allRequests),
+		calls:   budget.Pool(requestLimit, allRequests),
+		answers: budget.Pool(total, total),
+	}
+}
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -20,9 +20,7 @@
 )
 
 const (
-	maxCallBytes        = 68 << 20              // limit of the memory for peers' calls; fits the largest body and its header
 	gcPercent           = 150                   // argument of debug.SetGCPercent
-	heapFraction        = 0.6                   // the runtime's soft memory limit, as a fraction of the machine's memory
 	reloadInterval      = 5 * time.Second       // time between two reads of the settings file, which may change without a SIGHUP
 	taskStopTimeout     = 50 * time.Millisecond // longest wait for the background tasks to end; the process exits even if one hangs
 	serverErrorCapacity = 8                     // capacity of serverErrors; larger than the number of servers, so that none of them blocks
@@ -35,6 +33,7 @@
 	settingsPath string
 	signals      lifecycle.Signals
 	hub          *transport.Hub
+	memory       memoryPools
 	log          *logrus.Logger
 	logRing      *logging.Ring
 	seed         uint64 // seed of all random numbers except the incarnation
@@ -56,7 +55,8 @@
 		return nil, err
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(heapFraction * float64(loaded.MemoryMB<<20)))
+	machineBytes := int64(loaded.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(heapFraction * float64(machineBytes)))
 	log, ring := logging.New(os.Stderr)
 	p := &process{
 		settings:     loaded,
@@ -64,6 +64,7 @@
 		signals:      signals,
 		log:          log,
 		logRing:      ring,
+		memory:       newMemoryPools(machineBytes),
 		seed:         rand.Uint64(),
 		serverErrors: make(chan error, serverErrorCapacity),
 	}
@@ -75,7 +76,8 @@
 		Zone:        loaded.Zone,
 		Service:     loaded.Service,
 	}
-	p.hub = transport.NewHub(hello, time.Now(), maxCallBytes, log)
+	p.hub = transport.NewHub(hello, time.Now(), largestRequestBytes, log)
+	p.hub.SetMemory(p.memory.calls, p.memory.answers)
 	p.hub.LimitRate(loaded.LinkMbps * bitsPerMegabit)
 	return p, nil
 }
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -18,11 +18,6 @@
 	"quincegap/internal/mesh/operations/settings"
 )
 
-const (
-	bodyMemoryFraction = 0.3      // fraction of the machine's memory that the bodies of clients' requests may use
-	minBodyMemoryBytes = 68 << 20 // lower bound of that memory: the largest body that a configuration may allow
-)
-
 // sidecar is the process beside an endpoint.
 type sidecar struct {
 	*process
@@ -66,6 +61,7 @@
 	s.inbound = inbound.New(p.settings.ApplicationAddress, p.hub.Now, p.log, func(endpointID string) {
 		s.agent.PublishEnd(endpointID, discovery.Crashed)
 	})
+	s.inbound.SetAnswerMemory(p.memory.answers)
 	s.outbound = outbound.New(s.outboundOptions())
 	s.local = &localEndpoint{address: p.settings.ApplicationAddress, zone: p.settings.Zone, inbound: s.inbound}
 	s.agent = agent.New(agent.Config{
@@ -95,7 +91,8 @@
 		Service:          s.settings.Service,
 		Log:              s.log,
 		Seed:             s.seed,
-		MaxBodyBytes:     max(int64(bodyMemoryFraction*float64(s.settings.MemoryMB<<20)), minBodyMemoryBytes),
+		BodyMemory:       s.memory.bodies,
+		AnswerMemory:     s.memory.answers,
 		RefreshEndpoints: func(service string) { s.agent.Refresh(service) },
 		AcquireQuota:     func(t *configuration.Tenant, done func(bool, time.Duration)) { s.quota.Acquire(t, done) },
 	}
--- a/internal/mesh/dataplane/inbound/answer.go
+++ b/internal/mesh/dataplane/inbound/answer.go
@@ -9,21 +9,26 @@
 	"syscall"
 
 	"quincegap/internal/mesh/dataplane/outcome"
+	"quincegap/internal/mesh/transport/codec"
 )
 
 // Bounds on the endpoint's answers to one request.
 const (
 	maxResponseBytes       = 64 << 20 // bound on the size of an answer's body
+	unsizedBodyBuffer      = 512      // size of the first buffer for a body without a length
 	maxMismatchedResponses = 4        // bound on the answers read for one request, including interim ones and those to other requests
 )
 
-var errResponseTooLarge = errors.New("response body exceeds the size limit")
+var (
+	errResponseTooLarge = errors.New("response body exceeds the size limit")
+	errResponseMemory   = errors.New("no memory for the response body")
+)
 
 // endpointAnswer is an answer of the endpoint that was read completely.
 type endpointAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   codec.Buffers
 	closes bool // whether the endpoint closes the connection after this answer
 }
 
@@ -34,7 +39,7 @@
 func readResponse(conn *connection, request *ForwardRequest) (endpointAnswer, outcome.Kind) {
 	onlyRequest := !conn.used // a new connection can't deliver an answer to an earlier request
 	for range maxMismatchedResponses {
-		answer, kind := readAnswer(conn.reader, request.Method)
+		answer, kind := readAnswer(conn.reader, request.Method, &conn.memory)
 		if kind != outcome.None {
 			return endpointAnswer{}, kind
 		}
@@ -46,6 +51,7 @@
 			return answer, outcome.None
 		}
 		conn.unusable = true // more answers to other requests may arrive
+		conn.memory.release()
 		if id == "" {
 			if onlyRequest && reportsNotExecuted(&answer) {
 				return answer, outcome.None
@@ -59,7 +65,7 @@
 
 // readAnswer reads the next answer on a connection, with its body unless it is an interim answer. The kind is outcome.None, or the reason
 // why there is no answer.
-func readAnswer(reader *bufio.Reader, method string) (endpointAnswer, outcome.Kind) {
+func readAnswer(reader *bufio.Reader, method string, memory *answerMemory) (endpointAnswer, outcome.Kind) {
 	resp, err := http.ReadResponse(reader, &http.Request{Method: method})
 	if err != nil {
 		if isConnectionError(err) {
@@ -72,7 +78,7 @@
 	if answer.status < http.StatusOK {
 		return answer, outcome.None
 	}
-	answer.body, err = readBody(resp, method)
+	answer.body, err = readBody(resp, method, memory)
 	if err != nil {
 		return endpointAnswer{}, outcome.InvalidResponse
 	}
@@ -80,24 +86,46 @@
 }
 
 // readBody reads an answer's body completely. A body with neither a length nor chunks ends with the connection: it is complete if the
-// endpoint closed the connection, and incomplete if the connection was reset. It fails if the body exceeds maxResponseBytes.
-func readBody(resp *http.Response, method string) ([]byte, error) {
-	if method == http.MethodHead {
+// endpoint closed the connection, and incomplete if the connection was reset. It fails if the body exceeds maxResponseBytes, or if there is
+// no memory for it: a body with a length waits for memory, while the endpoint can't send on; one without fails at once.
+func readBody(resp *http.Response, method string, memory *answerMemory) (codec.Buffers, error) {
+	switch {
+	case method == http.MethodHead:
 		return nil, nil
-	}
-	if resp.ContentLength > maxResponseBytes {
+	case resp.ContentLength > maxResponseBytes:
 		return nil, errResponseTooLarge
+	case resp.ContentLength < 0:
+		return readUnsizedBody(resp.Body, memory)
 	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+	if err := memory.reserveAll(resp.ContentLength); err != nil {
+		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
+	return readSizedBody(resp.Body, int(resp.ContentLength))
+}
+
+// readSizedBody reads a body of length bytes.
+func readSizedBody(reader io.Reader, length int) (body codec.Buffers, err error) {
+	for length > 0 {
+		part := make([]byte, min(length, codec.MaxBufferBytes))
+		if _, err := io.ReadFull(reader, part); err != nil {
+			return nil, err
+		}
+		body = append(body, part)
+		length -= len(part)
 	}
-	return body, err
+	return body, nil
+}
+
+// readUnsizedBody reads a body up to its end.
+func readUnsizedBody(reader io.Reader, memory *answerMemory) (codec.Buffers, error) {
+	length := 0
+	return codec.ReadAll(reader, unsizedBodyBuffer, func(n int) error {
+		length += n
+		if length > maxResponseBytes {
+			return errResponseTooLarge
+		}
+		return memory.reserve(int64(n))
+	})
 }
 
 // isConnectionError reports whether a read failed because of the connection, as opposed to bytes that are not a valid HTTP response.
--- a/internal/mesh/dataplane/inbound/attempt.go
+++ b/internal/mesh/dataplane/inbound/attempt.go
@@ -21,7 +21,7 @@
 		if remaining <= 0 {
 			return ForwardResponse{Kind: outcome.Expired}
 		}
-		_ = conn.SetDeadline(time.Now().Add(remaining)) // fails only on a closed connection, where the write fails too
+		conn.setDeadline(time.Now().Add(remaining))
 		reused := conn.used
 		response := roundTrip(conn, pending.request, appendRequest(nil, pending.request, remaining), p.now)
 		conn.used = true
@@ -31,7 +31,7 @@
 			continue
 		case !response.ReachedEndpoint: // an endpoint at capacity resets a new connection before anything is written
 			response.Kind = outcome.AtCapacity
-		case response.Kind == outcome.EndpointReset && p.now() >= pending.deadline-time.Millisecond: // ended by SetDeadline above
+		case response.Kind == outcome.EndpointReset && p.now() >= pending.deadline-time.Millisecond: // ended by setDeadline above
 			response.Kind = outcome.TimedOut
 		}
 		return response
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, outcome.Unreachable
 	}
-	c := newConnection(conn)
+	c := newConnection(conn, p.answerMemory)
 	if pending.cancelled {
 		c.discard()
 		return nil, outcome.Cancelled
@@ -106,6 +106,7 @@
 		return
 	}
 	pending.conn = nil
+	pending.answerBytes = released.memory.take()
 	if released.unusable || pending.cancelled || !response.ReachedEndpoint || leavesAnswerUnread(response.Kind) {
 		released.discard()
 		return
--- a/internal/mesh/dataplane/inbound/connection.go
+++ b/internal/mesh/dataplane/inbound/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"net/textproto"
@@ -10,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // Bounds on a connection to the endpoint.
@@ -37,14 +40,32 @@
 	// rejectedIDs are the attempt IDs of the requests that the endpoint has rejected on this connection. An endpoint may send a rejection
 	// twice, and the second one would be read in place of the next answer; so a request with one of these IDs is not sent on the connection.
 	rejectedIDs []string
+	memory      answerMemory
+	cancel      context.CancelFunc // ends memory.closed
 }
 
-func newConnection(conn net.Conn) *connection {
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+// newConnection returns a connection that reserves the memory of its answers in a pool.
+func newConnection(conn net.Conn, answers *membudget.Pool) *connection {
+	closed, cancel := context.WithCancel(context.Background())
+	return &connection{
+		Conn:   conn,
+		reader: bufio.NewReaderSize(conn, readBufferBytes),
+		memory: answerMemory{pool: answers, closed: closed},
+		cancel: cancel,
+	}
 }
 
 // discard closes the connection. An error of Close is ignored, as nothing more is sent or read.
-func (c *connection) discard() { _ = c.Close() }
+func (c *connection) discard() {
+	c.cancel()
+	_ = c.Close()
+}
+
+// setDeadline bounds the time for a request and its answer.
+func (c *connection) setDeadline(deadline time.Time) {
+	c.memory.deadline = deadline
+	_ = c.SetDeadline(deadline) // fails only on a closed connection, where the write fails too
+}
 
 // mayCarry reports whether a request with an attempt ID may be sent on the connection. It may not if an earlier attempt with the same ID
 // was rejected there, as a second copy of that rejection could be read as the answer.
--- a/internal/mesh/dataplane/inbound/example_test.go
+++ b/internal/mesh/dataplane/inbound/example_test.go
@@ -32,6 +32,6 @@
 	responses := make(chan *inbound.ForwardResponse, 1)
 	proxy.Forward(request, now()+5*time.Second, now()+10*time.Second, func(r *inbound.ForwardResponse) { responses <- r })
 	response := <-responses
-	fmt.Println(response.Kind, response.Status, string(response.Body))
+	fmt.Println(response.Kind, response.Status, string(response.Body.Join()))
 	// Output: answered 200 item for north
 }
--- a/internal/mesh/dataplane/inbound/golden_test.go
+++ b/internal/mesh/dataplane/inbound/golden_test.go
@@ -20,7 +20,7 @@
 func goldenRequest() ForwardRequest {
 	return ForwardRequest{
 		EndpointID: "shop-3.7f", Service: "shop", Method: "POST", URI: "/p/item?x=1&y=%20", Host: "shop.example",
-		Header: []string{"Accept", "text/plain", "X-Empty", "", "Accept", "*/*"}, Body: []byte{0, 1, 'b', 0xff}, HasBody: true,
+		Header: []string{"Accept", "text/plain", "X-Empty", "", "Accept", "*/*"}, Body: codec.Buffers{{0, 1, 'b', 0xff}}, HasBody: true,
 		AttemptID: "a-1", CallingService: "front", Tenant: "north", Priority: -2, Nested: true, Idempotent: true,
 		TargetRemaining: 450 * time.Millisecond, TimeRemaining: 1999999999, Route: "read",
 	}
@@ -29,7 +29,7 @@
 func goldenResponse() ForwardResponse {
 	return ForwardResponse{
 		Kind: outcome.Rejected, Status: 503, Header: []string{"Content-Type", "text/plain", "X-Empty", ""},
-		Body: []byte("full\x00\xfe"), ServiceTime: 12345678, Slots: 8, Running: 7, Waiting: 3, RetryAfter: 250 * time.Millisecond,
+		Body: codec.Buffers{[]byte("full\x00\xfe")}, ServiceTime: 12345678, Slots: 8, Running: 7, Waiting: 3, RetryAfter: 250 * time.Millisecond,
 		ReachedEndpoint: true,
 	}
 }
@@ -129,7 +129,7 @@
 			}
 			slices.Sort(header)
 			fmt.Fprintf(&text, "%s %s: %s, status %d, back %v, body %q, header %q, kept until %v, closes %t\n", method, status,
-				response.Kind, response.Status, response.RetryAfter, response.Body, header, conn.idleUntil, conn.unusable)
+				response.Kind, response.Status, response.RetryAfter, response.Body.Join(), header, conn.idleUntil, conn.unusable)
 		}
 	}
 	golden.Text(t, "judgements.txt", []byte(text.String()))
--- a/internal/mesh/dataplane/inbound/inbound_test.go
+++ b/internal/mesh/dataplane/inbound/inbound_test.go
@@ -157,11 +157,11 @@
 	c.Assert(response.Kind, qt.Equals, kind)
 	c.Assert(response.ReachedEndpoint, qt.IsTrue)
 	if response.Kind == outcome.Answered && response.Status == 200 {
-		c.Assert(string(response.Body), qt.Equals, "body")
+		c.Assert(string(response.Body.Join()), qt.Equals, "body")
 	}
 	next := perform(proxy, "next", 10*time.Second)
 	c.Assert(next.Kind, qt.Equals, outcome.Answered)
-	c.Assert(string(next.Body), qt.Equals, "next")
+	c.Assert(string(next.Body.Join()), qt.Equals, "next")
 }
 
 // An answer without a length ends with its connection. If the connection is reset, the answer is incomplete, however many bytes were read.
--- a/internal/mesh/dataplane/inbound/message.go
+++ b/internal/mesh/dataplane/inbound/message.go
@@ -19,7 +19,7 @@
 	URI             string // path and query as received from the client
 	Host            string
 	Header          []string // alternating names and values, without the hop-by-hop fields
-	Body            []byte
+	Body            codec.Buffers
 	HasBody         bool   // whether the client sent a body, which may be empty
 	AttemptID       string // the client's Attempt-Id; the same in all attempts that sidecars make of one request
 	CallingService  string // service on the machine of the client's sidecar; empty for none
@@ -40,7 +40,7 @@
 	v.String(4, &r.URI)
 	v.String(5, &r.Host)
 	v.Strings(6, &r.Header)
-	v.Bytes(7, &r.Body)
+	v.Buffers(7, &r.Body)
 	v.Bool(8, &r.HasBody)
 	v.String(9, &r.AttemptID)
 	v.String(10, &r.CallingService)
@@ -59,7 +59,7 @@
 	Kind            outcome.Kind
 	Status          int      // HTTP status of the endpoint's answer; 0 without one
 	Header          []string // alternating names and values of the endpoint's answer, without the hop-by-hop fields
-	Body            []byte
+	Body            codec.Buffers
 	ServiceTime     time.Duration // time from sending the request to the endpoint until its answer was complete
 	Slots           int           // number of the endpoint's slots
 	Running         int           // number of requests that occupy a slot
@@ -73,7 +73,7 @@
 	v.Uint64(1, (*uint64)(&r.Kind))
 	v.Int(2, &r.Status)
 	v.Strings(3, &r.Header)
-	v.Bytes(4, &r.Body)
+	v.Buffers(4, &r.Body)
 	v.Duration(5, &r.ServiceTime)
 	v.Int(6, &r.Slots)
 	v.Int(7, &r.Running)
--- a/internal/mesh/dataplane/inbound/pending.go
+++ b/internal/mesh/dataplane/inbound/pending.go
@@ -16,6 +16,7 @@
 	conn          *connection // connection that the request is sent on; nil for none
 	cancelled     bool
 	running       bool    // whether the request was admitted
+	answerBytes   int64   // bytes of the answer that are reserved in Proxy.answerMemory
 	expectedBytes float64 // bytes that the answer is expected to add to the link's backlog; 0 unless the answer is large
 }
 
@@ -37,7 +38,7 @@
 	}
 	p.releaseConnection(pending, response)
 	if response.Kind == outcome.Answered {
-		p.sizes.observe(pending.request.Route, len(response.Body))
+		p.sizes.observe(pending.request.Route, response.Body.Len())
 	}
 	decisions := p.controller.Done(p.now(), pending.token)
 	p.finish(pending, response)
--- a/internal/mesh/dataplane/inbound/proxy.go
+++ b/internal/mesh/dataplane/inbound/proxy.go
@@ -10,6 +10,7 @@
 	"quincegap/internal/mesh/dataplane/outcome"
 	"quincegap/internal/mesh/transport"
 	"quincegap/internal/mesh/transport/codec"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // expiryInterval is the time between two checks of the deadlines of queued requests.
@@ -23,6 +24,9 @@
 	// linkBacklog returns the time until all bytes queued for the machine's link, and moreBytes after them, have been sent; nil before
 	// Register.
 	linkBacklog func(moreBytes float64) time.Duration
+	// answerMemory bounds the memory of the endpoint's answers from when they are read until done has returned; nil for no bound. It is set
+	// before the first request.
+	answerMemory *membudget.Pool
 
 	mu              sync.Mutex // guards the fields below; not held while onEndpointDown, a done function or the dialer is called
 	controller      *admission.Controller
@@ -50,6 +54,9 @@
 // SetDialer replaces the function that dials the endpoint; by default it dials TCP. SetDialer must be called before the first request.
 func (p *Proxy) SetDialer(dial Dialer) { p.connections.dial = dial }
 
+// SetAnswerMemory sets the pool that bounds the memory of the endpoint's answers. It must be called before the first request.
+func (p *Proxy) SetAnswerMemory(answers *membudget.Pool) { p.answerMemory = answers }
+
 // Register registers MethodForward with a hub, so that peer sidecars can forward requests here. It must be called before the first
 // request.
 func (p *Proxy) Register(h *transport.Hub) {
@@ -60,7 +67,7 @@
 // serveForward handles a request that a peer sidecar forwards.
 func (p *Proxy) serveForward(call *transport.IncomingCall) {
 	var request ForwardRequest
-	if err := codec.Unmarshal(call.Body, &request); err != nil {
+	if err := codec.UnmarshalBuffers(call.Body, &request); err != nil {
 		p.log.WithField("peer", call.From.Name).WithError(err).Warn("inbound: cannot decode the forwarded request of a peer sidecar")
 		call.Reply(&ForwardResponse{Kind: outcome.Misdirected}) // this process can't serve that caller's requests
 		return
@@ -169,12 +176,16 @@
 // finish ends a request with its response. It does nothing if the request has ended already. The caller holds the lock.
 func (p *Proxy) finish(pending *pendingRequest, response *ForwardResponse) {
 	if p.pending[pending.token] != pending {
+		p.answerMemory.Release(pending.answerBytes)
 		return
 	}
 	delete(p.pending, pending.token)
 	p.sizes.release(pending.expectedBytes)
 	p.reportLoad(response)
-	go pending.done(response)
+	go func() {
+		pending.done(response)
+		p.answerMemory.Release(pending.answerBytes) // done accounts for the answer itself
+	}()
 }
 
 // reportLoad adds the endpoint's load to a response. The caller holds the lock.
--- a/internal/mesh/dataplane/inbound/round_trip.go
+++ b/internal/mesh/dataplane/inbound/round_trip.go
@@ -6,7 +6,7 @@
 	"quincegap/internal/mesh/dataplane/outcome"
 )
 
-// roundTrip writes an encoded request to a connection and reads its answer.
+// roundTrip writes a request, of which encoded is the result of appendRequest, to a connection and reads its answer.
 func roundTrip(conn *connection, request *ForwardRequest, encoded []byte, now func() time.Duration) ForwardResponse {
 	began := now()
 	if n, err := conn.Write(encoded); err != nil {
@@ -16,6 +16,12 @@
 		return ForwardResponse{Kind: outcome.EndpointReset, ReachedEndpoint: true}
 	}
 	response := ForwardResponse{ReachedEndpoint: true}
+	for _, part := range separateBody(request) {
+		if _, err := conn.Write(part); err != nil {
+			response.Kind = outcome.EndpointReset
+			return response
+		}
+	}
 	answer, kind := readResponse(conn, request)
 	if kind != outcome.None {
 		response.Kind = kind
--- a/internal/mesh/dataplane/outbound/answer.go
+++ b/internal/mesh/dataplane/outbound/answer.go
@@ -21,6 +21,9 @@
 	header[headerContentType] = nil
 	header[headerDate] = nil
 	if res.kind == outcome.Answered {
+		bytes := int64(res.response.Body.Len())
+		p.options.AnswerMemory.Charge(bytes)
+		defer p.options.AnswerMemory.Release(bytes)
 		writeEndpointAnswer(w, res.response)
 		return
 	}
@@ -36,10 +39,14 @@
 	}
 	bodiless := response.Status == http.StatusNoContent || response.Status == http.StatusNotModified
 	if !bodiless && header[headerContentLength] == nil { // an answer to HEAD already has the endpoint's Content-Length
-		header[headerContentLength] = []string{strconv.Itoa(len(response.Body))}
+		header[headerContentLength] = []string{strconv.Itoa(response.Body.Len())}
 	}
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
+	for _, part := range response.Body {
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
 }
 
 // writeTableAnswer writes the answer that the table of package outcome defines for a request that no endpoint has answered.
--- a/internal/mesh/dataplane/outbound/attempt.go
+++ b/internal/mesh/dataplane/outbound/attempt.go
@@ -63,8 +63,8 @@
 		attempt.cancel = b.dispatcher.options.Inbound.Forward(&forward, pending.targetDeadline, pending.deadline, done)
 		return
 	}
-	call := hub.Send(endpoint.SidecarAddress, inbound.MethodForward, codec.MarshalAppend(nil, &forward), pending.deadline,
-		func(body []byte, err error) { done(parseResponse(body, err)) })
+	call := hub.Send(endpoint.SidecarAddress, inbound.MethodForward, codec.Marshal(&forward), pending.deadline,
+		func(body codec.Buffers, err error) { done(parseResponse(body, err)) })
 	attempt.cancel = call.Cancel
 }
 
--- a/internal/mesh/dataplane/outbound/bodies.go
+++ b/internal/mesh/dataplane/outbound/bodies.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,19 +11,26 @@
 
 	"quincegap/internal/mesh/control/configuration"
 	"quincegap/internal/mesh/dataplane/outcome"
+	"quincegap/internal/mesh/transport/codec"
 )
 
 // Bounds on the bodies of clients' requests, in addition to those of the configuration.
 const (
-	// initialBodyCapacity bounds the bytes that are allocated for a body before it is read.
-	initialBodyCapacity = 64 << 10
+	// unsizedBodyBuffer is the size in bytes of the first buffer for a body without a length.
+	unsizedBodyBuffer = 512
+	// minReservedBody is the size in bytes of the smallest body whose memory is reserved before it is read. Smaller ones do not wait for memory,
+	// and are rejected if there is none.
+	minReservedBody = 1 << 20
+	// bodyWaitTargets bounds the wait of a body for memory, as a fraction of the request's latency target. A client that is rejected by then has
+	// time to retry.
+	bodyWaitTargets = 0.25
 	// maxDiscardBytes bounds the bytes that are read and discarded of a rejected request's body.
 	maxDiscardBytes = 1 << 20
 	// discardTimeout bounds the time for reading and discarding a rejected request's body.
 	discardTimeout = time.Second
 )
 
-// errBodyCapacity is returned when the bodies of all requests in flight together exceed Options.MaxBodyBytes.
+// errBodyCapacity is returned when a body does not fit into Options.BodyMemory.
 var errBodyCapacity = errors.New("bodies of requests in flight exceed their total size limit")
 
 // readBody reads a request's body completely, as the body may have to be sent more than once. It returns the reason for a rejection;
@@ -36,16 +44,26 @@
 	if req.ContentLength > config.Limits.BodyMax {
 		return outcome.BodyTooLarge
 	}
+	reserved := req.ContentLength >= minReservedBody
+	if reserved && !p.reserveBody(req, pending) {
+		return p.classifyBodyError(errBodyCapacity)
+	}
 	controller := http.NewResponseController(w)
 	p.bodyReads.begin(controller, time.Now().Add(pending.deadline-p.Now()))
 	defer p.bodyReads.end(controller)
-	var body []byte
+	firstBytes := int64(unsizedBodyBuffer)
 	if req.ContentLength >= 0 {
-		body = make([]byte, 0, min(req.ContentLength+1, initialBodyCapacity))
+		firstBytes = min(req.ContentLength+1, codec.MaxBufferBytes) // one more byte, so that the end is read without another buffer
 	}
-	body, err := readAll(http.MaxBytesReader(w, req.Body, config.Limits.BodyMax), body, func(n int) bool {
+	body, err := codec.ReadAll(http.MaxBytesReader(w, req.Body, config.Limits.BodyMax), int(firstBytes), func(n int) error {
+		if reserved {
+			return nil
+		}
+		if !p.options.BodyMemory.Reserve(int64(n)) {
+			return errBodyCapacity
+		}
 		pending.bodyBytes += int64(n)
-		return p.bodyBytes.Add(int64(n)) <= p.options.MaxBodyBytes
+		return nil
 	})
 	if err != nil {
 		return p.classifyBodyError(err)
@@ -54,14 +72,30 @@
 	return outcome.None
 }
 
-// releaseBody releases the capacity that readBody has reserved for a request's body.
-func (p *Proxy) releaseBody(r *request) { p.bodyBytes.Add(-r.bodyBytes) }
+// reserveBody reserves the memory of a request's body by its length. It waits for memory while the client can't send the body, and reports
+// whether there was enough in time.
+func (p *Proxy) reserveBody(req *http.Request, pending *request) bool {
+	wait := time.Duration(bodyWaitTargets * float64(pending.targetDeadline-p.Now()))
+	ctx, cancel := context.WithTimeout(req.Context(), wait)
+	defer cancel()
+	defer context.AfterFunc(p.shutdown.inFlight, cancel)() //nolint:contextcheck // the shutdown ends the wait, too
+	if p.options.BodyMemory.ReserveWait(ctx, req.ContentLength) != nil {
+		return false
+	}
+	pending.bodyBytes = req.ContentLength
+	return true
+}
+
+// releaseBody releases the memory that readBody has reserved for a request's body.
+func (p *Proxy) releaseBody(r *request) { p.options.BodyMemory.Release(r.bodyBytes) }
 
 // classifyBodyError returns the outcome of a request whose body could not be read.
 func (p *Proxy) classifyBodyError(err error) outcome.Kind {
 	var tooLarge *http.MaxBytesError
 	var netError net.Error
 	switch {
+	case errors.Is(err, errBodyCapacity) && p.shutdown.rejecting.Load():
+		return outcome.ShuttingDown
 	case errors.Is(err, errBodyCapacity):
 		return outcome.Overloaded
 	case errors.As(err, &tooLarge):
@@ -75,27 +109,6 @@
 	return outcome.Malformed
 }
 
-// readAll appends all bytes of a reader to a buffer. It calls reserve with the number of bytes of each read; if reserve returns false,
-// readAll fails with errBodyCapacity.
-func readAll(reader io.Reader, buf []byte, reserve func(n int) bool) ([]byte, error) {
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := reader.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if n > 0 && !reserve(n) {
-			return nil, errBodyCapacity
-		}
-		if errors.Is(err, io.EOF) {
-			return buf, nil
-		}
-		if err != nil {
-			return buf, err
-		}
-	}
-}
-
 // discardBody reads the rest of the body of a request that is answered already, up to maxDiscardBytes and discardTimeout. The kernel resets
 // a connection that is closed with unread bytes, and a reset may discard the answer before the client has read it.
 func discardBody(w http.ResponseWriter, req *http.Request) {
--- a/internal/mesh/dataplane/outbound/call_bench_test.go
+++ b/internal/mesh/dataplane/outbound/call_bench_test.go
@@ -22,6 +22,7 @@
 	"quincegap/internal/mesh/dataplane/outbound"
 	"quincegap/internal/mesh/discovery"
 	"quincegap/internal/mesh/transport"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 const callConfig = `{"configVersion":"r1","routeTable":[{"name":"read","hostName":"shop.example","pathPrefix":"/p/",
@@ -227,7 +228,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	proxy := outbound.New(outbound.Options{Hub: hub, Service: "client", Log: log, Seed: 1, MaxBodyBytes: 64 << 20})
+	proxy := outbound.New(outbound.Options{Hub: hub, Service: "client", Log: log, Seed: 1, BodyMemory: membudget.NewPool(64 << 20)})
 	proxy.Configure(config)
 	proxy.UpdateEndpoints("shop", endpoints)
 	l := listen(b)
--- a/internal/mesh/dataplane/outbound/discard_test.go
+++ b/internal/mesh/dataplane/outbound/discard_test.go
@@ -14,6 +14,7 @@
 
 	"quincegap/internal/mesh/control/configuration"
 	"quincegap/internal/mesh/transport"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // answer is the part of an answer that these tests check.
@@ -87,7 +88,7 @@
 	log.SetOutput(io.Discard)
 	hub := transport.NewHub(transport.Hello{Incarnation: 1, Address: "127.0.0.1:1"}, time.Now(), 1<<20, log)
 	t.Cleanup(hub.Close)
-	proxy := New(Options{Hub: hub, Log: log, MaxBodyBytes: 1 << 20})
+	proxy := New(Options{Hub: hub, Log: log, BodyMemory: membudget.NewPool(1 << 20)})
 	proxy.Configure(config)
 	began := time.Now()
 	got := post(t, proxy, "Attempt-Id: a\r\n", 100_000, func(conn net.Conn, body []byte) {
--- a/internal/mesh/dataplane/outbound/example_test.go
+++ b/internal/mesh/dataplane/outbound/example_test.go
@@ -14,6 +14,7 @@
 	"quincegap/internal/mesh/dataplane/outbound"
 	"quincegap/internal/mesh/discovery"
 	"quincegap/internal/mesh/transport"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // The proxy routes a client's request to an endpoint of the service "shop", which is beside the same sidecar.
@@ -36,7 +37,7 @@
 	local := inbound.New(endpoint.Listener.Addr().String(), hub.Now, log, nil)
 	local.UpdateEndpoint(admission.Endpoint{ID: "shop-1", Service: "shop", Slots: 4}, admission.Serving)
 
-	proxy := outbound.New(outbound.Options{Hub: hub, Inbound: local, Log: log, Seed: 1, MaxBodyBytes: 1 << 20})
+	proxy := outbound.New(outbound.Options{Hub: hub, Inbound: local, Log: log, Seed: 1, BodyMemory: membudget.NewPool(1 << 20)})
 	proxy.Configure(config)
 	proxy.UpdateEndpoints("shop", []discovery.Endpoint{
 		{ID: "shop-1", Service: "shop", SidecarAddress: sidecarAddress, State: discovery.Serving, Slots: 4},
--- a/internal/mesh/dataplane/outbound/golden_test.go
+++ b/internal/mesh/dataplane/outbound/golden_test.go
@@ -25,6 +25,7 @@
 	"quincegap/internal/mesh/operations/settings"
 	"quincegap/internal/mesh/transport"
 	"quincegap/internal/mesh/transport/codec"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // goldenConfig has a route of each kind, a public one, one to a service without endpoints, and tenants.
@@ -81,7 +82,7 @@
 		}
 	}
 	sidecar.proxy = New(Options{
-		Hub: hub, Inbound: endpointProxy, Log: log, Service: "front", Seed: 1, MaxBodyBytes: 250, AcquireQuota: acquireQuota,
+		Hub: hub, Inbound: endpointProxy, Log: log, Service: "front", Seed: 1, BodyMemory: membudget.NewPool(250), AcquireQuota: acquireQuota,
 		Bounds: settings.Bounds{RetryBudgetRatio: 1, RetryBudgetSlack: 10, RetryBudgetWindow: 10 * time.Second},
 	})
 	if configure {
@@ -247,17 +248,17 @@
 // The total size of the bodies of all requests in flight is bounded: a request whose body would exceed the bound is rejected.
 func TestGoldenBodyCapacity(t *testing.T) {
 	sidecar := startGolden(t, true)
-	sidecar.proxy.bodyBytes.Add(249)
+	sidecar.proxy.options.BodyMemory.Charge(249)
 	answer := sidecar.ask(t, "POST", "POST /book/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\nab")
 	golden.Text(t, "no_room.txt", []byte(answer))
-	qt.Check(t, sidecar.proxy.bodyBytes.Load(), qt.Equals, int64(249))
+	qt.Check(t, sidecar.proxy.options.BodyMemory.Used(), qt.Equals, int64(249))
 }
 
 // Fixes the answer for each kind of outcome, with the table's Retry-After and with a longer one, before and during shutdown.
 func TestGoldenAnswersByKind(t *testing.T) {
 	answered := &inbound.ForwardResponse{
 		Kind: outcome.Answered, Status: 201, Header: []string{"A", "1", "A", "2", "Content-Type", "x/y", "Server", "s"},
-		Body: []byte("body"),
+		Body: codec.Buffers{[]byte("body")},
 	}
 	var text strings.Builder
 	for _, ending := range []bool{false, true} {
@@ -347,7 +348,7 @@
 		{"lost, wrapped", nil, fmt.Errorf("wrapped: %w", &transport.ConnectionError{})},
 		{"another error", nil, errors.New("x")},
 	} {
-		response := parseResponse(test.body, test.err)
+		response := parseResponse(codec.BuffersOf(test.body), test.err)
 		fmt.Fprintf(&text, "%s: %s, status %d, arrived %t, work %v, slots %d, running %d, waiting %d\n",
 			test.name, response.Kind, response.Status, response.ReachedEndpoint, response.ServiceTime,
 			response.Slots, response.Running, response.Waiting)
--- a/internal/mesh/dataplane/outbound/proxy.go
+++ b/internal/mesh/dataplane/outbound/proxy.go
@@ -12,6 +12,7 @@
 	"quincegap/internal/mesh/discovery"
 	"quincegap/internal/mesh/operations/settings"
 	"quincegap/internal/mesh/transport"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // Options configure a Proxy. Hub, Inbound and Log are required.
@@ -23,9 +24,12 @@
 	Log     *logrus.Logger
 	Seed    uint64 // seed of the balancers' random draws
 
-	// MaxBodyBytes bounds the total size in bytes of the bodies of all clients' requests in flight. A request whose body would exceed it
-	// is rejected as outcome.Overloaded.
-	MaxBodyBytes int64
+	// BodyMemory bounds the memory of the bodies of clients' requests in flight. A request whose body does not fit is rejected as
+	// outcome.Overloaded. Nil for no bound.
+	BodyMemory *membudget.Pool
+
+	// AnswerMemory counts the memory of large answers while they are written to clients. It may be nil.
+	AnswerMemory *membudget.Pool
 
 	// RefreshEndpoints requests the complete endpoint list of a service again. It is called on a new goroutine, and may be nil.
 	RefreshEndpoints func(service string)
@@ -43,7 +47,6 @@
 	trafficSplits splitSequences
 	dispatcher    *dispatcher
 	openRequests  atomic.Int64 // number of clients' requests in flight
-	bodyBytes     atomic.Int64 // bytes read of the bodies of requests in flight
 	bodyReads     bodyReads
 	connections   clientConnections
 	shutdown      shutdown
--- a/internal/mesh/dataplane/outbound/request.go
+++ b/internal/mesh/dataplane/outbound/request.go
@@ -25,7 +25,7 @@
 	expired        bool          // whether the request ended because its deadline was near, its client disconnected or this process shut down
 	results        chan result   // channel for the request's only result, with a buffer for it
 
-	bodyBytes       int64         // bytes of the request's body that are counted in Proxy.bodyBytes
+	bodyBytes       int64         // bytes of the request's body that are reserved in Options.BodyMemory
 	quotaRetryAfter time.Duration // time after which the client should retry if the tenant's rate limit is reached; else 0
 }
 
--- a/internal/mesh/dataplane/outbound/response.go
+++ b/internal/mesh/dataplane/outbound/response.go
@@ -18,7 +18,7 @@
 )
 
 // parseResponse returns the response to an attempt, given the reply of the endpoint's sidecar or the error of the call to it.
-func parseResponse(body []byte, err error) *inbound.ForwardResponse {
+func parseResponse(body codec.Buffers, err error) *inbound.ForwardResponse {
 	switch {
 	case err != nil && mayHaveBeenSent(err):
 		return &inbound.ForwardResponse{Kind: outcome.ConnectionLost, ReachedEndpoint: true}
@@ -28,7 +28,7 @@
 		return &inbound.ForwardResponse{Kind: outcome.AtCapacity}
 	}
 	response := &inbound.ForwardResponse{}
-	if err := codec.Unmarshal(body, response); err != nil || !isAttemptResponse(response) {
+	if err := codec.UnmarshalBuffers(body, response); err != nil || !isAttemptResponse(response) {
 		return &inbound.ForwardResponse{Kind: outcome.InvalidResponse, ReachedEndpoint: true}
 	}
 	return response
--- a/internal/mesh/dataplane/outbound/response_test.go
+++ b/internal/mesh/dataplane/outbound/response_test.go
@@ -63,7 +63,7 @@
 		{"another error", nil, errors.New("some other error"), outcome.ConnectionLost},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			qt.Check(t, parseResponse(test.body, test.err).Kind, qt.Equals, test.kind)
+			qt.Check(t, parseResponse(codec.BuffersOf(test.body), test.err).Kind, qt.Equals, test.kind)
 		})
 	}
 }
--- a/internal/mesh/dataplane/outbound/server.go
+++ b/internal/mesh/dataplane/outbound/server.go
@@ -88,7 +88,7 @@
 // would fail.
 func (p *Proxy) servesNestedCall(config *configuration.Config, req *http.Request) bool {
 	select {
-	case <-p.shutdown.expirePending:
+	case <-p.shutdown.inFlight.Done():
 		return false
 	default:
 		return isNestedCall(config, req) && p.options.Inbound.Pending() > 0
@@ -105,7 +105,7 @@
 	case res := <-pending.results:
 		return res
 	case <-timer.C:
-	case <-p.shutdown.expirePending:
+	case <-p.shutdown.inFlight.Done():
 	case <-clientGone:
 	}
 	p.dispatcher.expire(pending)
--- a/internal/mesh/dataplane/outbound/shutdown.go
+++ b/internal/mesh/dataplane/outbound/shutdown.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -15,10 +16,14 @@
 type shutdown struct {
 	answersDue    atomic.Pointer[time.Duration] // time on the hub's clock by which every request is answered; nil before ShutDownBy
 	rejecting     atomic.Bool                   // whether new requests are rejected
-	expirePending chan struct{}                 // closed expiryMargin before answersDue, when the requests in flight expire
+	inFlight      context.Context               // done expiryMargin before answersDue, when the requests in flight expire
+	expirePending context.CancelFunc            // ends inFlight
 }
 
-func newShutdown() shutdown { return shutdown{expirePending: make(chan struct{})} }
+func newShutdown() shutdown {
+	inFlight, expirePending := context.WithCancel(context.Background())
+	return shutdown{inFlight: inFlight, expirePending: expirePending}
+}
 
 // ShutDownBy starts the shutdown: every request, whether it was read before or is read later, is answered by answersDue on the hub's clock.
 // A new request that can't be expected to be served by then is rejected at once; a request that is not served by then expires. Only the
@@ -30,7 +35,7 @@
 	time.AfterFunc(answersDue-expiryMargin-p.Now(), func() {
 		p.shutdown.rejecting.Store(true)
 		p.bodyReads.stop()
-		close(p.shutdown.expirePending)
+		p.shutdown.expirePending()
 	})
 }
 
--- a/internal/mesh/dataplane/outbound/sidecar_test.go
+++ b/internal/mesh/dataplane/outbound/sidecar_test.go
@@ -21,6 +21,7 @@
 	"quincegap/internal/mesh/discovery"
 	"quincegap/internal/mesh/operations/settings"
 	"quincegap/internal/mesh/transport"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 const answersConfig = `{"configVersion":"r1","routeTable":[
@@ -64,7 +65,7 @@
 	started.inbound.SetDialer(func(address string, _ time.Duration) (net.Conn, error) { return network.dialLocal(address) })
 	started.inbound.Register(started.hub)
 	started.outbound = outbound.New(outbound.Options{
-		Hub: started.hub, Inbound: started.inbound, Service: "client", Log: log, Seed: incarnation, MaxBodyBytes: 64 << 20,
+		Hub: started.hub, Inbound: started.inbound, Service: "client", Log: log, Seed: incarnation, BodyMemory: membudget.NewPool(64 << 20),
 		Bounds: settings.Bounds{RetryBudgetRatio: 10, RetryBudgetSlack: 1e6, RetryBudgetWindow: 10 * time.Second},
 	})
 	config, err := configuration.Parse([]byte(answersConfig))
--- a/internal/mesh/dataplane/outbound/supersede_test.go
+++ b/internal/mesh/dataplane/outbound/supersede_test.go
@@ -42,7 +42,7 @@
 func (s *slowRun) serve(t *testing.T, call *transport.IncomingCall) {
 	t.Helper()
 	var r inbound.ForwardRequest
-	qt.Check(t, codec.Unmarshal(call.Body, &r), qt.IsNil)
+	qt.Check(t, codec.UnmarshalBuffers(call.Body, &r), qt.IsNil)
 	if r.AttemptID != "slow" {
 		time.AfterFunc(usualServiceTime, func() { call.Reply(servedResponse()) })
 		return
--- a/internal/mesh/transport/calls.go
+++ b/internal/mesh/transport/calls.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"quincegap/internal/mesh/transport/codec"
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // maxPendingCalls is the largest number of calls without a reply on a link.
@@ -24,10 +25,43 @@
 
 // sendProgress is a message that is being sent, and how much of it was sent. The lock of its link guards it.
 type sendProgress struct {
-	stream    uint64
-	body      []byte
-	sentBytes int       // number of the body's bytes that were added to a write
-	transfer  *transfer // shaper's state for a message of several chunks; nil for a smaller message
+	stream      uint64
+	current     []byte        // the buffer that is being sent, without what was added to a write
+	rest        codec.Buffers // the buffers after current
+	unsentBytes int           // number of bytes in current and rest
+	sentBytes   int           // number of the message's bytes that were added to a write
+	transfer    *transfer     // shaper's state for a message of several chunks; nil for a smaller message
+}
+
+func newSendProgress(stream uint64, body codec.Buffers) sendProgress {
+	return sendProgress{stream: stream, rest: body, unsentBytes: body.Len()}
+}
+
+// next takes the next limit bytes, or all if there are fewer, off the unsent ones. A chunk that extends over several buffers is copied to
+// scratch; the returned slice is valid until scratch is used again.
+func (s *sendProgress) next(limit int, scratch *[]byte) (chunk []byte) {
+	size := min(limit, s.unsentBytes)
+	s.unsentBytes -= size
+	s.sentBytes += size
+	chunk = s.take(size)
+	if len(chunk) == size {
+		return chunk
+	}
+	*scratch = append((*scratch)[:0], chunk...)
+	for len(*scratch) < size {
+		*scratch = append(*scratch, s.take(size-len(*scratch))...)
+	}
+	return *scratch
+}
+
+// take takes up to n bytes off the current buffer; the next buffer becomes the current one if that is empty.
+func (s *sendProgress) take(n int) (taken []byte) {
+	if len(s.current) == 0 && len(s.rest) > 0 {
+		s.current, s.rest = s.rest[0], s.rest[1:]
+	}
+	n = min(n, len(s.current))
+	taken, s.current = s.current[:n], s.current[n:]
+	return taken
 }
 
 // PendingCall is a call of this process that has no reply yet.
@@ -36,10 +70,10 @@
 	link          *Link
 	method        uint64
 	expiresAt     time.Duration // expiry on this process's clock; 0 if the call never expires
-	done          func(body []byte, err error)
-	reply         []byte // concatenated chunks of the reply that were received
-	reservedBytes int    // number of the reply's bytes that are counted in Hub.reservedBytes
-	fullySent     bool   // whether the last chunk was added to a write
+	done          func(body codec.Buffers, err error)
+	reply         codec.Buffers // the part of the reply that was received
+	reservedBytes int64         // number of the reply's bytes that are reserved in Hub.replyMemory
+	fullySent     bool          // whether the last chunk was added to a write
 	cancelled     bool
 }
 
@@ -113,7 +147,7 @@
 // IncomingCall is a call of a peer. Its handler must reply to it once, by Reply or ReplyBytes.
 type IncomingCall struct {
 	From      *Hello        // the peer's Hello
-	Body      []byte        // the marshalled request, which the handler may keep and modify
+	Body      codec.Buffers // the marshalled request, which the handler may keep
 	ExpiresAt time.Duration // expiry on this process's clock; 0 if the call never expires
 
 	link          *Link
@@ -121,8 +155,9 @@
 	method        uint64
 	onCancel      func() // set by OnCancel; called at most once
 	cancelled     bool   // whether the caller has cancelled the call, or its link has ended
-	reservedBytes int    // number of Body's bytes that are counted in Hub.reservedBytes
-	overLimit     bool   // whether all calls together exceeded maxCallBytes: this one gets an empty reply, and no handler is called
+	bodyBytes     int    // number of the body's bytes that were received
+	reservedBytes int64  // number of Body's bytes that are reserved in Hub.callMemory
+	overLimit     bool   // whether the call was rejected for lack of memory, and no handler is called
 }
 
 // OnCancel sets a function that is called once, without locks, when the caller cancels the call or its link ends. If that has already
@@ -138,10 +173,10 @@
 }
 
 // Reply sends the reply to the call. It has no effect if the call has already got a reply, or if the link has ended.
-func (i *IncomingCall) Reply(m codec.Message) { i.ReplyBytes(codec.MarshalAppend(nil, m)) }
+func (i *IncomingCall) Reply(m codec.Message) { i.ReplyBytes(codec.Marshal(m)) }
 
 // ReplyBytes is Reply for a message that is already marshalled. Nil is the empty reply, all of whose fields are zero.
-func (i *IncomingCall) ReplyBytes(body []byte) {
+func (i *IncomingCall) ReplyBytes(body codec.Buffers) {
 	l := i.link
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -150,7 +185,7 @@
 	}
 	delete(l.incoming, i.stream)
 	i.release()
-	l.enqueue(&outgoingReply{sendProgress{stream: i.stream, body: body}})
+	l.enqueue(newOutgoingReply(i.stream, body, l.hub.replyMemory))
 	l.wakeWriter()
 }
 
@@ -168,9 +203,29 @@
 
 // release releases the memory that is reserved for the call's body. The caller holds the link's lock.
 func (i *IncomingCall) release() {
-	i.link.hub.reservedBytes.Add(-int64(i.reservedBytes))
+	i.link.hub.callMemory.Release(i.reservedBytes)
 	i.reservedBytes = 0
 }
 
 // outgoingReply is a reply that is being sent.
-type outgoingReply struct{ sendProgress }
+type outgoingReply struct {
+	sendProgress
+	memory       *membudget.Pool // pool that the reply's bytes are charged to until they were sent
+	chargedBytes int64
+}
+
+// newOutgoingReply returns a reply. The bytes of a large reply are charged to memory.
+func newOutgoingReply(stream uint64, body codec.Buffers, memory *membudget.Pool) *outgoingReply {
+	reply := &outgoingReply{sendProgress: newSendProgress(stream, body), memory: memory}
+	if reply.unsentBytes > maxChunkBytes {
+		reply.chargedBytes = int64(reply.unsentBytes)
+		memory.Charge(reply.chargedBytes)
+	}
+	return reply
+}
+
+// release releases the memory that is charged for the reply.
+func (o *outgoingReply) release() {
+	o.memory.Release(o.chargedBytes)
+	o.chargedBytes = 0
+}
--- a/internal/mesh/transport/codec/codec.go
+++ b/internal/mesh/transport/codec/codec.go
@@ -16,7 +16,7 @@
 func MarshalAppend(buf []byte, message Message) []byte {
 	visitor := Visitor{encoded: buf}
 	message.Fields(&visitor)
-	return visitor.encoded
+	return visitor.joined()
 }
 
 // Unmarshal decodes a message from data, which must not be modified afterwards, because byte slices of the message point into it. The error
@@ -27,12 +27,12 @@
 	for offset := 0; offset < len(data); {
 		num, typ, n := protowire.ConsumeTag(data[offset:])
 		if n < 0 {
-			return fmt.Errorf("byte %d: %w", offset, protowire.ParseError(n))
+			return fieldError(0, offset, protowire.ParseError(n))
 		}
 		offset += n
 		f := rawField{num: num, typ: typ}
 		if n = f.parseValue(data[offset:]); n < 0 {
-			return fmt.Errorf("field %d at byte %d: %w", num, offset, protowire.ParseError(n))
+			return fieldError(num, offset, protowire.ParseError(n))
 		}
 		offset += n
 		visitor.fields = append(visitor.fields, f)
@@ -41,12 +41,20 @@
 	return visitor.err
 }
 
+// fieldError returns the error for a field at a byte offset that can't be parsed. num is 0 if the field's number could not be parsed either.
+func fieldError(num protowire.Number, offset int, err error) error {
+	if num == 0 {
+		return fmt.Errorf("byte %d: %w", offset, err)
+	}
+	return fmt.Errorf("field %d at byte %d: %w", num, offset, err)
+}
+
 // rawField is a field of a message that is read, with its value as encoded on the wire.
 type rawField struct {
 	num   protowire.Number
 	typ   protowire.Type
-	value uint64 // value of a varint or a fixed64 field
-	bytes []byte // content of a length-delimited field; a part of the data that is read
+	value uint64 // value of a varint or a fixed64 field; of a length-delimited field in several parts its position in Visitor.split, from 1
+	bytes []byte // content of a length-delimited field in one part; a part of the data that is read
 }
 
 // parseValue parses the field's value at the start of data. It returns the value's length in bytes, or a negative error code of protowire.
--- a/internal/mesh/transport/codec/list.go
+++ b/internal/mesh/transport/codec/list.go
@@ -43,6 +43,7 @@
 		}
 		return
 	}
+	var nested Visitor
 	for i := range visitor.fields {
 		if visitor.fields[i].num != num {
 			continue
@@ -52,7 +53,7 @@
 			return
 		}
 		var t T
-		nested := Visitor{reading: true, fields: visitor.fields[i : i+1]}
+		nested = Visitor{reading: true, fields: visitor.fields[i : i+1], split: visitor.split}
 		element(&nested, &t)
 		if nested.err != nil {
 			visitor.setError(fmt.Errorf("field %d: %w", num, nested.err))
@@ -62,4 +63,4 @@
 }
 
 // elementBytes returns the bytes of the list element that this visitor reads.
-func (v *Visitor) elementBytes() []byte { return v.fields[0].bytes }
+func (v *Visitor) elementBytes() []byte { return v.content(&v.fields[0]) }
--- a/internal/mesh/transport/codec/visitor.go
+++ b/internal/mesh/transport/codec/visitor.go
@@ -12,12 +12,22 @@
 // field occurs more than once in the data, its last occurrence is read; a list is read from all occurrences. It is an error if the wire
 // type of a field is not the one that the method expects.
 type Visitor struct {
-	encoded []byte // fields written so far
+	shared  Buffers // fields written so far up to and including the last content that was not copied; nil if all was copied
+	encoded []byte  // fields written after those in shared
 	reading bool
 	fields  []rawField // all fields of the message that is read
+	split   []Buffers  // contents of the length-delimited fields in several parts
 	err     error      // first error that was reported
 }
 
+// joined returns the fields that were written, in one part.
+func (v *Visitor) joined() []byte {
+	if v.shared == nil {
+		return v.encoded
+	}
+	return append(v.shared, v.encoded).Join()
+}
+
 // Reading reports whether the visitor reads fields, as opposed to writing them.
 func (v *Visitor) Reading() bool { return v.reading }
 
@@ -51,6 +61,33 @@
 	return nil
 }
 
+// content returns the content of a length-delimited field in one part.
+func (v *Visitor) content(f *rawField) []byte {
+	if f.value > 0 {
+		return v.split[f.value-1].Join()
+	}
+	return f.bytes
+}
+
+// buffers returns the content of a length-delimited field in its parts; nil if it is empty.
+func (v *Visitor) buffers(f *rawField) Buffers {
+	if f.value > 0 {
+		return v.split[f.value-1]
+	}
+	return BuffersOf(f.bytes)
+}
+
+// addField adds a field of the message that is read. content is that of a length-delimited field; nil for other fields.
+func (v *Visitor) addField(f rawField, content Buffers) {
+	if len(content) > 1 {
+		v.split = append(v.split, content)
+		f.value = uint64(len(v.split))
+	} else {
+		f.bytes = content.Join()
+	}
+	v.fields = append(v.fields, f)
+}
+
 func (v *Visitor) failType(num protowire.Number) { v.Fail(num, "has another type") }
 
 // Uint64 visits an unsigned integer (uint64).
@@ -121,7 +158,7 @@
 func (v *Visitor) Bytes(num protowire.Number, x *[]byte) {
 	if v.reading {
 		if f := v.lastField(num, protowire.BytesType); f != nil {
-			*x = f.bytes
+			*x = v.content(f)
 		}
 		return
 	}
@@ -135,7 +172,7 @@
 func (v *Visitor) String(num protowire.Number, x *string) {
 	if v.reading {
 		if f := v.lastField(num, protowire.BytesType); f != nil {
-			*x = string(f.bytes)
+			*x = string(v.content(f))
 		}
 		return
 	}
@@ -155,7 +192,7 @@
 	if f == nil {
 		return
 	}
-	if err := Unmarshal(f.bytes, m); err != nil {
+	if err := UnmarshalBuffers(v.buffers(f), m); err != nil {
 		v.setError(fmt.Errorf("field %d: %w", num, err))
 	}
 }
@@ -165,5 +202,5 @@
 	var nested Visitor
 	write(&nested)
 	tagged := protowire.AppendTag(v.encoded, num, protowire.BytesType)
-	v.encoded = protowire.AppendBytes(tagged, nested.encoded)
+	v.encoded = protowire.AppendBytes(tagged, nested.joined())
 }
--- a/internal/mesh/transport/golden_test.go
+++ b/internal/mesh/transport/golden_test.go
@@ -161,7 +161,7 @@
 	cancelled := make(chan struct{})
 	server.HandleRaw(2, func(c *IncomingCall) {
 		c.OnCancel(func() {
-			c.ReplyBytes([]byte("withdrawn"))
+			c.ReplyBytes(codec.BuffersOf([]byte("withdrawn")))
 			close(cancelled)
 		})
 	})
@@ -205,8 +205,8 @@
 		err  error
 	}
 	results := make(chan result, 2)
-	done := func(body []byte, err error) { results <- result{body, err} }
-	client.Send(listener.Addr().String(), 10, []byte("question"), 2*time.Second, done)
+	done := func(body codec.Buffers, err error) { results <- result{body.Join(), err} }
+	client.Send(listener.Addr().String(), 10, codec.BuffersOf([]byte("question")), 2*time.Second, done)
 	conn, err := listener.Accept()
 	qt.Assert(t, err, qt.IsNil)
 	peer := newRawPeer(t, conn)
@@ -217,7 +217,7 @@
 	first := <-results
 	peer.Assert(first.err, qt.IsNil)
 	peer.Assert(string(first.body), qt.Equals, "answer")
-	call := client.Send(listener.Addr().String(), 1, bytes.Repeat([]byte{0xab}, maxChunkBytes+100), 0, done)
+	call := client.Send(listener.Addr().String(), 1, codec.BuffersOf(bytes.Repeat([]byte{0xab}, maxChunkBytes+100)), 0, done)
 	peer.Assert(peer.next().body, qt.HasLen, maxChunkBytes)
 	peer.Assert(peer.next().body, qt.HasLen, 100)
 	call.Cancel()
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"quincegap/internal/mesh/transport/membudget"
 )
 
 // Hub manages the links that a process has dialled, by address, and those that it has accepted. It is safe for concurrent use.
@@ -19,23 +21,23 @@
 	log          *logrus.Logger
 	self         Hello
 	startedAt    time.Time // time zero of the process's clock
-	maxCallBytes int       // limit of the memory for peers' calls, for each call and for all together
+	maxCallBytes int       // limit of the size of a peer's call
 	shaper       shaper
 
 	ctx        context.Context // done once the hub is closed
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup // covers monitorLinks, and the reader and the writer of each link
 
-	// reservedBytes counts the bytes of peers' calls without a reply, and of incomplete replies to this process's calls.
-	reservedBytes atomic.Int64
-	traffic       trafficCounters
+	traffic trafficCounters
 
 	handlersMu sync.RWMutex                   // guards handlers: methods may be registered while links are up
 	handlers   map[uint64]func(*IncomingCall) // handlers by method
 
-	// onLinkLost and dialConn are set before the first link exists, and need no lock.
-	onLinkLost func(address, reason string)
-	dialConn   func(address string) (net.Conn, error)
+	// The following fields are set before the first link exists, and need no lock.
+	onLinkLost  func(address, reason string)
+	dialConn    func(address string) (net.Conn, error)
+	callMemory  *membudget.Pool // memory of peers' calls without a reply
+	replyMemory *membudget.Pool // memory of incomplete replies to this process's calls, and of large replies that are being sent
 
 	mu          sync.Mutex       // guards the fields below; locked before a link's mutex
 	activeLinks map[string]*Link // dialled links that take new calls, by address
@@ -45,9 +47,9 @@
 	closed      bool // whether the hub is closed; no goroutine may then be started
 }
 
-// NewHub returns a hub that sends self as its Hello. The hub's clock starts at start. maxCallBytes bounds the memory of peers' calls: a
-// single call that exceeds it closes its link, and a call with which all calls together exceed it gets an empty reply. The caller must
-// call Close to end the hub's goroutines.
+// NewHub returns a hub that sends self as its Hello. The hub's clock starts at start. maxCallBytes bounds the size of a peer's call: a call
+// that exceeds it closes its link. Unless SetMemory is called, it also bounds the memory of all calls together, and replies are not
+// bounded. The caller must call Close to end the hub's goroutines.
 func NewHub(self Hello, start time.Time, maxCallBytes int, log *logrus.Logger) *Hub {
 	self.Version = protocolVersion
 	h := &Hub{
@@ -58,6 +60,7 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.dialConn = h.dialTCP
+	h.callMemory = membudget.NewPool(int64(maxCallBytes))
 	h.goroutines.Go(h.monitorLinks)
 	return h
 }
@@ -76,6 +79,14 @@
 // SetDialer replaces the function that dials peers, TCP by default. It must be set before the first call.
 func (h *Hub) SetDialer(f func(address string) (net.Conn, error)) { h.dialConn = f }
 
+// SetMemory sets the pools that bound the memory of messages. A peer's call that does not fit into calls gets an empty reply, and its
+// handler is not called. A call of this process whose reply does not fit into replies ends with a ConnectionError. SetMemory must be called
+// before the first call.
+func (h *Hub) SetMemory(calls, replies *membudget.Pool) {
+	h.callMemory = calls
+	h.replyMemory = replies
+}
+
 // LimitRate sets the rate of the machine's uplink in bits per second; 0 if it is unlimited. Large messages use at most nine tenths of it.
 func (h *Hub) LimitRate(bitsPerSecond float64) { h.shaper.limitRate(bitsPerSecond) }
 
--- a/internal/mesh/transport/link.go
+++ b/internal/mesh/transport/link.go
@@ -26,6 +26,7 @@
 	reasonNoHello      = "no hello"
 	reasonNoPong       = "silent"
 	reasonTooManyCalls = "too many calls at once"
+	reasonReplyMemory  = "no memory for the reply"
 )
 
 // Link is a connection to one peer. The side that dialled it sends calls, and the side that accepted it replies.
@@ -51,7 +52,8 @@
 	incomplete map[uint64]*IncomingCall // the peer's calls of which chunks are still missing, by stream number
 
 	queue   sendQueue
-	writing bool // whether the writer has taken bytes from the queue that it has not written to the connection yet
+	scratch []byte // buffer for a chunk that extends over several buffers of its message
+	writing bool   // whether the writer has taken bytes from the queue that it has not written to the connection yet
 
 	liveness  liveness
 	peerClock peerClock
@@ -150,7 +152,7 @@
 		call.release()
 	}
 	for _, call := range l.pending {
-		l.hub.reservedBytes.Add(-int64(call.reservedBytes))
+		l.hub.replyMemory.Release(call.reservedBytes)
 	}
 	unanswered = unansweredCalls{conn: l.conn, pending: l.pending, incoming: l.incoming}
 	l.pending = map[uint64]*PendingCall{}
--- a/internal/mesh/transport/methods.go
+++ b/internal/mesh/transport/methods.go
@@ -40,7 +40,7 @@
 }](h *Hub, method uint64, handler func(ctx context.Context, from *Hello, q *Q) *A) {
 	h.HandleRaw(method, func(call *IncomingCall) {
 		var request Q
-		if err := codec.Unmarshal(call.Body, PQ(&request)); err != nil {
+		if err := codec.UnmarshalBuffers(call.Body, PQ(&request)); err != nil {
 			h.log.WithField("peer", call.link.peer).WithField("method", method).WithError(err).
 				Warn("transport: invalid request, the link is closed")
 			call.link.fail(err.Error())
@@ -61,10 +61,10 @@
 // Send calls a method of the process at an address. It dials a link if there is none. done is called once, on another goroutine, with the
 // reply or a *ConnectionError; it must not block. expiresAt is the time, on this process's clock, after which the peer does not start to
 // execute the call; 0 if the call never expires.
-func (h *Hub) Send(address string, method uint64, body []byte, expiresAt time.Duration,
-	done func(body []byte, err error),
+func (h *Hub) Send(address string, method uint64, body codec.Buffers, expiresAt time.Duration,
+	done func(body codec.Buffers, err error),
 ) *PendingCall {
-	call := &PendingCall{sendProgress: sendProgress{body: body}, method: method, expiresAt: expiresAt, done: done}
+	call := &PendingCall{sendProgress: newSendProgress(0, body), method: method, expiresAt: expiresAt, done: done}
 	for {
 		if h.linkTo(address).startCall(call) {
 			return call
@@ -80,18 +80,18 @@
 	codec.Message
 }](ctx context.Context, h *Hub, address string, method uint64, q codec.Message) (*A, error) {
 	type result struct {
-		body []byte
+		body codec.Buffers
 		err  error
 	}
 	results := make(chan result, 1)
-	call := h.Send(address, method, codec.MarshalAppend(nil, q), 0, func(body []byte, err error) { results <- result{body, err} })
+	call := h.Send(address, method, codec.Marshal(q), 0, func(body codec.Buffers, err error) { results <- result{body, err} })
 	select {
 	case r := <-results:
 		if r.err != nil {
 			return nil, r.err
 		}
 		var reply A
-		if err := codec.Unmarshal(r.body, PA(&reply)); err != nil {
+		if err := codec.UnmarshalBuffers(r.body, PA(&reply)); err != nil {
 			return nil, trace.Wrap(err, "unmarshal the reply of %s to method %d", address, method)
 		}
 		return &reply, nil
--- a/internal/mesh/transport/reader.go
+++ b/internal/mesh/transport/reader.go
@@ -136,19 +136,20 @@
 	return l.incoming[stream]
 }
 
-// handleReply handles a chunk of a reply. The last chunk ends the call.
+// handleReply handles a chunk of a reply. The last chunk ends the call. A chunk for which there is no memory ends it, too.
 func (l *Link) handleReply(e *envelope) error {
 	call, err := l.assembleReply(e)
-	if err != nil || call == nil {
+	if call == nil {
 		return err
 	}
-	call.done(call.reply, nil)
+	call.done(call.reply, err)
 	l.endIfRetired()
 	return nil
 }
 
-// assembleReply appends a chunk to the reply of a pending call. It returns the call if its reply is complete, otherwise nil. A chunk for a
-// call that has ended is discarded. It fails if the reply exceeds maxMessageBytes.
+// assembleReply appends a chunk to the reply of a pending call. It returns the call if it has ended: with its complete reply, or with a
+// ConnectionError if there is no memory for the reply. Otherwise the call is nil. A chunk for a call that has ended is discarded. An error
+// without a call means that the reply exceeds maxMessageBytes.
 func (l *Link) assembleReply(chunk *envelope) (*PendingCall, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,32 +157,47 @@
 	if call == nil {
 		return nil, nil
 	}
-	if len(call.reply)+len(chunk.body) > maxMessageBytes {
+	if call.reservedBytes+int64(len(chunk.body)) > maxMessageBytes {
 		return nil, trace.LimitExceeded("the reply exceeds %d bytes", maxMessageBytes)
 	}
-	if call.reply == nil {
-		call.reply = chunk.body
-	} else {
-		call.reply = append(call.reply, chunk.body...)
+	if chunk.last && call.reply == nil { // the only chunk
+		call.reply = codec.BuffersOf(chunk.body)
+		l.endReply(call)
+		return call, nil
+	}
+	if !l.hub.replyMemory.Reserve(int64(len(chunk.body))) {
+		l.endReply(call)
+		call.reply = nil
+		return call, &ConnectionError{Peer: l.peer, Reason: reasonReplyMemory, Sent: true}
 	}
-	if !chunk.last { // only incomplete replies reserve memory: a complete one is passed to the caller at once
-		l.hub.reservedBytes.Add(int64(len(chunk.body)))
-		call.reservedBytes += len(chunk.body)
+	call.reservedBytes += int64(len(chunk.body))
+	call.reply = call.reply.AppendCopy(chunk.body)
+	if !chunk.last {
 		return nil, nil
 	}
-	delete(l.pending, chunk.stream)
-	l.hub.reservedBytes.Add(-int64(call.reservedBytes))
+	l.endReply(call) // the caller accounts for a complete reply
 	return call, nil
 }
 
+// endReply removes a pending call, and releases the memory of its reply. If the reply has arrived before the call was sent completely, the
+// peer has rejected the call, and the rest is not sent. The caller holds the lock.
+func (l *Link) endReply(call *PendingCall) {
+	if !call.fullySent && !call.cancelled {
+		call.cancelled = true
+		l.queue.control.PushBack(envelope{kind: uint64(cancelFrame), stream: call.stream})
+		l.wakeWriter()
+	}
+	delete(l.pending, call.stream)
+	l.hub.replyMemory.Release(call.reservedBytes)
+	call.reservedBytes = 0
+}
+
 // handleCall handles a chunk of a call. The last chunk dispatches the call.
 func (l *Link) handleCall(e *envelope) error {
 	call, err := l.assembleCall(e)
 	switch {
 	case err != nil || call == nil:
 		return err
-	case call.overLimit:
-		call.ReplyBytes(nil)
 	default:
 		l.hub.dispatch(call)
 	}
@@ -189,8 +205,8 @@
 }
 
 // assembleCall appends a chunk to a call of the peer. It returns the call if it is complete, otherwise nil. It fails if the call exceeds
-// maxMessageBytes or maxCallBytes, or if the link has too many calls. If all calls together exceed maxCallBytes, it marks the call as
-// overLimit.
+// maxMessageBytes or maxCallBytes, or if the link has too many calls. If there is no memory for the call, it rejects the call at once, and
+// discards the chunks that follow.
 func (l *Link) assembleCall(chunk *envelope) (*IncomingCall, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -200,30 +216,52 @@
 			return nil, trace.LimitExceeded("over %d calls at once", maxPendingCalls)
 		}
 		call = l.newIncomingCall(chunk)
-	} else {
-		call.Body = append(call.Body, chunk.body...)
-	}
-	if len(call.Body) > maxMessageBytes || len(call.Body) > l.hub.maxCallBytes {
-		return nil, trace.LimitExceeded("a call of over %d bytes", len(call.Body))
 	}
-	call.reservedBytes += len(chunk.body)
-	if l.hub.reservedBytes.Add(int64(len(chunk.body))) > int64(l.hub.maxCallBytes) {
-		call.overLimit = true
-		call.Body = nil
-		call.release()
+	call.bodyBytes += len(chunk.body)
+	if call.bodyBytes > min(maxMessageBytes, l.hub.maxCallBytes) {
+		return nil, trace.LimitExceeded("a call of over %d bytes", call.bodyBytes)
 	}
+	call.appendChunk(chunk)
 	if !chunk.last {
 		l.incomplete[chunk.stream] = call
 		return nil, nil
 	}
 	delete(l.incomplete, chunk.stream)
+	if call.overLimit {
+		return nil, nil
+	}
 	l.incoming[chunk.stream] = call
 	return call, nil
 }
 
-// newIncomingCall returns a call that contains its first chunk. The caller holds the lock.
+// appendChunk appends a chunk to the call's body. If there is no memory for it, it rejects the call. The caller holds the link's lock.
+func (i *IncomingCall) appendChunk(chunk *envelope) {
+	size := int64(len(chunk.body))
+	switch {
+	case i.overLimit:
+	case !i.link.hub.callMemory.Reserve(size):
+		i.reject()
+	case i.Body == nil && chunk.last: // the only chunk
+		i.reservedBytes = size
+		i.Body = codec.BuffersOf(chunk.body)
+	default:
+		i.reservedBytes += size
+		i.Body = i.Body.AppendCopy(chunk.body)
+	}
+}
+
+// reject discards the call's body and sends an empty reply, before the call is complete. The caller holds the link's lock.
+func (i *IncomingCall) reject() {
+	i.overLimit = true
+	i.Body = nil
+	i.release()
+	i.link.enqueue(newOutgoingReply(i.stream, nil, nil))
+	i.link.wakeWriter()
+}
+
+// newIncomingCall returns the call that a chunk belongs to, without the chunk. The caller holds the lock.
 func (l *Link) newIncomingCall(e *envelope) *IncomingCall {
-	call := &IncomingCall{link: l, stream: e.stream, From: &l.peerHello, method: e.method, Body: e.body}
+	call := &IncomingCall{link: l, stream: e.stream, From: &l.peerHello, method: e.method}
 	if e.expiresAt != 0 {
 		call.ExpiresAt = l.peerClock.toLocal(e.expiresAt)
 	}
--- a/internal/mesh/transport/transport_test.go
+++ b/internal/mesh/transport/transport_test.go
@@ -120,9 +120,9 @@
 	// Small calls overtake a large call that is being sent, and a call that has no reply yet.
 	large := strings.Repeat("x", 3<<20)
 	replyBytes := make(chan int, 1)
-	client.Send(address, 1, codec.MarshalAppend(nil, &textMessage{large}), 0, func(body []byte, _ error) { replyBytes <- len(body) })
+	client.Send(address, 1, codec.Marshal(&textMessage{large}), 0, func(body codec.Buffers, _ error) { replyBytes <- body.Len() })
 	pendingError := make(chan error, 1)
-	pending := client.Send(address, 2, nil, 0, func(_ []byte, err error) { pendingError <- err })
+	pending := client.Send(address, 2, nil, 0, func(_ codec.Buffers, err error) { pendingError <- err })
 	for range 50 {
 		r, err := Request[textMessage](ctx, client, address, 1, &textMessage{"small"})
 		c.Assert(err, qt.IsNil)
@@ -135,7 +135,7 @@
 	call.OnCancel(func() { close(cancelled) })
 	pending.Cancel()
 	<-cancelled
-	call.ReplyBytes([]byte("withdrawn"))
+	call.ReplyBytes(codec.BuffersOf([]byte("withdrawn")))
 	c.Assert(<-pendingError, qt.IsNil)
 	// A call of a method that the other side does not know gets an empty reply.
 	r, err := Request[textMessage](ctx, client, address, 99, &textMessage{"?"})
@@ -150,14 +150,14 @@
 	incoming := make(chan *IncomingCall, 1)
 	server.HandleRaw(2, func(c *IncomingCall) { incoming <- c })
 	errs := make(chan error, 2)
-	client.Send(address, 2, nil, 0, func(_ []byte, err error) { errs <- err })
+	client.Send(address, 2, nil, 0, func(_ codec.Buffers, err error) { errs <- err })
 	<-incoming
 	server.Close()
 	var lost *ConnectionError
 	c.Assert(errors.As(<-errs, &lost), qt.IsTrue)
 	c.Assert(lost.Sent, qt.IsTrue)
 	// No process listens on this address, so that the call was not sent.
-	client.Send("127.0.0.1:1", 2, nil, 0, func(_ []byte, err error) { errs <- err })
+	client.Send("127.0.0.1:1", 2, nil, 0, func(_ codec.Buffers, err error) { errs <- err })
 	c.Assert(errors.As(<-errs, &lost), qt.IsTrue)
 	c.Assert(lost.Sent, qt.IsFalse)
 }
@@ -276,8 +276,8 @@
 		err  error
 	}
 	results := make(chan result, 1)
-	client.Send(address, 2, nil, 0, func(body []byte, err error) { results <- result{body, err} })
-	(<-incoming).ReplyBytes(make([]byte, 300_000))
+	client.Send(address, 2, nil, 0, func(body codec.Buffers, err error) { results <- result{body.Join(), err} })
+	(<-incoming).ReplyBytes(codec.BuffersOf(make([]byte, 300_000)))
 	server.Drain(server.Now() + 20*time.Second)
 	active, other := server.LinkCounts()
 	c.Assert(active+other, qt.Equals, 0)
@@ -386,7 +386,7 @@
 		return nil, h.ctx.Err()
 	})
 	ended := make(chan error, 1)
-	h.Send("127.0.0.1:1", 1, nil, 0, func(_ []byte, err error) { ended <- err })
+	h.Send("127.0.0.1:1", 1, nil, 0, func(_ codec.Buffers, err error) { ended <- err })
 	<-dialling
 	h.Close()
 	var lost *ConnectionError
--- a/internal/mesh/transport/writer.go
+++ b/internal/mesh/transport/writer.go
@@ -21,6 +21,8 @@
 	abandoned() bool
 	// completed is called when the message's last chunk is added to a write.
 	completed()
+	// discarded is called when the message is removed from the queue before it was sent completely.
+	discarded()
 }
 
 func (s *sendProgress) progress() *sendProgress { return s }
@@ -33,11 +35,15 @@
 
 func (p *PendingCall) completed() { p.fullySent = true }
 
+func (p *PendingCall) discarded() {}
+
 func (o *outgoingReply) frame() envelope { return envelope{kind: uint64(replyFrame), stream: o.stream} }
 
 func (o *outgoingReply) abandoned() bool { return false }
 
-func (o *outgoingReply) completed() {}
+func (o *outgoingReply) completed() { o.release() }
+
+func (o *outgoingReply) discarded() { o.release() }
 
 // sendQueue holds what a link has to send: control frames first, then small messages, then large ones. The lock of the link guards it.
 type sendQueue struct {
@@ -52,7 +58,9 @@
 func (q *sendQueue) clear(s *shaper) {
 	q.small.Clear()
 	for q.large.Len() > 0 {
-		s.finish(q.large.PopFront().progress().transfer)
+		message := q.large.PopFront()
+		message.discarded()
+		s.finish(message.progress().transfer)
 	}
 	q.control.Clear()
 }
@@ -60,11 +68,11 @@
 // enqueue adds a message to the queue, and starts a transfer for a large message. The caller holds the lock.
 func (l *Link) enqueue(m outgoingMessage) {
 	p := m.progress()
-	if len(p.body) <= maxChunkBytes {
+	if p.unsentBytes <= maxChunkBytes {
 		l.queue.small.PushBack(m)
 		return
 	}
-	p.transfer = l.hub.shaper.start(l, len(p.body))
+	p.transfer = l.hub.shaper.start(l, p.unsentBytes)
 	l.queue.large.PushBack(m)
 }
 
@@ -182,19 +190,18 @@
 		if progress.transfer != nil {
 			progress.transfer.unreservedBytes = 0
 		}
+		message.discarded()
 		return buf
 	}
 	frame := message.frame()
 	frame.sentAt = now
-	frame.body = progress.body[progress.sentBytes:]
-	if len(frame.body) > limit {
-		frame.body = frame.body[:limit]
+	frame.body = progress.next(limit, &l.scratch)
+	if progress.unsentBytes > 0 {
 		queue.PushBack(message)
 	} else {
 		frame.last = true
 		message.completed()
 	}
-	progress.sentBytes += len(frame.body)
 	l.hub.traffic.sentFrames.Add(1)
 	return appendFrame(buf, &frame)
 }
