A cancelled or stalled large message no longer holds up the others

What callers saw: after clients had left amid uploads, a sidecar never sent a message of more than 16 KiB again.

Cause: appendLargeMessages decided whether a chunk was the last one before appendChunk discarded a cancelled message, so that the transfer of such a message was never removed. Three of them held all places of the shaper until the process ended.

Evidence: SIGUSR1 now logs what a process holds of large messages.

Fix: a cancelled message is discarded before a chunk is reserved, and its transfer ends. Related: a transfer whose writer asks for no chunk for 0.5 s, since its link is being dialled or its peer reads nothing, does not count among the three.

--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -123,6 +123,7 @@
 	for {
 		select {
 		case <-p.signals.Dump:
+			p.logMemory()
 			p.logRing.Dump("SIGUSR1")
 		case <-p.signals.Reload:
 			p.reload(apply)
@@ -134,6 +135,18 @@
 	}
 }
 
+// logMemory logs what the process holds of large messages.
+func (p *process) logMemory() {
+	transfers, transferBytes := p.hub.QueuedTransfers()
+	p.log.WithFields(logrus.Fields{
+		"transfers":     transfers,
+		"transferBytes": transferBytes,
+		"bodyBytes":     p.memory.bodies.Used(),
+		"callBytes":     p.memory.calls.Used(),
+		"answerBytes":   p.memory.answers.Used(),
+	}).Info("assembly: large messages that this process holds")
+}
+
 // reload reads the settings file and applies it. A file with an error is logged, and changes nothing.
 func (p *process) reload(apply func(*settings.Settings)) {
 	loaded, err := settings.Load(p.settingsPath)
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -93,6 +93,10 @@
 // Backlog returns the time that it takes to send all queued large messages and moreBytes more; 0 if the rate is unlimited.
 func (h *Hub) Backlog(moreBytes float64) time.Duration { return h.shaper.backlog(moreBytes) }
 
+// QueuedTransfers returns the number of large messages that are being sent or wait for their turn, and the number of their bytes that were
+// not sent yet.
+func (h *Hub) QueuedTransfers() (count, bytes int) { return h.shaper.queued() }
+
 // LinkCounts returns the number of active links, which are dialled links that take new calls, and the number of other links, which are
 // accepted links and dialled links that are retired.
 func (h *Hub) LinkCounts() (active, other int) {
--- a/internal/mesh/transport/link.go
+++ b/internal/mesh/transport/link.go
@@ -158,7 +158,7 @@
 	l.pending = map[uint64]*PendingCall{}
 	l.incoming = map[uint64]*IncomingCall{}
 	l.incomplete = map[uint64]*IncomingCall{}
-	l.queue.clear(&l.hub.shaper)
+	l.queue.clear(l.hub.Now(), &l.hub.shaper)
 	return unanswered, true
 }
 
--- a/internal/mesh/transport/shaper.go
+++ b/internal/mesh/transport/shaper.go
@@ -11,7 +11,7 @@
 	// queue of the uplink short for small messages.
 	uplinkFraction = 0.9
 	// maxActiveTransfers is the number of large messages that are sent at once; they become active in the order in which they were queued.
-	// If all of them shared a fully used uplink evenly, all of them would be late.
+	// If all of them shared a fully used uplink evenly, all of them would be late. Stalled transfers don't count.
 	maxActiveTransfers = 3
 	// maxChunkTime is the longest time that a chunk may occupy the uplink, and thus the longest time that a small message waits for a chunk.
 	maxChunkTime = 4 * time.Millisecond
@@ -20,6 +20,9 @@
 	// transferRecheckInterval is the time after which a writer checks again whether an inactive transfer has become active, unless finish
 	// wakes it earlier.
 	transferRecheckInterval = 250 * time.Millisecond
+	// stallTimeout is the time without a call of reserve after which a transfer is stalled: its writer is not asking for chunks, because the
+	// link is not established, or because the peer reads nothing. It is longer than transferRecheckInterval.
+	stallTimeout = 2 * transferRecheckInterval
 	// minShapingWait is the shortest time until a writer tries again to reserve a chunk.
 	minShapingWait = time.Millisecond
 	// burstChunks is the size of the token bucket, in chunks.
@@ -34,8 +37,15 @@
 type transfer struct {
 	link            *Link // set at creation, and never changed
 	unreservedBytes int   // number of bytes for which no chunk was reserved yet
+
+	// lastTry is when reserve was last called, if tried is set. The shaper's lock guards both.
+	lastTry time.Duration
+	tried   bool
 }
 
+// stalled reports whether a transfer must not hold up others.
+func (t *transfer) stalled(now time.Duration) bool { return !t.tried || now-t.lastTry > stallTimeout }
+
 // shaper paces the large messages of a process by one token bucket for all links. The zero value does not limit the rate. The shaper's
 // mutex is locked after a link's mutex.
 type shaper struct {
@@ -43,7 +53,7 @@
 	rate         float64       // rate for large messages in bytes per second; 0 if it is unlimited
 	tokens       float64       // number of bytes that may be sent now; negative if small messages have overdrawn the bucket
 	refilledAt   time.Duration // when refill was last called
-	transfers    []*transfer   // transfers in the order of their start; the first maxActiveTransfers of them are active
+	transfers    []*transfer   // transfers in the order of their start; the first maxActiveTransfers that are not stalled are active
 	backlogBytes int           // sum of unreservedBytes over all transfers
 	chunkBytes   int           // largest chunk in bytes; 0 for maxChunkBytes
 }
@@ -68,6 +78,13 @@
 	return time.Duration((float64(s.backlogBytes) + moreBytes) / s.rate * float64(time.Second))
 }
 
+// queued returns the number of transfers, and the sum of their unreservedBytes.
+func (s *shaper) queued() (count, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.transfers), s.backlogBytes
+}
+
 // maxChunk returns the size of the largest chunk in bytes.
 func (s *shaper) maxChunk() int {
 	if s.chunkBytes == 0 {
@@ -110,9 +127,11 @@
 func (s *shaper) reserve(now time.Duration, transfer *transfer) (size int, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	transfer.tried = true
+	transfer.lastTry = now
 	size = min(transfer.unreservedBytes, s.maxChunk())
 	if s.rate > 0 {
-		if slices.Index(s.transfers, transfer) >= maxActiveTransfers {
+		if !s.isActive(now, transfer) {
 			return 0, transferRecheckInterval
 		}
 		s.refill(now)
@@ -126,16 +145,31 @@
 	return size, 0
 }
 
-// finish removes a transfer whose message was sent, or whose link has ended. It wakes the writer of the transfer that thereby becomes
-// active, if there is one.
-func (s *shaper) finish(t *transfer) {
-	if next := s.remove(t); next != nil {
+// isActive reports whether fewer than maxActiveTransfers transfers that are not stalled were started before t. The caller holds the lock.
+func (s *shaper) isActive(now time.Duration, t *transfer) bool {
+	earlier := 0
+	for _, other := range s.transfers {
+		if other == t || earlier == maxActiveTransfers {
+			break
+		}
+		if !other.stalled(now) {
+			earlier++
+		}
+	}
+	return earlier < maxActiveTransfers
+}
+
+// finish removes a transfer whose message was sent or abandoned, or whose link has ended. It must be called for each transfer that was
+// started. It wakes the writer of the transfer that thereby becomes active, if there is one.
+func (s *shaper) finish(now time.Duration, t *transfer) {
+	if next := s.remove(now, t); next != nil {
 		next.wakeWriter()
 	}
 }
 
-// remove removes a transfer. It returns the link of the transfer that thereby becomes active; nil if there is none.
-func (s *shaper) remove(t *transfer) (next *Link) {
+// remove removes a transfer. It returns the link of the last active transfer, which may thereby have become active; nil if there are fewer
+// than maxActiveTransfers.
+func (s *shaper) remove(now time.Duration, t *transfer) (lastActive *Link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := slices.Index(s.transfers, t)
@@ -144,8 +178,15 @@
 	}
 	s.transfers = slices.Delete(s.transfers, i, i+1)
 	s.backlogBytes -= t.unreservedBytes
-	if i < maxActiveTransfers && len(s.transfers) >= maxActiveTransfers {
-		return s.transfers[maxActiveTransfers-1].link
+	active := 0
+	for _, other := range s.transfers {
+		if other.stalled(now) {
+			continue
+		}
+		active++
+		if active == maxActiveTransfers {
+			return other.link
+		}
 	}
 	return nil
 }
--- a/internal/mesh/transport/transport_test.go
+++ b/internal/mesh/transport/transport_test.go
@@ -246,7 +246,7 @@
 				_, wait = shaper.reserve(now, l)
 			}
 			if l.unreservedBytes == 0 {
-				shaper.finish(l)
+				shaper.finish(now, l)
 				finished = append(finished, i)
 			}
 			nextWait = min(nextWait, max(wait, time.Millisecond))
--- a/internal/mesh/transport/writer.go
+++ b/internal/mesh/transport/writer.go
@@ -54,17 +54,22 @@
 
 func (q *sendQueue) len() int { return q.control.Len() + q.small.Len() + q.large.Len() }
 
-// clear discards all frames and messages, and ends the transfers of the large messages.
-func (q *sendQueue) clear(s *shaper) {
+// clear discards all frames and messages.
+func (q *sendQueue) clear(now time.Duration, s *shaper) {
 	q.small.Clear()
 	for q.large.Len() > 0 {
-		message := q.large.PopFront()
-		message.discarded()
-		s.finish(message.progress().transfer)
+		q.discardLarge(now, s)
 	}
 	q.control.Clear()
 }
 
+// discardLarge discards the large message at the front of the queue, and ends its transfer.
+func (q *sendQueue) discardLarge(now time.Duration, s *shaper) {
+	message := q.large.PopFront()
+	message.discarded()
+	s.finish(now, message.progress().transfer)
+}
+
 // enqueue adds a message to the queue, and starts a transfer for a large message. The caller holds the lock.
 func (l *Link) enqueue(m outgoingMessage) {
 	p := m.progress()
@@ -159,10 +164,14 @@
 	return buf
 }
 
-// appendLargeMessages appends a chunk of each large message for which the shaper allows one. wait is the shortest time until the shaper
+// appendLargeMessages appends a chunk of each large message for which the shaper allows one, and discards abandoned ones. wait is the shortest time until the shaper
 // allows another chunk; 0 if no message waits for it.
 func (l *Link) appendLargeMessages(buf []byte, now time.Duration) (_ []byte, wait time.Duration) {
 	for n := l.queue.large.Len(); n > 0 && len(buf) < maxWriteBytes; n-- {
+		if l.queue.large.Front().abandoned() {
+			l.queue.discardLarge(now, &l.hub.shaper)
+			continue
+		}
 		transfer := l.queue.large.Front().progress().transfer
 		size, delay := l.hub.shaper.reserve(now, transfer)
 		if delay > 0 {
@@ -175,7 +184,7 @@
 		complete := transfer.unreservedBytes == 0
 		buf = l.appendChunk(buf, now, &l.queue.large, size)
 		if complete {
-			defer l.hub.shaper.finish(transfer) // only when this function returns, so that the next transfer becomes active with the next write
+			defer l.hub.shaper.finish(now, transfer) // only when this function returns, so that the next transfer becomes active with the next write
 		}
 	}
 	return buf, wait
@@ -187,9 +196,6 @@
 	message := queue.PopFront()
 	progress := message.progress()
 	if message.abandoned() {
-		if progress.transfer != nil {
-			progress.transfer.unreservedBytes = 0
-		}
 		message.discarded()
 		return buf
 	}
