All fallback buckets together stay within a tenant's limit, for any number of sidecars

Cause: each sidecar's fallback bucket had room for at least one token and started with one, so that n sidecars admitted n requests at once. Buckets of larger tenants had up to two tokens each.

Fix: a bucket has room for its part of what the limit leaves for all of them. Below one token it works by turns: a token is lost unless it is used in time, and buckets start at random positions. The limit then holds with a high probability; before the core is reached again a small tenant gets more 429.

--- a/internal/mesh/agent/quota_client.go
+++ b/internal/mesh/agent/quota_client.go
@@ -37,7 +37,7 @@
 // NewQuotaClient returns a sidecar's client of the allocator, and registers the method that forwards other sidecars' requests. It must be
 // called at most once per Agent. The client requests tokens while Run is running.
 func (a *Agent) NewQuotaClient() *QuotaClient {
-	q := &QuotaClient{agent: a, tokenCache: ratelimit.NewTokenCache(), wakeup: make(chan struct{}, 1)}
+	q := &QuotaClient{agent: a, tokenCache: ratelimit.NewTokenCache(a.config.Seed), wakeup: make(chan struct{}, 1)}
 	transport.Handle(a.hub, methodTokens, q.handleForwarded)
 	return q
 }
--- a/internal/mesh/control/ratelimit/bucket.go
+++ b/internal/mesh/control/ratelimit/bucket.go
@@ -40,13 +40,16 @@
 
 // newBucket returns a bucket that is full at the system's initial start, and nearly empty otherwise.
 func newBucket(startedAt time.Duration, initialStart bool, limit Limit) *bucket {
-	level := min(limit.Burst, initialOverageFraction*limit.Overage)
+	level := initialLevel(limit)
 	if initialStart {
 		level = limit.Burst
 	}
 	return &bucket{level: level, refilledAt: startedAt, shares: map[string]*fallbackShare{}}
 }
 
+// initialLevel returns the number of tokens that the bucket of a new allocator contains, except at the system's first start.
+func initialLevel(limit Limit) float64 { return min(limit.Burst, initialOverageFraction*limit.Overage) }
+
 // findOrAddShare returns the share of a sidecar, and adds an empty one if there is none.
 func (b *bucket) findOrAddShare(sidecar string) *fallbackShare {
 	share := b.shares[sidecar]
--- a/internal/mesh/control/ratelimit/doc.go
+++ b/internal/mesh/control/ratelimit/doc.go
@@ -1,7 +1,7 @@
 // Package ratelimit enforces the limits that apply to the sum over all sidecars: tenants' rate limits, and each service's
 // retry budget. A sidecar decides on a request locally, from the tokens and the share that it holds, so that a decision
 // needs no message of its own. All sidecars together do not exceed a tenant's limit, even if some are partitioned from the
-// others; fallback.admit states the one exception.
+// others; fallback.admit states the exceptions.
 //
 // The package does no I/O, starts no goroutine and takes no lock: its types are not safe for concurrent use. Time is an
 // argument, read from each process's monotonic clock. Rates are in requests per second, and a token admits one request.
--- a/internal/mesh/control/ratelimit/example_test.go
+++ b/internal/mesh/control/ratelimit/example_test.go
@@ -12,7 +12,7 @@
 	limit := ratelimit.Limit{Rate: 10, Burst: 5}
 	limits := func(string) (ratelimit.Limit, bool) { return limit, true }
 	allocator := ratelimit.NewAllocator(0, true, limits)
-	cache := ratelimit.NewTokenCache()
+	cache := ratelimit.NewTokenCache(1)
 	cache.SetSidecarCount(1)
 
 	now := time.Second
--- a/internal/mesh/control/ratelimit/fallback.go
+++ b/internal/mesh/control/ratelimit/fallback.go
@@ -1,11 +1,21 @@
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxFallbackTokens is how many tokens of a small fallback share a sidecar may accumulate.
 	maxFallbackTokens = 2.0
 
+	// fallbackOverageFraction is the least part of Limit.Overage that the fallback buckets of all sidecars may admit at once.
+	fallbackOverageFraction = 0.25
+
+	// fallbackDeviations is the number of standard deviations by which the number of tokens that sidecars happen to have at the same time
+	// must not exceed the limit.
+	fallbackDeviations = 3
+
 	// initialShareFraction is the greatest part of a tenant's rate that a sidecar without a fallback share uses.
 	initialShareFraction = 0.08
 
@@ -14,19 +24,37 @@
 )
 
 // fallback is a sidecar's fallback share of one tenant's rate, and the token bucket that is refilled at the rate of the share.
-// The bucket has room for at least one token.
+//
+// No sidecar can use a part of a token. If each of many sidecars had room for one token, all of them together could admit as many requests
+// at once as there are sidecars, however small the limit is. A bucket with a capacity of less than one token therefore does not keep a
+// token until it is used: when level reaches one, the token may be used while the share accrues the capacity, and is then lost. The levels
+// of different sidecars start at random, so that at any time a fraction of the sidecars, as large as the capacity, has a token. All of them
+// together thus admit as many requests at once as the sum of their capacities, as with larger buckets.
 type fallback struct {
 	share          float64       // requests per second
 	shareExpiresAt time.Duration // end of the share's lease
-	level          float64       // number of tokens in the bucket
+	level          float64       // number of tokens in the bucket; below one plus the capacity
 	refilledAt     time.Duration
 }
 
+// newFallback returns the fallback of a sidecar that has no share yet. position, from 0 up to 1, is where its level is between two tokens;
+// it is random. reached says whether the sidecar has reached an allocator. One that never has may have just started, and know few of the
+// sidecars that share the limit; its bucket starts without a token.
+func newFallback(now time.Duration, limit Limit, sidecars int, reached bool, position float64) fallback {
+	f := fallback{level: position, refilledAt: now}
+	if reached {
+		f.level = min(position+f.capacity(limit, sidecars), 1)
+	}
+	return f
+}
+
 // admit takes a token of the fallback share, and reports whether there was one; otherwise the client may retry after retryAfter.
 // A sidecar whose share has expired, or that never had one because it has not reached an allocator, uses an even part of the
 // rate instead, at most initialShareFraction. If no sidecar reaches an allocator, as after a restart of all processes or during a
 // long outage of the control plane, these parts add up to no more than the limit. If only a few sidecars reach none, not even
 // through others, the sum may exceed the limit by their parts.
+//
+// Since the levels are random, all sidecars together stay within the limit with a high probability, and not with certainty.
 func (f *fallback) admit(now time.Duration, limit Limit, sidecars int) (ok bool, retryAfter time.Duration) {
 	sidecars = max(sidecars, 1)
 	if now >= f.shareExpiresAt {
@@ -44,13 +72,33 @@
 	return false, min(time.Duration(seconds*float64(time.Second)), maxFallbackRetryAfter) // the sidecar may reach an allocator again by then
 }
 
-// refill adds the tokens that accrued since the last refill. The bucket's capacity is the greatest of: the sidecar's even part of
-// overage and burst, at most maxFallbackTokens; the tokens that accrue in prefetchSpan; and one token.
+// refill adds the tokens that accrued since the last refill.
 func (f *fallback) refill(now time.Duration, limit Limit, sidecars int) {
-	allowance := (limit.Overage + limit.Burst) / float64(sidecars)
-	capacity := max(f.share*prefetchSpan.Seconds(), min(allowance, maxFallbackTokens), 1)
-	f.level = min(f.level+f.share*(now-f.refilledAt).Seconds(), capacity)
+	f.level += f.share * (now - f.refilledAt).Seconds()
 	f.refilledAt = now
+	capacity := f.capacity(limit, sidecars)
+	switch {
+	case capacity >= 1:
+		f.level = min(f.level, capacity)
+	case f.level >= 1+capacity: // tokens that were not used in time are lost
+		f.level = capacity + math.Mod(f.level-capacity, 1)
+	}
+}
+
+// capacity returns the number of tokens that the bucket has room for: those that accrue in prefetchSpan, or the sidecar's even part of
+// fallbackAllowance if that is more, at most maxFallbackTokens.
+func (f *fallback) capacity(limit Limit, sidecars int) float64 {
+	n := float64(max(sidecars, 1))
+	return max(f.share*prefetchSpan.Seconds(), min(fallbackAllowance(limit, n)/n, maxFallbackTokens))
+}
+
+// fallbackAllowance returns how many tokens the buckets of all sidecars may have together: the overage without what a new allocator starts
+// with, and without the fluctuation of the number of sidecars that have a token. The numbers of tokens of two sidecars with the same share
+// differ by one at most, so that the variance of each is a quarter at most.
+func fallbackAllowance(limit Limit, sidecars float64) float64 {
+	deviation := math.Sqrt(sidecars) / 2
+	left := limit.Overage - initialLevel(limit) - fallbackDeviations*deviation
+	return max(left, fallbackOverageFraction*limit.Overage)
 }
 
 // remaining returns the remaining time of the share's lease, 0 if it has expired.
--- a/internal/mesh/control/ratelimit/fence_test.go
+++ b/internal/mesh/control/ratelimit/fence_test.go
@@ -12,7 +12,7 @@
 func TestGrantsOfADepartedAllocatorAreRejected(t *testing.T) {
 	c := qt.New(t)
 	limit := Limit{Rate: 10, Burst: 10}
-	cache := NewTokenCache()
+	cache := NewTokenCache(1)
 	cache.Admit(0, "t", limit, func(bool, time.Duration) {})
 	grants := func(fencingToken uint64, share float64) *AllocationReply {
 		grant := TokenGrant{Tenant: "t", Tokens: 5, FallbackShare: share, ShareRemaining: shareLease}
@@ -50,7 +50,7 @@
 	run := &zoneRun{partitionAt: partitionAt, limit: limit}
 	run.allocator = NewAllocator(0, true, run.limits)
 	for i := range zoneSidecars {
-		cache := NewTokenCache()
+		cache := NewTokenCache(1)
 		cache.SetSidecarCount(zoneSidecars)
 		run.caches = append(run.caches, cache)
 		run.names = append(run.names, fmt.Sprint(i))
--- a/internal/mesh/control/ratelimit/golden_test.go
+++ b/internal/mesh/control/ratelimit/golden_test.go
@@ -122,7 +122,7 @@
 func newGoldenRun(seed uint64) *goldenRun {
 	run := &goldenRun{rng: rand.New(rand.NewPCG(seed, 7)), allocator: NewAllocator(0, seed%2 == 0, goldenLimit)}
 	for range 3 {
-		cache := NewTokenCache()
+		cache := NewTokenCache(1)
 		cache.SetSidecarCount(3)
 		run.caches = append(run.caches, cache)
 	}
--- a/internal/mesh/control/ratelimit/ratelimit_test.go
+++ b/internal/mesh/control/ratelimit/ratelimit_test.go
@@ -10,13 +10,14 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// partitionRun simulates ten sidecars and an allocator. A tenant sends many times its limit while random sidecars are partitioned for
+// partitionRun simulates sidecars and an allocator. A tenant sends many times its limit while random sidecars are partitioned for
 // some time, requests and replies are delayed or lost, and the allocator is replaced by new ones that start without any state.
 type partitionRun struct {
 	rng              *rand.Rand
 	now              time.Duration
 	limit            Limit
 	withFaults       bool
+	idle             bool // whether clients send no requests
 	allocator        *Allocator
 	noAllocatorUntil time.Duration // time until which no allocator handles requests
 	names            []string
@@ -34,8 +35,7 @@
 	reply           *AllocationReply   // nil in a request
 }
 
-func newPartitionRun(seed uint64, limit Limit) *partitionRun {
-	const sidecars = 10
+func newPartitionRun(seed uint64, limit Limit, sidecars int) *partitionRun {
 	run := &partitionRun{
 		rng:              rand.New(rand.NewPCG(seed, 1)),
 		limit:            limit,
@@ -45,7 +45,8 @@
 	run.allocator = NewAllocator(0, true, run.limits)
 	for i := range sidecars {
 		run.names = append(run.names, strconv.Itoa(i))
-		run.caches = append(run.caches, NewTokenCache())
+		run.caches = append(run.caches, NewTokenCache(seed<<16+uint64(i)))
+		run.caches[i].SetSidecarCount(sidecars)
 	}
 	run.allocator.SetSidecars(run.names)
 	return run
@@ -60,7 +61,7 @@
 	}
 	r.deliver()
 	for i, cache := range r.caches {
-		if r.rng.Float64() < 0.4 { // 80 requests a second at each sidecar
+		if r.rng.Float64() < 0.4 && !r.idle { // 80 requests a second at each sidecar
 			r.request(cache)
 		}
 		if requests, due := cache.Tick(r.now); due {
@@ -138,7 +139,7 @@
 	const over = 40 * time.Second
 	limit := Limit{Rate: 100, Burst: 100, Overage: 80}
 	for seed := range uint64(100) {
-		run := newPartitionRun(seed, limit)
+		run := newPartitionRun(seed, limit, 10)
 		for ; run.now < over; run.now += 5 * time.Millisecond {
 			run.step()
 		}
--- a/internal/mesh/control/ratelimit/tenant_tokens.go
+++ b/internal/mesh/control/ratelimit/tenant_tokens.go
@@ -19,9 +19,9 @@
 	requestedWaiters int                                       // number of waiters in the newest token request; answerWaiters does not reset it
 }
 
-// newTenantTokens returns the state of a tenant without tokens. Its fallback bucket contains one token.
-func newTenantTokens(now time.Duration) *tenantTokens {
-	return &tenantTokens{demand: demand{updatedAt: now}, fallback: fallback{level: 1, refilledAt: now}}
+// newTenantTokens returns the state of a tenant without tokens.
+func newTenantTokens(now time.Duration, limit Limit, fallback fallback) *tenantTokens {
+	return &tenantTokens{limit: limit, demand: demand{updatedAt: now}, fallback: fallback}
 }
 
 // takeToken takes one valid token, and reports whether there was one.
--- a/internal/mesh/control/ratelimit/token_cache.go
+++ b/internal/mesh/control/ratelimit/token_cache.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // These constants determine when a sidecar requests tokens, and how long its clients' requests wait for them.
 const (
@@ -27,10 +30,13 @@
 	requestInFlight     bool                     // true while the newest request has no reply
 	highestFencingToken uint64                   // highest fencing token of the allocators whose grants were accepted
 	sidecarCount        int                      // number of known sidecars
+	rng                 *rand.Rand
 }
 
-// NewTokenCache returns an empty cache.
-func NewTokenCache() *TokenCache { return &TokenCache{tenants: map[string]*tenantTokens{}} }
+// NewTokenCache returns an empty cache. seed determines its random numbers, and must differ between sidecars.
+func NewTokenCache(seed uint64) *TokenCache {
+	return &TokenCache{tenants: map[string]*tenantTokens{}, rng: rand.New(rand.NewPCG(seed, seed))}
+}
 
 // SetSidecarCount sets the number of sidecars. A sidecar without a fallback share divides the limit by it.
 func (c *TokenCache) SetSidecarCount(n int) { c.sidecarCount = n }
@@ -60,7 +66,7 @@
 		done(true, 0)
 		return
 	}
-	tokens := c.findOrAddTenant(now, tenant)
+	tokens := c.findOrAddTenant(now, tenant, limit)
 	tokens.limit = limit
 	tokens.demand.record(now, 1)
 	tokens.expireTokens(now)
@@ -79,10 +85,10 @@
 }
 
 // findOrAddTenant returns the state of a tenant, and adds it if there is none.
-func (c *TokenCache) findOrAddTenant(now time.Duration, tenant string) *tenantTokens {
+func (c *TokenCache) findOrAddTenant(now time.Duration, tenant string, limit Limit) *tenantTokens {
 	tokens := c.tenants[tenant]
 	if tokens == nil {
-		tokens = newTenantTokens(now)
+		tokens = newTenantTokens(now, limit, newFallback(now, limit, c.sidecarCount, c.everReached, c.rng.Float64()))
 		c.tenants[tenant] = tokens
 	}
 	return tokens
