A reservation that never fits fails at once, and holds up no other

Change: Pool.ReserveWait returns ErrTooLarge. The test of an answer without memory has a pool that its answer would fit into, so that it still waits until its deadline. Doc comments of codec and inbound name the buffers and the bound.

--- a/internal/mesh/dataplane/inbound/answer_memory_test.go
+++ b/internal/mesh/dataplane/inbound/answer_memory_test.go
@@ -72,9 +72,11 @@
 // A request whose answer finds no memory until its deadline may have been executed, and the slot is free again.
 func TestAnswerWithoutMemoryEndsAtTheDeadline(t *testing.T) {
 	for _, sized := range []bool{true, false} {
-		proxy, answers := startAnswers(t, sized, answerBytes/2)
+		proxy, answers := startAnswers(t, sized, answerBytes)
+		answers.Charge(1)
 		response, release := forwardLarge(proxy, 300*time.Millisecond)
 		release()
+		answers.Release(1)
 		qt.Assert(t, response.Kind, qt.Equals, outcome.InvalidResponse)
 		qt.Assert(t, response.ReachedEndpoint, qt.IsTrue)
 		qt.Assert(t, proxy.Pending(), qt.Equals, 0)
--- a/internal/mesh/dataplane/inbound/doc.go
+++ b/internal/mesh/dataplane/inbound/doc.go
@@ -11,6 +11,9 @@
 // send an answer twice, late or truncated, and such an answer is then read in place of the next one. A rejection by the endpoint counts
 // as not executed only if it can't belong to another attempt.
 //
+// An answer is read completely before it is passed on. SetAnswerMemory bounds the memory of all answers: one with a length waits, unread, until
+// there is memory for it.
+//
 // Times are durations on the clock that is passed to New; messages contain the remaining time, as the clocks of two processes differ.
 //
 // The package does not retry or order requests: the client's sidecar decides on retries (package outbound), and package admission queues
--- a/internal/mesh/transport/codec/doc.go
+++ b/internal/mesh/transport/codec/doc.go
@@ -12,6 +12,6 @@
 // versions of a program can communicate.
 //
 // Fields are encoded as the protocol buffers types uint64 (Uint64, Bool), sint64 (Int64, Int, Duration), fixed64 (Fixed64), double
-// (Float64), bytes and string (Bytes, String, Strings, Message, Messages, List). Packed lists, groups, maps and fixed32 are never written;
+// (Float64), bytes and string (Bytes, Buffers, String, Strings, Message, Messages, List). Packed lists, groups, maps and fixed32 are never written;
 // unknown fields of these types are ignored.
 package codec
--- a/internal/mesh/transport/membudget/membudget.go
+++ b/internal/mesh/transport/membudget/membudget.go
@@ -14,12 +14,16 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"sync"
 
 	"github.com/gammazero/deque"
 )
 
+// ErrTooLarge is returned for a reservation that exceeds the limits of an empty budget.
+var ErrTooLarge = errors.New("membudget: the reservation exceeds the limits")
+
 // Budget is the memory that its pools share. It is safe for concurrent use. The zero value is an empty budget.
 type Budget struct {
 	mu    sync.Mutex
@@ -83,12 +87,15 @@
 }
 
 // ReserveWait reserves n bytes, and waits until they are within the limits. Waiting calls are served in the order of their arrival, so that
-// small ones do not starve a large one. It returns the error of ctx if that ends before. A caller that has reserved bytes already must not
-// wait for more: two such callers could wait for each other.
+// small ones do not starve a large one. It returns the error of ctx if that ends before, and ErrTooLarge if n never fits. A caller that has
+// reserved bytes already must not wait for more: two such callers could wait for each other.
 func (p *Pool) ReserveWait(ctx context.Context, n int64) error {
 	if p == nil {
 		return nil
 	}
+	if n > min(p.limit, p.totalLimit) {
+		return ErrTooLarge
+	}
 	w := p.reserveOrQueue(n)
 	if w == nil {
 		return nil
--- a/internal/mesh/transport/membudget/membudget_test.go
+++ b/internal/mesh/transport/membudget/membudget_test.go
@@ -67,6 +67,13 @@
 	qt.Assert(t, pool.Used(), qt.Equals, int64(70))
 }
 
+// A reservation that never fits fails at once, and holds up no other.
+func TestTooLargeReservationDoesNotWait(t *testing.T) {
+	pool := new(Budget).Pool(100, 50)
+	qt.Assert(t, errors.Is(pool.ReserveWait(t.Context(), 51), ErrTooLarge), qt.IsTrue)
+	qt.Assert(t, pool.ReserveWait(t.Context(), 50), qt.IsNil)
+}
+
 // waitForWaiters waits until a number of reservations wait.
 func waitForWaiters(pool *Pool, n int) {
 	for {
