Fallback buckets that were never filled get their capacity when they are first used

Cause: a sidecar that had never reached an allocator started all its buckets without a token, and computed this when it first heard of a tenant.

Change: the initial level is set when the bucket is first used, and includes the bucket's capacity unless the sidecar has no share and knows fewer sidecars than such a sidecar assumes anyway.

--- a/internal/mesh/control/ratelimit/fallback.go
+++ b/internal/mesh/control/ratelimit/fallback.go
@@ -33,34 +33,27 @@
 type fallback struct {
 	share          float64       // requests per second
 	shareExpiresAt time.Duration // end of the share's lease
+	position       float64       // random number from 0 up to 1; the initial level is higher by the capacity, or as high
+	filled         bool          // whether level has been set
 	level          float64       // number of tokens in the bucket; below one plus the capacity
 	refilledAt     time.Duration
 }
 
-// newFallback returns the fallback of a sidecar that has no share yet. position, from 0 up to 1, is where its level is between two tokens;
-// it is random. reached says whether the sidecar has reached an allocator. One that never has may have just started, and know few of the
-// sidecars that share the limit; its bucket starts without a token.
-func newFallback(now time.Duration, limit Limit, sidecars int, reached bool, position float64) fallback {
-	f := fallback{level: position, refilledAt: now}
-	if reached {
-		f.level = min(position+f.capacity(limit, sidecars), 1)
-	}
-	return f
-}
-
 // admit takes a token of the fallback share, and reports whether there was one; otherwise the client may retry after retryAfter.
 // A sidecar whose share has expired, or that never had one because it has not reached an allocator, uses an even part of the
-// rate instead, at most initialShareFraction. If no sidecar reaches an allocator, as after a restart of all processes or during a
+// rate instead. If no sidecar reaches an allocator, as after a restart of all processes or during a
 // long outage of the control plane, these parts add up to no more than the limit. If only a few sidecars reach none, not even
 // through others, the sum may exceed the limit by their parts.
 //
 // Since the levels are random, all sidecars together stay within the limit with a high probability, and not with certainty.
-func (f *fallback) admit(now time.Duration, limit Limit, sidecars int) (ok bool, retryAfter time.Duration) {
-	sidecars = max(sidecars, 1)
+func (f *fallback) admit(now time.Duration, limit Limit, sidecars float64) (ok bool, retryAfter time.Duration) {
+	empty := false
 	if now >= f.shareExpiresAt {
-		f.share = limit.Rate * min(initialShareFraction, 1/float64(sidecars))
+		empty = sidecars < 1/initialShareFraction // this process may have just started, and know few of the sidecars that share the limit
+		sidecars = max(sidecars, 1/initialShareFraction)
+		f.share = limit.Rate / float64(sidecars)
 	}
-	f.refill(now, limit, sidecars)
+	f.refill(now, limit, sidecars, empty)
 	if f.level >= 1 {
 		f.level--
 		return true, 0
@@ -72,12 +65,20 @@
 	return false, min(time.Duration(seconds*float64(time.Second)), maxFallbackRetryAfter) // the sidecar may reach an allocator again by then
 }
 
-// refill adds the tokens that accrued since the last refill.
-func (f *fallback) refill(now time.Duration, limit Limit, sidecars int) {
-	f.level += f.share * (now - f.refilledAt).Seconds()
-	f.refilledAt = now
+// refill adds the tokens that accrued since the last refill. The first refill sets the initial level; empty says that it has no token.
+func (f *fallback) refill(now time.Duration, limit Limit, sidecars float64, empty bool) {
 	capacity := f.capacity(limit, sidecars)
 	switch {
+	case f.filled:
+		f.level += f.share * (now - f.refilledAt).Seconds()
+	case empty:
+		f.level = f.position
+	default:
+		f.level = f.position + capacity
+	}
+	f.filled = true
+	f.refilledAt = now
+	switch {
 	case capacity >= 1:
 		f.level = min(f.level, capacity)
 	case f.level >= 1+capacity: // tokens that were not used in time are lost
@@ -87,9 +88,8 @@
 
 // capacity returns the number of tokens that the bucket has room for: those that accrue in prefetchSpan, or the sidecar's even part of
 // fallbackAllowance if that is more, at most maxFallbackTokens.
-func (f *fallback) capacity(limit Limit, sidecars int) float64 {
-	n := float64(max(sidecars, 1))
-	return max(f.share*prefetchSpan.Seconds(), min(fallbackAllowance(limit, n)/n, maxFallbackTokens))
+func (f *fallback) capacity(limit Limit, sidecars float64) float64 {
+	return max(f.share*prefetchSpan.Seconds(), min(fallbackAllowance(limit, sidecars)/sidecars, maxFallbackTokens))
 }
 
 // fallbackAllowance returns how many tokens the buckets of all sidecars may have together: the overage without what a new allocator starts
--- a/internal/mesh/control/ratelimit/tenant_tokens.go
+++ b/internal/mesh/control/ratelimit/tenant_tokens.go
@@ -19,9 +19,9 @@
 	requestedWaiters int                                       // number of waiters in the newest token request; answerWaiters does not reset it
 }
 
-// newTenantTokens returns the state of a tenant without tokens.
-func newTenantTokens(now time.Duration, limit Limit, fallback fallback) *tenantTokens {
-	return &tenantTokens{limit: limit, demand: demand{updatedAt: now}, fallback: fallback}
+// newTenantTokens returns the state of a tenant without tokens. position is the random position of its fallback bucket.
+func newTenantTokens(now time.Duration, position float64) *tenantTokens {
+	return &tenantTokens{demand: demand{updatedAt: now}, fallback: fallback{position: position}}
 }
 
 // takeToken takes one valid token, and reports whether there was one.
@@ -123,7 +123,7 @@
 }
 
 // answerWaiters admits or rejects all waiting requests from the fallback share.
-func (t *tenantTokens) answerWaiters(now time.Duration, sidecars int) {
+func (t *tenantTokens) answerWaiters(now time.Duration, sidecars float64) {
 	waiters := t.waiters
 	t.waiters = nil
 	for _, done := range waiters {
--- a/internal/mesh/control/ratelimit/token_cache.go
+++ b/internal/mesh/control/ratelimit/token_cache.go
@@ -29,17 +29,17 @@
 	lastSent            time.Duration            // time at which the newest request was sent
 	requestInFlight     bool                     // true while the newest request has no reply
 	highestFencingToken uint64                   // highest fencing token of the allocators whose grants were accepted
-	sidecarCount        int                      // number of known sidecars
+	sidecarCount        float64                  // number of known sidecars; at least 1
 	rng                 *rand.Rand
 }
 
 // NewTokenCache returns an empty cache. seed determines its random numbers, and must differ between sidecars.
 func NewTokenCache(seed uint64) *TokenCache {
-	return &TokenCache{tenants: map[string]*tenantTokens{}, rng: rand.New(rand.NewPCG(seed, seed))}
+	return &TokenCache{tenants: map[string]*tenantTokens{}, sidecarCount: 1, rng: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // SetSidecarCount sets the number of sidecars. A sidecar without a fallback share divides the limit by it.
-func (c *TokenCache) SetSidecarCount(n int) { c.sidecarCount = n }
+func (c *TokenCache) SetSidecarCount(n int) { c.sidecarCount = float64(max(n, 1)) }
 
 // HighestFencingToken returns the highest fencing token of the allocators whose grants were accepted, 0 if there is none.
 func (c *TokenCache) HighestFencingToken() uint64 { return c.highestFencingToken }
@@ -66,7 +66,7 @@
 		done(true, 0)
 		return
 	}
-	tokens := c.findOrAddTenant(now, tenant, limit)
+	tokens := c.findOrAddTenant(now, tenant)
 	tokens.limit = limit
 	tokens.demand.record(now, 1)
 	tokens.expireTokens(now)
@@ -85,10 +85,10 @@
 }
 
 // findOrAddTenant returns the state of a tenant, and adds it if there is none.
-func (c *TokenCache) findOrAddTenant(now time.Duration, tenant string, limit Limit) *tenantTokens {
+func (c *TokenCache) findOrAddTenant(now time.Duration, tenant string) *tenantTokens {
 	tokens := c.tenants[tenant]
 	if tokens == nil {
-		tokens = newTenantTokens(now, limit, newFallback(now, limit, c.sidecarCount, c.everReached, c.rng.Float64()))
+		tokens = newTenantTokens(now, c.rng.Float64())
 		c.tenants[tenant] = tokens
 	}
 	return tokens
