A sidecar without a share starts with up to a token, and gives up what is too much

Cause of a fall: after a loss of all power, sidecars that had no share and knew fewer than 13 others started without a token.

Change: such a bucket starts with its capacity, at most a token, and loses what it would not have had from the start once the sidecar knows more sidecars.

--- a/internal/mesh/control/ratelimit/fallback.go
+++ b/internal/mesh/control/ratelimit/fallback.go
@@ -33,27 +33,25 @@
 type fallback struct {
 	share          float64       // requests per second
 	shareExpiresAt time.Duration // end of the share's lease
-	position       float64       // random number from 0 up to 1; the initial level is higher by the capacity, or as high
-	filled         bool          // whether level has been set
+	position       float64       // random number from 0 up to 1; the initial level is higher by the capacity
+	filledFor      float64       // greatest number of sidecars for which level was set; 0 before the bucket is first used
 	level          float64       // number of tokens in the bucket; below one plus the capacity
 	refilledAt     time.Duration
 }
 
 // admit takes a token of the fallback share, and reports whether there was one; otherwise the client may retry after retryAfter.
 // A sidecar whose share has expired, or that never had one because it has not reached an allocator, uses an even part of the
-// rate instead. If no sidecar reaches an allocator, as after a restart of all processes or during a
-// long outage of the control plane, these parts add up to no more than the limit. If only a few sidecars reach none, not even
-// through others, the sum may exceed the limit by their parts.
+// rate instead. If no sidecar reaches an allocator, as after a restart of all processes or during a long outage of the control
+// plane, these parts add up to no more than the limit once the sidecars know each other. If only a few sidecars reach none, not
+// even through others, the sum may exceed the limit by their parts.
 //
 // Since the levels are random, all sidecars together stay within the limit with a high probability, and not with certainty.
 func (f *fallback) admit(now time.Duration, limit Limit, sidecars float64) (ok bool, retryAfter time.Duration) {
-	empty := false
-	if now >= f.shareExpiresAt {
-		empty = sidecars < 1/initialShareFraction // this process may have just started, and know few of the sidecars that share the limit
+	if now >= f.shareExpiresAt { // this process may have just started, and know few of the sidecars that share the limit
 		sidecars = max(sidecars, 1/initialShareFraction)
-		f.share = limit.Rate / float64(sidecars)
+		f.share = limit.Rate / sidecars
 	}
-	f.refill(now, limit, sidecars, empty)
+	f.refill(now, limit, sidecars)
 	if f.level >= 1 {
 		f.level--
 		return true, 0
@@ -65,18 +63,20 @@
 	return false, min(time.Duration(seconds*float64(time.Second)), maxFallbackRetryAfter) // the sidecar may reach an allocator again by then
 }
 
-// refill adds the tokens that accrued since the last refill. The first refill sets the initial level; empty says that it has no token.
-func (f *fallback) refill(now time.Duration, limit Limit, sidecars float64, empty bool) {
+// refill adds the tokens that accrued since the last refill. Tokens that the sidecar would not have had from the start, had it known the
+// present number of sidecars, are lost.
+func (f *fallback) refill(now time.Duration, limit Limit, sidecars float64) {
 	capacity := f.capacity(limit, sidecars)
+	initial := f.position + capacity
 	switch {
-	case f.filled:
-		f.level += f.share * (now - f.refilledAt).Seconds()
-	case empty:
-		f.level = f.position
+	case f.filledFor == 0:
+		f.level = min(initial, max(capacity, 1))
+	case sidecars > f.filledFor:
+		f.level = min(f.level, initial)
 	default:
-		f.level = f.position + capacity
+		f.level += f.share * (now - f.refilledAt).Seconds()
 	}
-	f.filled = true
+	f.filledFor = max(f.filledFor, sidecars)
 	f.refilledAt = now
 	switch {
 	case capacity >= 1:
