--- a/internal/mesh/control/ratelimit/fallback_test.go
+++ b/internal/mesh/control/ratelimit/fallback_test.go
@@ -64,7 +64,7 @@
 // A small tenant exceeded its limit while no sidecar reached an allocator, by one request for each sidecar: each fallback bucket had room for
 // a token, however many sidecars there were. The limit must hold for any number of sidecars.
 func TestLimitHoldsWithoutAnAllocator(t *testing.T) {
-	checkLimit(t, []outage{
+	checkLimit(t, 0, []outage{
 		{hot: 10 * time.Second, start: 12 * time.Second, duration: 2 * time.Second},
 		{hot: 12 * time.Second, start: 12 * time.Second, duration: 6 * time.Second},
 		{hot: 22 * time.Second, start: 4 * time.Second, duration: 25 * time.Second},
@@ -73,18 +73,18 @@
 
 // While sidecars that have all restarted do not know each other, each takes a large part of the limit. It must hold then, too.
 func TestLimitHoldsWhenAllSidecarsRestart(t *testing.T) {
-	checkLimit(t, []outage{{hot: 10 * time.Second, start: 12 * time.Second, duration: 3 * time.Second, restart: true}})
+	checkLimit(t, 3, []outage{{hot: 10 * time.Second, start: 12 * time.Second, duration: 3 * time.Second, restart: true}})
 }
 
-// checkLimit simulates outages with small and large tenants and fleets.
-func checkLimit(t *testing.T, outages []outage) {
+// checkLimit simulates outages with small and large tenants and fleets. Each outage has another seed, from firstSeed on.
+func checkLimit(t *testing.T, firstSeed int, outages []outage) {
 	t.Helper()
 	for _, rate := range []float64{2, 4, 53} {
 		limit, allowed := quotaLimit(rate)
 		for _, sidecars := range []int{1, 3, 12, 14, 28, 48, 82, 300} {
 			t.Run(fmt.Sprintf("rate %v, %d sidecars", rate, sidecars), func(t *testing.T) {
 				for i, outage := range outages {
-					if most := outage.simulate(uint64(i), limit, sidecars); float64(most) > allowed {
+					if most := outage.simulate(uint64(firstSeed+i), limit, sidecars); float64(most) > allowed {
 						t.Errorf("%+v: %d requests admitted within five seconds, at most %v allowed", outage, most, allowed)
 					}
 				}
