TestRestartResetsOldConnections sends a request on the old connection

The test waited for a reset in answer to keepalives, but quic-go answers packets of 42 bytes or less with none (RFC 9000, 10.3.3), and a keepalive has 24. It passed as long as the client's probes of the path MTU were under way; on a slow machine they end before the restart, and the connection then ends by its idle timeout. Change: the client makes a request on the old connection, which must fail with a stateless reset, as the connection must; path MTU discovery is off. The check of the connection is as it was, that of the request is new. The doc comment says when the reset comes.

--- a/internal/network/http3/security.go
+++ b/internal/network/http3/security.go
@@ -14,8 +14,8 @@
 	// Certificate returns the certificate for a handshake. It is called during handshakes, so that the certificate can be replaced.
 	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
 	// Secret is the secret from which the keys for stateless resets, Retry tokens and session tickets are derived. If the secret is
-	// the same after a restart, callers' old connections are reset immediately and their sessions can be resumed. If it is nil, the
-	// library uses random keys.
+	// the same after a restart, callers' old connections are reset at their next request and their sessions can be resumed (a keepalive
+	// alone is too small a packet to be answered with a reset). If it is nil, the library uses random keys.
 	Secret []byte
 	// Now returns the current time, which selects the keys for session tickets; nil means time.Now.
 	Now func() time.Time
--- a/internal/network/http3/security_test.go
+++ b/internal/network/http3/security_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// A server that restarts with the same secret resets its callers' old connections immediately.
+// A server that restarts with the same secret resets its callers' old connections at their next request.
 func TestRestartResetsOldConnections(t *testing.T) {
 	test := openFront(t, echo, func(_ *FrontSettings, _ *Bounds, s *Security) { s.Secret = []byte("0123456789abcdef0123456789abcdef") })
 	address := test.address()
@@ -40,12 +40,15 @@
 		t.Fatal(err)
 	}
 	defer relay.Close()
-	conn, err := quic.DialAddr(t.Context(), relay.Address(), config, &quic.Config{KeepAlivePeriod: 100 * time.Millisecond, MaxIdleTimeout: time.Hour})
+	// Without the probes of path MTU discovery the request below is the only packet large enough to be answered with a reset.
+	settings := &quic.Config{KeepAlivePeriod: 100 * time.Millisecond, MaxIdleTimeout: time.Hour, DisablePathMTUDiscovery: true}
+	conn, err := quic.DialAddr(t.Context(), relay.Address(), config, settings)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer closeConn(conn, 0)
-	if code, _, err := ask((&http3.Transport{}).NewClientConn(conn), "GET", relay.Address()+"/", ""); code != 200 || err != nil {
+	client := (&http3.Transport{}).NewClientConn(conn)
+	if code, _, err := ask(client, "GET", relay.Address()+"/", ""); code != 200 || err != nil {
 		t.Fatalf("request before the restart: got status %d, error %v; want status 200", code, err)
 	}
 	relay.SetFault(udp.Fault{Blackhole: true}) // as after SIGKILL, no CONNECTION_CLOSE arrives,
@@ -53,9 +56,12 @@
 	test.close()
 	test.start(address)
 	relay.SetFault(udp.Fault{})
+	if code, _, err := ask(client, "GET", relay.Address()+"/", ""); !isStatelessReset(err) {
+		t.Errorf("request on the old connection: got status %d, error %v; want a stateless reset", code, err)
+	}
 	select {
 	case <-conn.Context().Done():
-		if _, ok := errors.AsType[*quic.StatelessResetError](context.Cause(conn.Context())); !ok {
+		if !isStatelessReset(context.Cause(conn.Context())) {
 			t.Errorf("the old connection ended with %v, want a stateless reset", context.Cause(conn.Context()))
 		}
 	case <-time.After(testTimeout):
@@ -63,6 +69,11 @@
 	}
 }
 
+func isStatelessReset(err error) bool {
+	_, ok := errors.AsType[*quic.StatelessResetError](err)
+	return ok
+}
+
 // Tickets stay valid if the clocks of a sidecar and its successor differ by less than a day. If they differ by more, the caller makes a
 // full handshake and is served too.
 func TestTicketsAndClocks(t *testing.T) {
