store: a compaction keeps no mark of a batch whose last record is dead

Cause: a compaction copied the mark "the next record belongs to the same batch". Change: a compaction clears the mark; a start ignores it in compacted segments, and then skips no later segment by its seal, as a deletion of a hidden record would be skipped, too. Kin: after two compactions in a row a start reported a missing file (the header names only the segments that were replaced last); sequence numbers decide now.

--- a/internal/files/store/compactor.go
+++ b/internal/files/store/compactor.go
@@ -238,6 +238,7 @@
 		if err != nil {
 			return nil, err
 		}
+		record.moreInBatch = false // the records of its batch that are not live are not copied
 		start := len(buffer)
 		buffer = appendFrame(buffer, &record)
 		locations[i] = location{
--- a/internal/files/store/disklog.go
+++ b/internal/files/store/disklog.go
@@ -20,6 +20,7 @@
 	lastID        uint64     // highest ID of a segment
 	timestamp     Timestamp  // clock reading in the newest header
 	storeTime     int64      // store time in ms at timestamp
+	hiddenRecords bool       // whether a segment that was scanned has hidden records, see scanResult
 	headerDamaged bool       // whether a header is damaged, so that it is unknown which segments that one replaces or follows
 }
 
@@ -171,7 +172,10 @@
 		present[seg.id] = true
 	}
 	for i, seg := range l.segments {
-		if i > 0 && seg.previousID != 0 && !present[seg.previousID] && !replaced[seg.previousID] {
+		if i == 0 || seg.previousID == 0 || present[seg.previousID] || replaced[seg.previousID] {
+			continue
+		}
+		if !seg.continues(l.segments[i-1]) {
 			l.damage = append(l.damage, Damage{File: segmentName(seg.previousID), Reason: "the file is missing"})
 		}
 	}
@@ -183,12 +187,7 @@
 	if i+1 >= len(l.segments) {
 		return 0
 	}
-	next := l.segments[i+1]
-	failed := next.failedSeqs
-	if !failed.empty() && failed.end == next.firstSeq {
-		return failed.first // the failed records at the end of segment i were never acknowledged
-	}
-	return next.firstSeq
+	return l.segments[i+1].seqLimitOfPrevious()
 }
 
 // scanSegment reads segment i into memory, and calls emit for each valid record with its offset in the file.
@@ -208,6 +207,7 @@
 		emit:       emit,
 	}
 	result := scan.run()
+	l.hiddenRecords = l.hiddenRecords || result.hiddenRecords
 	if result.sealed && result.seal.records != result.records && len(result.damage) == 0 {
 		reason := fmt.Sprintf("has %d records, and was ended with %d", result.records, result.seal.records)
 		result.damage = append(result.damage, Damage{File: seg.name, To: seg.size, Reason: reason})
--- a/internal/files/store/header.go
+++ b/internal/files/store/header.go
@@ -57,6 +57,10 @@
 	return slices.ContainsFunc(ranges, func(r seqRange) bool { return r.contains(seq) })
 }
 
+// isCompacted reports whether a compaction has written the segment. Such a segment lacks the sequence numbers of the records that
+// were not live. It is always sealed, as it was complete before it was renamed to its final name.
+func (h *header) isCompacted() bool { return len(h.replaces) > 0 }
+
 // size returns the size of the encoded header in bytes.
 func (h *header) size() int { return minHeaderBytes + 8*len(h.replaces) }
 
--- a/internal/files/store/recover.go
+++ b/internal/files/store/recover.go
@@ -23,7 +23,8 @@
 	s.index = newIndex(min(log.countUnexpired(s.clock.now()), uint64(s.options.MaxRecords)))
 	s.committer.durableSeq = log.durableSeq
 	for i, seg := range log.segments {
-		if seg.skipExpired(s.clock.now()) {
+		// The seal of a segment that deletes hidden records does not have their expiry.
+		if !log.hiddenRecords && seg.skipExpired(s.clock.now()) {
 			s.committer.durableSeq = max(s.committer.durableSeq, seg.lastSeq)
 			continue
 		}
--- a/internal/files/store/scan.go
+++ b/internal/files/store/scan.go
@@ -9,6 +9,9 @@
 	storeTime int64    // latest store time of the groups in ms; 0 for none
 	tornBytes int64    // bytes at the end that belong to an incomplete or damaged last append
 	damage    []Damage // ranges of bytes that cannot be read and were durable
+	// hiddenRecords reports whether a compacted segment has records that earlier versions may not have read, as they took them for a
+	// part of an incomplete batch.
+	hiddenRecords bool
 }
 
 // segmentScan reads the records of one segment, and decides which of them are valid:
@@ -17,7 +20,8 @@
 //     durable.
 //   - A missing record that is not known to have been durable was never acknowledged. All records after it are discarded, as
 //     unsynced writes may reach the disk in any order.
-//   - A batch is atomic: either all of its records are emitted or none.
+//   - A batch is atomic: either all of its records are emitted or none. In a compacted segment each record is a batch by itself, as
+//     others of its batch may not have been copied. Earlier versions copied the flag of the batch nevertheless.
 //   - Records whose write was reported as failed are not emitted.
 type segmentScan struct {
 	file   string // name of the segment file
@@ -70,13 +74,9 @@
 	return s.result
 }
 
-// isCompacted reports whether a compaction has written the segment. Such a segment lacks the sequence numbers of the records that
-// were not live. It is always sealed, as it was complete before it was renamed to its final name.
-func (s *segmentScan) isCompacted() bool { return len(s.header.replaces) > 0 }
-
 // mayLackDurable reports whether durable records may be missing after the last one that was read.
 func (s *segmentScan) mayLackDurable() bool {
-	return s.isCompacted() || s.durableSeq > s.result.lastSeq
+	return s.header.isCompacted() || s.durableSeq > s.result.lastSeq
 }
 
 // scanRun reads the frames of a run, and emits the records of complete batches.
@@ -91,8 +91,9 @@
 			s.result.seal = found
 		default:
 			s.result.lastSeq = found.seq
+			s.result.hiddenRecords = s.result.hiddenRecords || found.moreInBatch && s.header.isCompacted()
 			s.batch = append(s.batch, scannedFrame{found, offset})
-			if !found.moreInBatch {
+			if !found.moreInBatch || s.header.isCompacted() {
 				s.emitBatch()
 			}
 		}
@@ -133,7 +134,7 @@
 		return false
 	}
 	damage := Damage{File: s.file, From: int64(s.end), To: int64(to), Reason: "unreadable, and was durable"}
-	if !s.isCompacted() {
+	if !s.header.isCompacted() {
 		damage.FirstSeq = s.result.lastSeq + 1
 		damage.LastSeq = s.durableSeq
 		if nextSeq > 0 {
--- a/internal/files/store/segment.go
+++ b/internal/files/store/segment.go
@@ -22,6 +22,21 @@
 	damaged             bool  // whether a part of the segment could not be read when the store was opened
 }
 
+// seqLimitOfPrevious returns a sequence number that is higher than those of all acknowledged records in the preceding segment. Failed
+// records at the end of that segment were never acknowledged.
+func (s *segment) seqLimitOfPrevious() uint64 {
+	if !s.failedSeqs.empty() && s.failedSeqs.end == s.firstSeq {
+		return s.failedSeqs.first
+	}
+	return s.firstSeq
+}
+
+// continues reports whether a segment follows a compacted one without any other segment between them. The header of a compacted segment
+// does not name the segments that were replaced by earlier compactions.
+func (s *segment) continues(previous *segment) bool {
+	return previous.isCompacted() && previous.durableSeq+1 >= s.seqLimitOfPrevious()
+}
+
 // readSeal reads the seal at the end of a segment. ok is false if the segment does not end with a seal or cannot be read.
 func readSeal(seg *segment) (seal frame, ok bool) {
 	if seg.size < int64(seg.header.size()+sealBytes) {
