discovery: the registry walks over copies while it discards endpoints

Kin: the event recorder retained each endpoint that had crashed, and each tenant with an exhausted quota, for the life of a core process; both are bounded now, and the bounds are in the doc comments.

--- a/internal/mesh/agent/events.go
+++ b/internal/mesh/agent/events.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 const (
 	maxEvents              = 4096             // capacity of the feed, in events; the oldest are discarded
 	quotaExhaustedInterval = 10 * time.Second // minimum interval between two events for the same tenant's exhausted quota
+	maxCrashedEndpoints    = 4096             // number of crashed endpoints whose states are retained; the oldest are forgotten
 )
 
 // eventRecorder records changes observed by a core process as events, for tools. It implements eventfeed.Source. Sidecars have a nil
@@ -21,9 +23,11 @@
 	mu             sync.Mutex
 	feed           *events.Feed
 	added          chan struct{}                // closed and replaced whenever an event is added
-	endpointStates map[string]discovery.State   // last observed states, by endpoint ID
+	endpointStates map[string]discovery.State   // last observed states, by endpoint ID; of the crashed ones at most maxCrashedEndpoints
+	crashed        []string                     // IDs of endpoints in the order of their crashes; some may have been restored since
 	members        map[uint64]membership.Member // last recorded members, by incarnation
-	quotaExhausted map[string]time.Duration     // time of the last event of an exhausted quota, by tenant name
+	quotaExhausted map[string]time.Duration     // time of the last event of an exhausted quota, by tenant name; see forgetQuotas
+	nextForget     time.Duration                // time of the next call of forgetQuotas
 }
 
 // newEventRecorder returns a recorder whose cursors contain the incarnation of this process.
@@ -92,12 +96,29 @@
 	} else {
 		r.endpointStates[e.ID] = e.State
 	}
+	if e.State == discovery.Crashed && last != discovery.Crashed {
+		r.boundCrashed(e.ID)
+	}
 	if known {
 		return last != e.State
 	}
 	return e.State < discovery.Crashed
 }
 
+// boundCrashed appends the ID of an endpoint that has crashed, and forgets the oldest ones above maxCrashedEndpoints. If a forgotten
+// endpoint is deregistered later, no event is recorded for that.
+func (r *eventRecorder) boundCrashed(id string) {
+	r.crashed = append(r.crashed, id)
+	if len(r.crashed) <= maxCrashedEndpoints {
+		return
+	}
+	oldest := r.crashed[0]
+	r.crashed = r.crashed[1:]
+	if r.endpointStates[oldest] == discovery.Crashed {
+		delete(r.endpointStates, oldest)
+	}
+}
+
 // recordMembers records an event for each member that has joined or departed since the last call.
 func (r *eventRecorder) recordMembers(members []membership.Member) {
 	if r == nil {
@@ -141,10 +162,19 @@
 	if ok && now-last < quotaExhaustedInterval {
 		return false
 	}
+	if now >= r.nextForget {
+		r.forgetQuotas(now)
+	}
 	r.quotaExhausted[tenant] = now
 	return true
 }
 
+// forgetQuotas forgets the tenants whose quotaExhaustedInterval has ended. So only the tenants of the last two intervals are retained.
+func (r *eventRecorder) forgetQuotas(now time.Duration) {
+	r.nextForget = now + quotaExhaustedInterval
+	maps.DeleteFunc(r.quotaExhausted, func(_ string, last time.Duration) bool { return now-last >= quotaExhaustedInterval })
+}
+
 // recordConfiguration records that this process has applied a version of the configuration.
 func (r *eventRecorder) recordConfiguration(version configuration.Version) {
 	if r != nil {
--- a/internal/mesh/discovery/registry.go
+++ b/internal/mesh/discovery/registry.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Registry holds the records of the endpoints that one process knows. Create it with NewRegistry.
+// Registry holds the records of the endpoints that one process knows. Create it with NewRegistry. At most Config.MaxTombstones endpoints
+// that have ended are retained; the number of others is that of the leases that publishers hold.
 type Registry struct {
 	config           Config
 	entries          map[string]*registryEntry   // entries by endpoint ID
@@ -115,15 +116,17 @@
 // supersede deregisters the endpoints at an address that are superseded by a later endpoint of the same publisher there. It reports whether
 // there were any.
 func (r *Registry) supersede(now time.Duration, appAddress string) (changed bool) {
-	atAddress := r.byAppAddress[appAddress]
+	if len(r.byAppAddress[appAddress]) < 2 {
+		return false
+	}
+	atAddress := slices.Clone(r.byAppAddress[appAddress]) // noteChange may discard entries
 	for _, entry := range atAddress {
-		for _, other := range atAddress {
-			if !entry.deregistered && entry.isSupersededBy(other) {
-				entry.deregistered = true
-				changed = true
-				r.noteChange(now, entry)
-			}
+		if entry.deregistered || r.entries[entry.ID] != entry || !slices.ContainsFunc(atAddress, entry.isSupersededBy) {
+			continue
 		}
+		entry.deregistered = true
+		changed = true
+		r.noteChange(now, entry)
 	}
 	return changed
 }
@@ -136,8 +139,7 @@
 		r.extendLeases(now)
 	}
 	r.lastExpire = now
-	for _, id := range r.sortedIDs() {
-		entry := r.entries[id]
+	for _, entry := range r.sortedEntries() { // noteChange may discard entries that have ended
 		if entry.hasEnded() || now < entry.leaseEnd && !r.isTakenOver(now, entry) {
 			continue
 		}
@@ -180,12 +182,12 @@
 	})
 }
 
-// sortedIDs returns the IDs of all entries, sorted.
-func (r *Registry) sortedIDs() []string {
-	ids := make([]string, 0, len(r.entries))
-	ids = slices.AppendSeq(ids, maps.Keys(r.entries))
-	slices.Sort(ids)
-	return ids
+// sortedEntries returns all entries, ordered by ID.
+func (r *Registry) sortedEntries() []*registryEntry {
+	entries := make([]*registryEntry, 0, len(r.entries))
+	entries = slices.AppendSeq(entries, maps.Values(r.entries))
+	slices.SortFunc(entries, func(a, b *registryEntry) int { return cmp.Compare(a.ID, b.ID) })
+	return entries
 }
 
 // List returns the records of a service's endpoints, ordered by ID, including retained endpoints that have ended. Leases and warm-up times
@@ -208,8 +210,8 @@
 // All returns the records of all services, ordered by ID.
 func (r *Registry) All(now time.Duration) []Endpoint {
 	var all []Endpoint
-	for _, id := range r.sortedIDs() {
-		all = append(all, r.entries[id].snapshot(now))
+	for _, entry := range r.sortedEntries() {
+		all = append(all, entry.snapshot(now))
 	}
 	return all
 }
--- /dev/null
+++ b/internal/mesh/discovery/registry_bound_test.go
@@ -0,0 +1,96 @@
+package discovery
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// checkIndexes checks that the indexes of a registry have exactly its entries, and that its tombstones are bounded.
+func checkIndexes(t *testing.T, registry *Registry, when string) {
+	t.Helper()
+	ended := 0
+	for id, entry := range registry.entries {
+		if entry.ID != id {
+			t.Fatalf("%s: entry of %s has the ID %s", when, id, entry.ID)
+		}
+		if !slices.Contains(registry.byAppAddress[entry.AppAddress], entry) || !slices.Contains(registry.byService[entry.Service], entry) {
+			t.Fatalf("%s: %s is missing in an index", when, id)
+		}
+		if entry.hasEnded() {
+			ended++
+		}
+		if entry.hasEnded() && !entry.inTombstones {
+			t.Fatalf("%s: %s has ended and is no tombstone", when, id)
+		}
+	}
+	for _, index := range []map[string][]*registryEntry{registry.byAppAddress, registry.byService} {
+		indexed := 0
+		for _, entries := range index {
+			indexed += len(entries)
+		}
+		if indexed != len(registry.entries) {
+			t.Fatalf("%s: an index has %d entries, want %d", when, indexed, len(registry.entries))
+		}
+	}
+	if tombstones := len(registry.tombstones); tombstones > registry.config.MaxTombstones || ended > tombstones {
+		t.Fatalf("%s: %d tombstones for %d endpoints that ended, at most %d allowed", when, tombstones, ended, registry.config.MaxTombstones)
+	}
+}
+
+// More endpoints end than there may be tombstones while the registry walks over its entries: by their leases, by takeovers of their
+// addresses, and superseded by later endpoints beside the same sidecar.
+func TestEndpointsEndBeyondTheBound(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 58))
+		registry := NewRegistry(Config{MaxTombstones: 1 + random.IntN(8)})
+		now := time.Duration(0)
+		for step := range 100 {
+			when := fmt.Sprintf("seed %d, step %d", seed, step)
+			for range random.IntN(10) {
+				endpoint := testEndpoint(strconv.Itoa(random.IntN(30)), State(random.IntN(int(Deregistered)+1)), uint64(step), uint64(random.IntN(100)))
+				endpoint.AppAddress = strconv.Itoa(random.IntN(4))
+				endpoint.SidecarIncarnation = uint64(random.IntN(3))
+				endpoint.LeaseRemaining = time.Duration(random.IntN(10)) * time.Second
+				registry.Apply(now, endpoint)
+				checkIndexes(t, registry, when)
+			}
+			now += time.Duration(random.IntN(5)) * time.Second
+			for _, ended := range registry.Expire(now) {
+				if ended.State != Crashed {
+					t.Fatalf("%s: Expire returned %s in state %d, want crashed", when, ended.ID, ended.State)
+				}
+			}
+			checkIndexes(t, registry, when)
+		}
+		for range 100 {
+			now += time.Second
+			registry.Expire(now)
+		}
+		qt.Assert(t, len(registry.entries)+len(registry.tombstones)+len(registry.byAppAddress)+len(registry.byService), qt.Equals, 0)
+	}
+}
+
+// Endpoints of many services whose addresses are taken over all expire in one round, with the default bound.
+func TestManyEndpointsExpireAtOnce(t *testing.T) {
+	registry := NewRegistry(Config{})
+	now := time.Duration(0)
+	for round := range 6 {
+		for i := range 1500 {
+			endpoint := testEndpoint(fmt.Sprintf("%d-%d", round, i), Serving, 1, 1)
+			endpoint.AppAddress = strconv.Itoa(i)
+			endpoint.SidecarIncarnation = uint64(round*1500 + i)
+			registry.Apply(now, endpoint)
+		}
+		for range 5 {
+			now += time.Second
+			registry.Expire(now)
+		}
+		checkIndexes(t, registry, fmt.Sprint("round ", round))
+	}
+}
