--- a/internal/mesh/discovery/registry_bound_test.go
+++ b/internal/mesh/discovery/registry_bound_test.go
@@ -82,7 +82,8 @@
 	now := time.Duration(0)
 	for round := range 6 {
 		for i := range 1500 {
-			endpoint := testEndpoint(fmt.Sprintf("%d-%d", round, i), Serving, 1, 1)
+			id := fmt.Sprintf("%d-%d", 9-round, i) // the walk over all IDs meets the oldest tombstones last
+			endpoint := testEndpoint(id, Serving, 1, 1)
 			endpoint.AppAddress = strconv.Itoa(i)
 			endpoint.SidecarIncarnation = uint64(round*1500 + i)
 			registry.Apply(now, endpoint)
