config/doc: a table that is too deep to be read is an empty table

Change: the table is made before the depth is checked, so that each value of kind table has one. Figures: TestTablesBelowMaxDepth (24 texts) panicked before and passes now; the case is a seed of FuzzTOML, too.

--- a/internal/config/doc/doc_test.go
+++ b/internal/config/doc/doc_test.go
@@ -52,6 +52,41 @@
 	}
 }
 
+// A table that is too deep to be read has no keys, and can be named by a header, a dotted key or another list without a panic.
+func TestTablesBelowMaxDepth(t *testing.T) {
+	path := strings.Repeat("a.", maxDepth-2) + "a"
+	for _, tooDeep := range []string{path + " = [{}]\n", path + ".a = {}\n", path + " = [{}, 1, {b = 1}]\n", path + " = [[{}]]\n"} {
+		for _, after := range []string{
+			"[" + path + "]\n", "[[" + path + "]]\n", "[" + path + ".a]\n", "[[" + path + ".a]]\n", path + ".a = 1\n", path + ".a.b = 1\n",
+		} {
+			d, at := read(t, tooDeep+after)
+			if len(at) == 0 {
+				t.Errorf("%s%s: got no finding, want one on the table that is too deep", tooDeep, after)
+			}
+			countValues(d.Root)
+		}
+	}
+}
+
+// countValues returns the number of values in a table and the tables and lists within it.
+func countValues(table *Table) (count int) {
+	for _, entry := range table.Entries {
+		count += countValue(entry.Value)
+	}
+	return count
+}
+
+func countValue(value *Value) int {
+	count := 1
+	for _, item := range value.Items {
+		count += countValue(item)
+	}
+	if value.Kind == TableKind {
+		count += countValues(value.Table)
+	}
+	return count
+}
+
 // Keys after a header that cannot be read are not added to another table.
 func TestKeysAfterUnreadableHeaderAreIgnored(t *testing.T) {
 	d, _ := read(t, "[t]\na = 1\n[u\na = 2\nb = 3\n[v]\nc = 4\n")
@@ -231,6 +266,7 @@
 		"\xef\xbb\xbfa=1",
 		"a = '''",
 		"[a]\r\nb=1\r\n[a.c]\r\n",
+		strings.Repeat("a.", maxDepth-2) + "a = [{}]\n[[" + strings.Repeat("a.", maxDepth-2) + "a]]\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -243,6 +279,9 @@
 				t.Errorf("finding %q has more than one line", x)
 			}
 		}
+		if d != nil {
+			countValues(d.Root)
+		}
 		path := []string{"t", "a"}
 		if d == nil || found.Len() > 0 || !editable(d, path) {
 			return
--- a/internal/config/doc/toml_tree.go
+++ b/internal/config/doc/toml_tree.go
@@ -172,13 +172,13 @@
 		value.Text = string(node.Data)
 		return value
 	}
+	if value.Kind == TableKind {
+		value.Table = &Table{Path: path, Pos: value.Pos, dotted: true}
+	}
 	if depth >= maxDepth {
 		r.report(value.Pos, "more than %d lists and tables within one another", maxDepth)
 		return value
 	}
-	if value.Kind == TableKind {
-		value.Table = &Table{Path: path, Pos: value.Pos, dotted: true}
-	}
 	for it := node.Children(); it.Next(); {
 		child := it.Node()
 		switch {
