meshctl: exit codes 3 and 4 for conflicts and missing answers, 2 for the command line

Kin: a command line that kong cannot parse ended with kong's own 80, where the page of the exit codes has 2. Change: ExitCode searches the error's tree; kong's code for its own errors is mapped.

--- a/cmd/meshctl/main.go
+++ b/cmd/meshctl/main.go
@@ -15,7 +15,8 @@
 func main() {
 	var line meshctl.CommandLine
 	command := kong.Parse(&line, kong.Name("meshctl"), kong.Description("The operators' client of the mesh."),
-		kong.BindTo(context.Background(), (*context.Context)(nil)))
+		kong.BindTo(context.Background(), (*context.Context)(nil)),
+		kong.Exit(func(code int) { os.Exit(meshctl.UsageExitCode(code)) }))
 	if err := command.Run(line.Client(os.Stdout)); err != nil {
 		fmt.Fprintln(os.Stderr, "meshctl:", trace.UserMessage(err))
 		os.Exit(meshctl.ExitCode(err))
--- a/internal/mesh/operations/meshctl/exitcode.go
+++ b/internal/mesh/operations/meshctl/exitcode.go
@@ -1,8 +1,12 @@
 package meshctl
 
-import "github.com/gravitational/trace"
+import (
+	"errors"
 
-// Exit codes besides 0 for success and 1 for any other error. At present only ExitInvalid of these three occurs in practice: see ExitCode.
+	"github.com/gravitational/trace"
+)
+
+// Exit codes besides 0 for success and 1 for any other error.
 const (
 	ExitInvalid     = 2 // the configuration, or a flag, is invalid
 	ExitConflict    = 3 // another change of the configuration was committed before
@@ -15,15 +19,16 @@
 // conflictError means that another change of the configuration was committed before.
 type conflictError struct{ error }
 
-// ExitCode returns the exit code for the error of a command. When kong runs a command, it returns the command's error as a joined error, in
-// which ExitCode finds neither a conflictError nor an unavailableError. Both therefore give exit code 1 (testdata/golden/output).
+// ExitCode returns the exit code for the error of a command. The error may be joined with others or wrapped, as kong does when it runs a
+// command.
 func ExitCode(err error) int {
-	switch trace.Unwrap(err).(type) { //nolint:errorlint // that errors joined by kong give 1 is known behaviour, and stays
-	case nil:
+	if err == nil {
 		return 0
-	case unavailableError:
+	}
+	if _, unavailable := errors.AsType[unavailableError](err); unavailable {
 		return ExitUnavailable
-	case conflictError:
+	}
+	if _, conflict := errors.AsType[conflictError](err); conflict {
 		return ExitConflict
 	}
 	if trace.IsBadParameter(err) {
@@ -31,3 +36,14 @@
 	}
 	return 1
 }
+
+// kongUsageCode is the exit code of kong for a command line that it cannot parse.
+const kongUsageCode = 80
+
+// UsageExitCode returns the exit code of the program when kong would end it with a code: ExitInvalid for an invalid command line.
+func UsageExitCode(kongCode int) int {
+	if kongCode == kongUsageCode {
+		return ExitInvalid
+	}
+	return kongCode
+}
--- a/internal/mesh/operations/meshctl/golden_test.go
+++ b/internal/mesh/operations/meshctl/golden_test.go
@@ -116,6 +116,24 @@
 	}
 }
 
+// A command line that cannot be parsed is an invalid one; help is no error.
+func TestUsageExitCode(t *testing.T) {
+	for arguments, want := range map[string]int{
+		"--core a --unknown members": ExitInvalid, "--core a": ExitInvalid, "--core a config apply /no/such/file": ExitInvalid, "--help": 0,
+	} {
+		var line CommandLine
+		code := 0
+		parser, err := kong.New(&line, kong.Name("meshctl"), kong.Writers(io.Discard, io.Discard),
+			kong.Exit(func(kongCode int) { code = UsageExitCode(kongCode) }))
+		qt.Assert(t, err, qt.IsNil)
+		_, err = parser.Parse(strings.Fields(arguments))
+		if arguments != "--help" { // it ends the program amid Parse
+			parser.FatalIfErrorf(err)
+		}
+		qt.Check(t, code, qt.Equals, want, qt.Commentf("exit code of meshctl %s", arguments))
+	}
+}
+
 // The golden file has the commands, flags and environment variables that people and scripts use.
 func TestGoldenUsage(t *testing.T) {
 	t.Setenv("COLUMNS", "80") // kong wraps lines at this width
