outbound: the configured headerTimeout applies to clients' headers

Change: the listener wraps clients' connections. From a header's first byte until the server removes the deadline, deadlines are limited to the configured time (at most 30 s). A connection that waits for its first request has the idle timeout, as one between two requests.

--- a/internal/mesh/dataplane/outbound/call_bench_test.go
+++ b/internal/mesh/dataplane/outbound/call_bench_test.go
@@ -233,7 +233,7 @@
 	proxy.UpdateEndpoints("shop", endpoints)
 	l := listen(b)
 	server := proxy.Server()
-	go func() { _ = server.Serve(l) }() // returns an error when the server is closed
+	go func() { _ = server.Serve(proxy.Listener(l)) }() // returns an error when the server is closed
 	b.Cleanup(func() { _ = server.Close() })
 	return "http://" + l.Addr().String()
 }
--- a/internal/mesh/dataplane/outbound/connections.go
+++ b/internal/mesh/dataplane/outbound/connections.go
@@ -65,6 +65,9 @@
 		delete(c.open, conn)
 		return
 	}
+	if client, ok := conn.(*clientConn); ok && state == http.StateIdle {
+		client.awaitHeader()
+	}
 	if c.open == nil {
 		c.open = map[net.Conn]clientConnection{}
 	}
--- a/internal/mesh/dataplane/outbound/discard_test.go
+++ b/internal/mesh/dataplane/outbound/discard_test.go
@@ -10,11 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/sirupsen/logrus"
 
 	"quincegap/internal/mesh/control/configuration"
-	"quincegap/internal/mesh/transport"
-	"quincegap/internal/mesh/transport/membudget"
 )
 
 // answer is the part of an answer that these tests check.
@@ -84,11 +81,7 @@
 		"serviceTable":[{"name":"s","healthPath":"/health","connectionCap":100,"protocol":"h1","tlsMode":false}],
 		"limitSet":{"headerMaxBytes":16384,"bodyMaxBytes":1000000,"headerTimeout":"3000ms","idleTimeout":"15000ms"}}`))
 	qt.Assert(t, err, qt.IsNil)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	hub := transport.NewHub(transport.Hello{Incarnation: 1, Address: "127.0.0.1:1"}, time.Now(), 1<<20, log)
-	t.Cleanup(hub.Close)
-	proxy := New(Options{Hub: hub, Log: log, BodyMemory: membudget.NewPool(1 << 20)})
+	proxy := newIdleProxy(t)
 	proxy.Configure(config)
 	began := time.Now()
 	got := post(t, proxy, "Attempt-Id: a\r\n", 100_000, func(conn net.Conn, body []byte) {
--- a/internal/mesh/dataplane/outbound/loopback_test.go
+++ b/internal/mesh/dataplane/outbound/loopback_test.go
@@ -25,7 +25,7 @@
 	l := listen(t)
 	server := proxy.Server()
 	var serving sync.WaitGroup
-	serving.Go(func() { _ = server.Serve(l) })
+	serving.Go(func() { _ = server.Serve(proxy.Listener(l)) })
 	t.Cleanup(func() {
 		qt.Check(t, server.Close(), qt.IsNil)
 		serving.Wait()
--- a/internal/mesh/dataplane/outbound/server.go
+++ b/internal/mesh/dataplane/outbound/server.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"time"
 
@@ -15,8 +16,10 @@
 	// maxHeaderBytes is the size of the largest header that the server reads. A header within this size that exceeds the configured bound is
 	// rejected by accept.
 	maxHeaderBytes = 256 << 10
-	// headerTimeout bounds the time that a client may take to send a header.
-	headerTimeout = 5 * time.Second
+	// maxHeaderTime bounds the configured time that a client may take to send a header.
+	maxHeaderTime = 30 * time.Second
+	// defaultHeaderTimeout is the time that a client may take to send a header until there is a configuration.
+	defaultHeaderTimeout = 5 * time.Second
 	// maxIdleTime bounds the configured idle timeout of clients' connections.
 	maxIdleTime = 90 * time.Second
 	// expiryMargin is how long before its deadline a request expires, so that its answer reaches the client in time.
@@ -25,11 +28,11 @@
 	expiryWait = 22 * time.Millisecond
 )
 
-// Server returns the HTTP server for clients. The caller starts and closes it.
+// Server returns the HTTP server for clients. The caller starts and closes it. Its listener must come from Listener.
 func (p *Proxy) Server() *http.Server {
 	return &http.Server{
 		Handler:           http.HandlerFunc(p.serve),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: maxHeaderTime,
 		IdleTimeout:       maxIdleTime,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         p.connections.track,
@@ -37,6 +40,20 @@
 	}
 }
 
+// Listener returns a listener for Server, which applies the configured time for clients' headers to the connections that it accepts.
+func (p *Proxy) Listener(listener net.Listener) net.Listener {
+	return clientListener{listener, p.headerTimeout}
+}
+
+// headerTimeout returns how long a client may take to send a header, according to the active configuration. The time begins with the
+// header's first byte.
+func (p *Proxy) headerTimeout() time.Duration {
+	if config := p.config.Load(); config != nil && config.Limits.HeaderTimeout > 0 {
+		return min(config.Limits.HeaderTimeout, maxHeaderTime)
+	}
+	return defaultHeaderTimeout
+}
+
 // serve answers one request, and then reads the rest of its body.
 func (p *Proxy) serve(w http.ResponseWriter, req *http.Request) {
 	if bodyRead := p.answerRequest(w, req); !bodyRead {
--- a/internal/mesh/dataplane/outbound/sidecar_test.go
+++ b/internal/mesh/dataplane/outbound/sidecar_test.go
@@ -75,7 +75,7 @@
 	started.listeners = []*listener{links, clients}
 	started.server = started.outbound.Server()
 	started.serving.Go(func() { _ = started.hub.Listen(links) })
-	started.serving.Go(func() { _ = started.server.Serve(clients) })
+	started.serving.Go(func() { _ = started.server.Serve(started.outbound.Listener(clients)) })
 	return started
 }
 
