agent: /mesh/state has the ages of the members' heartbeats

Change: View.MembersWithAges gives the time since each member was last known to be alive, 0 for this process. Members is as before, as its callers compare records. Kin: the other figures of the state (leftMs, leaseMs, epoch) are computed when it is read.

--- a/internal/mesh/agent/members.go
+++ b/internal/mesh/agent/members.go
@@ -170,6 +170,11 @@
 // allLocked is all for callers that hold the lock.
 func (m *memberTracker) allLocked() []membership.Member { return m.view.Members() }
 
+// allWithAgesLocked is allLocked with the time since each member was last known to be alive.
+func (m *memberTracker) allWithAgesLocked() []membership.Member {
+	return m.view.MembersWithAges(m.now())
+}
+
 // memberAt returns the member at an IP address, as membership.View.MemberAt does.
 func (m *memberTracker) memberAt(ip string) (membership.Member, bool) {
 	m.mu.Lock()
--- a/internal/mesh/agent/state.go
+++ b/internal/mesh/agent/state.go
@@ -44,7 +44,7 @@
 	Zone    string `json:"zone"`
 	Role    string `json:"role"`              // "access" for a sidecar, or "core"
 	Service string `json:"service,omitempty"` // service of the local endpoint of a sidecar
-	AgeMs   int64  `json:"ageMs"`             // age in milliseconds of the newest heartbeat known to the core process
+	AgeMs   int64  `json:"ageMs"`             // milliseconds since the core process last knew that the process runs; 0 for itself
 }
 
 // EndpointState describes an endpoint record. Address is the application address of the endpoint.
@@ -115,7 +115,7 @@
 	defer a.mu.Unlock()
 	return snapshot{
 		version:   configuration.Version(a.configuration.versionLocked()),
-		members:   a.members.allLocked(),
+		members:   a.members.allWithAgesLocked(),
 		endpoints: a.directory.allLocked(),
 	}
 }
--- a/internal/mesh/discovery/membership/member.go
+++ b/internal/mesh/discovery/membership/member.go
@@ -30,7 +30,7 @@
 	AppAddress   string        // address of the endpoint beside the process, if the process is a sidecar
 	Heartbeat    uint64        // counter that the member raises at each gossip interval
 	Seed         bool          // unused; reserves field 9 of the wire format
-	HeartbeatAge time.Duration // time since the heartbeat was new, as far as the sender of a message knows; 0 outside messages
+	HeartbeatAge time.Duration // time since the heartbeat was new, as far as the sender of a message knows; see also View.MembersWithAges
 }
 
 // Fields implements codec.Message. An age is sent in whole milliseconds, rounded up so that the heartbeat doesn't seem newer than it is.
--- a/internal/mesh/discovery/membership/view.go
+++ b/internal/mesh/discovery/membership/view.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"time"
 )
 
 // maxRegions bounds the number of zones whose regions are stored, because zone names come from messages.
@@ -63,7 +64,7 @@
 	v.seedsContacted = false
 }
 
-// Members returns the members that haven't departed, including this process, ordered by address.
+// Members returns the members that haven't departed, including this process, ordered by address. Their HeartbeatAge is 0.
 func (v *View) Members() []Member {
 	all := make([]Member, 0, 1+len(v.table.entries))
 	all = append(all, v.self)
@@ -76,6 +77,17 @@
 	return all
 }
 
+// MembersWithAges is like Members, and sets HeartbeatAge to the time since each member was last known to be alive; 0 for this process.
+func (v *View) MembersWithAges(now time.Duration) []Member {
+	all := v.Members()
+	for i := range all {
+		if e := v.table.byIncarnation[all[i].Incarnation]; e != nil {
+			all[i].HeartbeatAge = max(now-v.lastKnownAlive(e), 0)
+		}
+	}
+	return all
+}
+
 // MemberAt returns the member at an IP address. If there are several, it prefers a sidecar to a core process, and then the member that was
 // added last. It returns false if no member is known at the address.
 func (v *View) MemberAt(ip string) (Member, bool) {
--- a/internal/mesh/discovery/membership/view_test.go
+++ b/internal/mesh/discovery/membership/view_test.go
@@ -221,3 +221,19 @@
 	_, ok = view.MemberAt("10.0.7.3")
 	c.Assert(ok, qt.IsFalse)
 }
+
+// Ages count from the time at which a member was last known to be alive, whether it has reported to this process itself or another member
+// has, and do not appear in Members.
+func TestMembersWithAges(t *testing.T) {
+	c := qt.New(t)
+	view := newView()
+	view.Receive(time.Second, shuffleOf(aged(newMember(2, "10.0.0.3:1", "z", 7), 300*ms)))
+	ages := map[uint64]time.Duration{}
+	for _, m := range view.MembersWithAges(1500 * ms) {
+		ages[m.Incarnation] = m.HeartbeatAge
+	}
+	c.Assert(ages, qt.DeepEquals, map[uint64]time.Duration{1: 500 * ms, 2: 800 * ms, 1000: 0})
+	for _, m := range view.Members() {
+		c.Assert(m.HeartbeatAge, qt.Equals, time.Duration(0))
+	}
+}
