--- a/internal/rehearsal/report/heatmap.go
+++ b/internal/rehearsal/report/heatmap.go
@@ -64,6 +64,9 @@
 			heat.servers = append(heat.servers, i)
 		}
 	}
+	if len(heat.servers) == 0 {
+		return "", nil
+	}
 	highest := 0
 	for _, server := range heat.servers {
 		for _, attempts := range heat.loads[server] {
--- a/internal/rehearsal/report/report_test.go
+++ b/internal/rehearsal/report/report_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -91,6 +92,34 @@
 	}
 }
 
+// Runs in virtual time and runs of processes are shown side by side, in either order.
+func TestScreenOfVirtualAndRealRuns(t *testing.T) {
+	virtual, real := play(t, ""), play(t, "")
+	virtual.Virtual, virtual.Program, real.Program, real.Memory = true, "simulated", "processes", 7<<20
+	for name, runs := range map[string][]*Run{"real first": {real, virtual}, "virtual first": {virtual, real}} {
+		var screen bytes.Buffer
+		if err := WriteScreen(&screen, runs...); err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(screen.String()) {
+			if fields := strings.Fields(line); strings.Contains(line, "largest memory") && (!slices.Contains(fields, notMeasured) || !strings.Contains(line, "7 MiB")) {
+				t.Errorf("%s: got the line %q, want 7 MiB and %s", name, line, notMeasured)
+			}
+		}
+		if strings.Count(screen.String(), "largest memory") != 1 || strings.Count(screen.String(), "emulator late by at most") != 1 {
+			t.Errorf("%s: the figures of the real run are not shown once:\n%s", name, screen.String())
+		}
+	}
+}
+
+// A tier without servers has no heat map.
+func TestServerChartWithoutServers(t *testing.T) {
+	run := play(t, "")
+	if svg, err := run.serverChart(len(run.Plan.Tiers)); svg != "" || err != nil {
+		t.Errorf("heat map of a tier without servers: got %q, error %v; want none", svg, err)
+	}
+}
+
 // checkWellFormed fails the test unless the page parses as XML, which is stricter than browsers.
 func checkWellFormed(t *testing.T, page string) {
 	t.Helper()
--- a/internal/rehearsal/report/screen.go
+++ b/internal/rehearsal/report/screen.go
@@ -3,14 +3,16 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
 // maxShownBreaches bounds the breaches that WriteScreen shows for each run.
 const maxShownBreaches = 5
 
-// WriteScreen writes a summary of the runs as text that fits on one screen, with the runs of several programs side by side. Either all
-// runs or none must be in virtual time. It fails only if w does.
+// WriteScreen writes a summary of the runs as text that fits on one screen, with the runs of several programs side by side. A
+// figure that a run does not have, such as the processor time of one in virtual time, is shown as notMeasured. WriteScreen fails only if w
+// does.
 func WriteScreen(w io.Writer, runs ...*Run) error {
 	var text strings.Builder
 	first := runs[0]
@@ -22,10 +24,10 @@
 		}
 		text.WriteString("\n")
 	}
-	for i, row := range first.rows() {
-		fmt.Fprintf(&text, "  %-38s", row.name)
+	for _, name := range rowNames(runs) {
+		fmt.Fprintf(&text, "  %-38s", name)
 		for _, run := range runs {
-			fmt.Fprintf(&text, " %-24s", run.rows()[i].value)
+			fmt.Fprintf(&text, " %-24s", run.valueOf(name))
 		}
 		text.WriteString("\n")
 	}
@@ -36,6 +38,31 @@
 	return err
 }
 
+// notMeasured is shown in place of a figure that a run does not have.
+const notMeasured = "-"
+
+// rowNames returns the names of all rows that one of the runs has, in the order in which they first appear.
+func rowNames(runs []*Run) (names []string) {
+	for _, run := range runs {
+		for _, row := range run.rows() {
+			if !slices.Contains(names, row.name) {
+				names = append(names, row.name)
+			}
+		}
+	}
+	return names
+}
+
+// valueOf returns the value of the row with a name, or notMeasured if the run has no such row.
+func (r *Run) valueOf(name string) string {
+	for _, row := range r.rows() {
+		if row.name == name {
+			return row.value
+		}
+	}
+	return notMeasured
+}
+
 // writeOutcome writes the outcome with its reasons, the first breaches and the notes; named adds the program's name.
 func (r *Run) writeOutcome(text *strings.Builder, named bool) {
 	outcome, reasons := r.Outcome()
