consul: an instance whose address has a bracket is passed over

Consul gives addresses without brackets. Change: such an instance is passed over with its reason, as one with a space in its address is.

--- a/internal/network/consul/endpoint.go
+++ b/internal/network/consul/endpoint.go
@@ -83,7 +83,7 @@
 	switch {
 	case i.Service.ID == "" || len(result.UID) > maxTextBytes:
 		return result, "its id is missing or too long"
-	case host == "" || len(host) > maxTextBytes || strings.ContainsAny(host, " /\r\n\t"):
+	case host == "" || len(host) > maxTextBytes || strings.ContainsAny(host, " /[]\r\n\t"):
 		return result, fmt.Sprintf("its address %.40q is none", host)
 	case i.Service.Port <= 0 || i.Service.Port > maxPort:
 		return result, fmt.Sprintf("its port %d is none", i.Service.Port)
