controlplane: a voter is ready only while its disk works

Change: failed writes, lost records and hanging accesses clear it; a check each 0.5 s beside the votes (a probe file, the record's presence) finds failures of an idle disk and reads the record again afterwards. Leases go by the former meaning (Accepted's complete). Kin: a folder that is emptied or replaced while open is noticed (Store.Verify).

--- a/internal/mesh/agent/roles.go
+++ b/internal/mesh/agent/roles.go
@@ -24,10 +24,12 @@
 type Register interface {
 	// VoterSet returns the newest voter set that this process knows to be committed. Voters are identified by their control addresses.
 	VoterSet() consensus.VoterSet
-	// Accepted returns the epoch of the voter set in the newest vote of this process, as last written to disk. ready is true from the time
-	// at which this process's record was first complete on disk. It remains true while the disk fails, and while a record that was lost
-	// later is being recovered.
-	Accepted() (epoch uint64, ready bool)
+	// Accepted returns the epoch of the voter set in the newest vote of this process, as last written to disk. complete is true from the
+	// time at which this process's record was first complete on disk. It remains true while the disk fails, and while a record that was
+	// lost later is being recovered.
+	Accepted() (epoch uint64, complete bool)
+	// Ready reports whether this process can vote: its record is complete on disk, and the disk works.
+	Ready() bool
 	// ReadLatest reads the register from a majority of the voters, and fails if it can't reach one before ctx ends. If the read finds a newer
 	// voter set, VoterSet returns that set from then on.
 	ReadLatest(ctx context.Context) (consensus.Value, error)
@@ -165,8 +167,8 @@
 // vote handles a request for leases as a voter and returns the reply. The epochs are read before the grant is made, as package lease
 // requires. If the request releases the allocator's lease, vote also informs this process's own candidate.
 func (s *SingletonRoles) vote(request *lease.Request) *lease.Reply {
-	accepted, ready := s.register.Accepted()
-	status := lease.VoterStatus{Ready: ready, VoterSetEpoch: max(accepted, s.register.VoterSet().Epoch)}
+	accepted, complete := s.register.Accepted()
+	status := lease.VoterStatus{Ready: complete, VoterSetEpoch: max(accepted, s.register.VoterSet().Epoch)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.agent.now()
--- a/internal/mesh/agent/roles_test.go
+++ b/internal/mesh/agent/roles_test.go
@@ -31,12 +31,15 @@
 }
 
 // Accepted implements Register.
-func (r *fakeRegister) Accepted() (epoch uint64, ready bool) {
+func (r *fakeRegister) Accepted() (epoch uint64, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.accepted, true
 }
 
+// Ready implements Register.
+func (r *fakeRegister) Ready() bool { return true }
+
 // ReadLatest implements Register.
 func (r *fakeRegister) ReadLatest(context.Context) (consensus.Value, error) {
 	r.mu.Lock()
--- a/internal/mesh/agent/state.go
+++ b/internal/mesh/agent/state.go
@@ -88,14 +88,13 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmationReadTimeout)
 	defer cancel()
 	newest, err := s.register.ReadLatest(ctx)
-	_, ready := s.register.Accepted()
 	known := s.agent.snapshot()
 	return State{
 		Node:      s.agent.settings.Name,
 		Version:   max(known.version, newest.Version).String(),
 		Confirmed: err == nil,
 		Voters:    s.register.VoterSet().Voters,
-		Ready:     ready,
+		Ready:     s.register.Ready(),
 		Roles:     []RoleState{s.allocatorState()},
 		Members:   memberStates(known.members),
 		Endpoints: endpointStates(known.endpoints),
--- a/internal/mesh/control/controlplane/acceptor.go
+++ b/internal/mesh/control/controlplane/acceptor.go
@@ -47,22 +47,25 @@
 
 	mu        sync.Mutex
 	published acceptorStatus
+	health    diskHealth
 }
 
 // acceptorStatus is the part of an acceptor's state that other goroutines may read without waiting for the disk.
 type acceptorStatus struct {
 	decidedEpoch  uint64    // epoch of the newest voter set that is decided according to the record on disk
 	acceptedEpoch uint64    // epoch of the voter set in the vote on disk
-	ready         bool      // whether the record was complete at the last write
+	complete      bool      // whether the record was ever complete on disk since the process started
+	ready         bool      // whether the record is complete on disk, and the disk works
 	readySince    time.Time // time since which ready is true; zero while it was never true
 }
 
-// acceptorJob is work for the acceptor. Exactly one of request, recovered and decided is set.
+// acceptorJob is work for the acceptor. Exactly one of request, recovered, decided and verify is set.
 type acceptorJob struct {
 	ctx       context.Context
 	request   *consensus.Request
 	recovered *consensus.Record   // recovered record to install
 	decided   *consensus.VoterSet // decided voter set to write to disk
+	verify    bool                // whether to verify that the record is still there
 	result    chan acceptorResult // channel of capacity one that receives the result
 }
 
@@ -89,6 +92,12 @@
 	return trace.Wrap(err)
 }
 
+// verify submits a check whether the record is still on disk, and waits for the result. It fails as submit does.
+func (a *acceptor) verify(ctx context.Context) error {
+	_, err := a.submit(ctx, &acceptorJob{verify: true})
+	return trace.Wrap(err)
+}
+
 // submit passes a job to the acceptor's goroutine and waits for its result. The error is a trace.LimitExceeded if maxQueuedJobs jobs
 // already wait, that of a context if ctx or the Server ends first, and otherwise that of the job.
 func (a *acceptor) submit(ctx context.Context, job *acceptorJob) (*consensus.Reply, error) {
@@ -109,11 +118,13 @@
 	}
 }
 
-// status returns the acceptor's status as of its last write.
+// status returns the acceptor's status as of its last write. It is unready while the disk hangs or fails checks.
 func (a *acceptor) status() acceptorStatus {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.published
+	status := a.published
+	status.ready = status.ready && a.health.works(time.Now())
+	return status
 }
 
 // run loads the record, retrying until that succeeds, and then processes jobs until ctx ends.
@@ -122,6 +133,8 @@
 	if !a.loadWithRetry(ctx) {
 		return
 	}
+	probe := a.disk.store.Probe
+	a.lifetime.start(func(ctx context.Context) { a.checkDisk(ctx, probe) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -131,7 +144,7 @@
 				continue // the caller has given up, for example because the disk was slow
 			}
 			reply, err := a.process(job)
-			if err != nil {
+			if err != nil && !job.verify {
 				a.log.WithError(err).Warn("the acceptor failed to process a job")
 			}
 			job.result <- acceptorResult{reply, err}
@@ -141,12 +154,15 @@
 
 // process executes a job. If the record is not loaded, as after a failed write, it first reads the record again.
 func (a *acceptor) process(job *acceptorJob) (*consensus.Reply, error) {
+	defer a.beginAccess()()
 	if !a.loaded {
 		if err := a.load(); err != nil {
 			return nil, trace.Wrap(err)
 		}
 	}
 	switch {
+	case job.verify:
+		return nil, trace.Wrap(a.verifyRecord())
 	case job.recovered != nil:
 		return nil, trace.Wrap(a.installRecovered(job.recovered))
 	case a.needsRecord && job.decided != nil:
@@ -165,6 +181,17 @@
 	return &reply, nil
 }
 
+// verifyRecord fails if the record was lost since it was written. The next job then reads the disk again.
+func (a *acceptor) verifyRecord() error {
+	if a.needsRecord {
+		return nil
+	}
+	if err := a.disk.verify(); err != nil {
+		return a.invalidateRecord(err)
+	}
+	return nil
+}
+
 // notReady returns the reply to a request while the acceptor has no record.
 func (a *acceptor) notReady(request *consensus.Request) *consensus.Reply {
 	return &consensus.Reply{Kind: consensus.NotReady, Ballot: request.Ballot, BlankDisk: a.blankDisk, DiskIncarnation: a.diskIncarnation}
@@ -216,12 +243,20 @@
 }
 
 // invalidateRecord causes the record to be read again before the next job, and returns the error of the failed write: the disk may hold
-// the old record, the new one, or parts of both.
+// the old record, the new one, or parts of both. Until then the acceptor is not ready.
 func (a *acceptor) invalidateRecord(err error) error {
 	a.loaded = false
+	a.publishUnready()
 	return trace.Wrap(err)
 }
 
+// publishUnready publishes that the acceptor cannot vote.
+func (a *acceptor) publishUnready() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.published.ready = false
+}
+
 // setRecord makes a record that is on disk the current one, and publishes the acceptor's new status.
 func (a *acceptor) setRecord(record consensus.Record) {
 	a.record = record
@@ -233,6 +268,7 @@
 		a.published.readySince = time.Now()
 	}
 	a.published.ready = record.State.Ready
+	a.published.complete = a.published.complete || record.State.Ready
 	a.published.decidedEpoch = record.DecidedVoters().Epoch
 	a.published.acceptedEpoch = record.Vote.Value.VoterSet.Epoch
 }
--- a/internal/mesh/control/controlplane/acceptor_load.go
+++ b/internal/mesh/control/controlplane/acceptor_load.go
@@ -91,6 +91,7 @@
 	if a.needsRecord {
 		return // a recovery is in progress
 	}
+	a.publishUnready()
 	a.needsRecord = true
 	a.blankDisk = blankDisk
 	a.diskIncarnation = uint64(time.Now().UnixNano())
--- a/internal/mesh/control/controlplane/core_test.go
+++ b/internal/mesh/control/controlplane/core_test.go
@@ -87,6 +87,17 @@
 	return nil
 }
 
+func (m *memoryStore) Verify() error { return nil }
+
+// Probe fails and blocks like a write to a key without a prefix.
+func (m *memoryStore) Probe() error {
+	scratch := &memoryStore{records: map[string][]byte{}}
+	m.configure(func() {
+		scratch.unblock, scratch.latency, scratch.fault, scratch.faulty = m.unblock, m.latency, m.fault, m.faulty
+	})
+	return scratch.Put("", nil)
+}
+
 func (m *memoryStore) Close() error { return nil }
 
 // link is the Transport of one server.
--- a/internal/mesh/control/controlplane/record_disk.go
+++ b/internal/mesh/control/controlplane/record_disk.go
@@ -21,6 +21,8 @@
 type recordStore interface {
 	Get(key string) ([]byte, error)
 	Put(key string, data []byte) error
+	Verify() error
+	Probe() error // may be called during the other methods
 	Close() error
 }
 
@@ -73,6 +75,24 @@
 	return nil
 }
 
+// verify fails if a part of the folder was removed, emptied or replaced since this process wrote to it.
+func (r *recordDisk) verify() error {
+	if err := r.store.Verify(); err != nil {
+		return trace.Wrap(err)
+	}
+	if _, err := r.store.Get(stateKey); err != nil {
+		return trace.Wrap(err)
+	}
+	owner, err := r.store.Get(ownerKey)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if string(owner) != r.self {
+		return trace.Wrap(r.claim()) // it fails, as the folder belongs to another process
+	}
+	return nil
+}
+
 // read returns the parts of the record that are on disk and intact, and for each other part why it could not be read. The error is that
 // of the store if it is neither a trace.NotFound nor a trace.CompareFailed.
 func (r *recordDisk) read() (consensus.Record, recordDamage, error) {
--- a/internal/mesh/control/controlplane/server.go
+++ b/internal/mesh/control/controlplane/server.go
@@ -238,13 +238,17 @@
 // Voters returns the names of the voters, or none while this process does not know them.
 func (s *Server) Voters() []string { return s.VoterSet().Voters }
 
-// Accepted returns the epoch of the voter set in this process's newest vote. ready becomes true once the acceptor's record is complete
-// on disk; it stays true while the disk fails, and while a record that was lost later is recovered.
-func (s *Server) Accepted() (epoch uint64, ready bool) {
+// Accepted returns the epoch of the voter set in this process's newest vote. complete becomes true once the acceptor's record is complete
+// on disk; it stays true while the disk fails, and while a record that was lost later is recovered. See also Ready.
+func (s *Server) Accepted() (epoch uint64, complete bool) {
 	status := s.acceptor.status()
-	return status.acceptedEpoch, status.ready
+	return status.acceptedEpoch, status.complete
 }
 
+// Ready reports whether this process can vote: its record is complete on disk, and the disk took the last write and answers. The disk is
+// checked every diskCheckInterval while nothing else is written.
+func (s *Server) Ready() bool { return s.acceptor.status().ready }
+
 // SetSeeds replaces the seeds after a change of the operator's settings.
 func (s *Server) SetSeeds(seeds []string) { s.directory.setSeeds(seeds) }
 
--- a/internal/mesh/control/storage/storage_test.go
+++ b/internal/mesh/control/storage/storage_test.go
@@ -393,3 +393,55 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(data[len(large)], qt.Equals, byte(3))
 }
+
+// A folder that is emptied, removed or replaced while it is open is noticed, and opened anew by the next call.
+func TestVerifyNoticesALostFolder(t *testing.T) {
+	for name, lose := range map[string]func(folder string) error{
+		"emptied": func(folder string) error {
+			for name := range files(t, folder) {
+				if err := os.Remove(filepath.Join(folder, name)); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		"removed": os.RemoveAll,
+		"replaced": func(folder string) error {
+			if err := os.Rename(folder, folder+".old"); err != nil {
+				return err
+			}
+			return os.Mkdir(folder, 0o700)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			folder := filepath.Join(t.TempDir(), "records")
+			store, err := Open(folder)
+			c.Assert(err, qt.IsNil)
+			c.Assert(store.Put("key", []byte("value")), qt.IsNil)
+			c.Assert(store.Verify(), qt.IsNil)
+			c.Assert(lose(folder), qt.IsNil)
+			c.Assert(store.Verify(), qt.ErrorMatches, "(?s).*"+folder+".*")
+			_, err = store.Get("key")
+			c.Assert(trace.IsNotFound(err), qt.IsTrue, qt.Commentf("got %v", err))
+			c.Assert(store.Put("key", []byte("new")), qt.IsNil)
+			c.Assert(store.Verify(), qt.IsNil)
+			c.Assert(store.Close(), qt.IsNil)
+		})
+	}
+}
+
+// A probe leaves nothing behind, takes the remains of an interrupted one away, and fails where files cannot be written.
+func TestProbe(t *testing.T) {
+	c := qt.New(t)
+	folder := filepath.Join(t.TempDir(), "records")
+	store, err := Open(folder)
+	c.Assert(err, qt.IsNil)
+	before := files(t, folder)
+	c.Assert(os.WriteFile(filepath.Join(folder, probeFile), []byte("interrupted"), 0o600), qt.IsNil)
+	c.Assert(store.Probe(), qt.IsNil)
+	c.Assert(files(t, folder), qt.DeepEquals, before)
+	c.Assert(store.Close(), qt.IsNil)
+	c.Assert(os.RemoveAll(folder), qt.IsNil)
+	c.Assert(store.Probe(), qt.ErrorMatches, "(?s).*"+folder+".*")
+}
--- a/internal/mesh/control/storage/store.go
+++ b/internal/mesh/control/storage/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -10,12 +12,22 @@
 	"github.com/syndtr/goleveldb/leveldb/opt"
 )
 
+const (
+	currentFile = "CURRENT"   // the file with which goleveldb marks a folder that has a database
+	probeFile   = "probe.tmp" // the file that Probe creates; goleveldb ignores its name
+	probeBytes  = 4096        // size of probeFile
+)
+
+// errFolderReplaced is an error of Verify.
+var errFolderReplaced = errors.New("another folder has taken its place")
+
 // Store stores records in a folder. It is not safe for concurrent use.
 type Store struct {
 	folder    string
 	openFiles func(folder string) (*durableFiles, error)
 	files     *durableFiles // nil while the folder is closed
 	db        *leveldb.DB   // nil while the folder is closed; the next call opens it
+	opened    os.FileInfo   // the folder as it was opened; nil if it could not be examined
 }
 
 // Open opens a folder, and creates it if it is missing. The lock file of a killed process does not prevent that, and an incomplete last
@@ -48,6 +60,7 @@
 	}
 	s.db = db
 	s.files = files
+	s.opened, _ = os.Stat(s.folder) // without it, Verify does not notice that the folder was replaced
 	return nil
 }
 
@@ -90,6 +103,49 @@
 	return nil
 }
 
+// Verify fails if the folder's files were removed, or the folder was replaced, while it was open: writes to open files succeed although
+// the next start will not find them. After that, each call opens the folder as it is now. The error names the folder.
+func (s *Store) Verify() error {
+	if err := s.open(); err != nil {
+		return trace.Wrap(err)
+	}
+	now, err := os.Stat(s.folder)
+	if err == nil && s.opened != nil && !os.SameFile(now, s.opened) {
+		err = errFolderReplaced
+	}
+	if err == nil {
+		_, err = os.Stat(filepath.Join(s.folder, currentFile))
+	}
+	if err != nil {
+		s.closeAfterError()
+		return trace.Wrap(err, "folder %s", s.folder)
+	}
+	return nil
+}
+
+// Probe finds out whether the folder's disk takes writes: it creates, syncs and removes a file there. It may be called during the other
+// methods. The error names the folder.
+func (s *Store) Probe() error {
+	return trace.Wrap(writeProbe(filepath.Join(s.folder, probeFile)), "folder %s", s.folder)
+}
+
+// writeProbe creates, syncs and removes a file of one block. An old one is removed first, so that a new block is needed: a full disk could
+// take the same block again.
+func writeProbe(path string) error {
+	if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
+		return trace.ConvertSystemError(err)
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	_, err = file.Write(make([]byte, probeBytes))
+	if err == nil {
+		err = file.Sync()
+	}
+	return trace.NewAggregate(err, file.Close(), os.Remove(path))
+}
+
 // Check reads and verifies all records. Its error aggregates one error for each record that is corrupt or of a later format, which names
 // the folder and the record, and the error of reading the database.
 func (s *Store) Check() error {
