ratelimit: a late reply decides only on requests that its token request counted

Change: each waiter has the time of the first token request that counted it; shares and denials are replaced by replies to later requests only.

--- a/internal/mesh/control/ratelimit/tenant_tokens.go
+++ b/internal/mesh/control/ratelimit/tenant_tokens.go
@@ -14,11 +14,21 @@
 	deniedUntil    time.Duration // time before which the allocator is not expected to have tokens
 	renewAt        time.Duration // time to report and renew the share, even if no tokens are wanted
 
-	waiters          []func(ok bool, retryAfter time.Duration) // callbacks of the waiting requests, oldest first
-	waitingSince     time.Duration                             // start of the first waiter's wait; each grant restarts it
-	requestedWaiters int                                       // number of waiters in the newest token request; answerWaiters does not reset it
+	waiters      []waiter      // clients' requests that wait, oldest first
+	waitingSince time.Duration // start of the first waiter's wait; each grant restarts it
+	grantSentAt  time.Duration // time of the newest token request that was granted
 }
 
+// waiter is a client's request that waits for tokens.
+type waiter struct {
+	done        func(ok bool, retryAfter time.Duration) // called with the decision
+	requested   bool                                    // whether a token request counted it
+	requestedAt time.Duration                           // time of the first token request that counted it
+}
+
+// wasRequested reports whether the token request that was sent at the given time, or an earlier one, counted the waiter.
+func (w *waiter) wasRequested(sent time.Duration) bool { return w.requested && w.requestedAt <= sent }
+
 // newTenantTokens returns the state of a tenant without tokens. position is the random position of its fallback bucket.
 func newTenantTokens(now time.Duration, position float64) *tenantTokens {
 	return &tenantTokens{demand: demand{updatedAt: now}, fallback: fallback{position: position}}
@@ -71,8 +81,8 @@
 	}
 	t.renewAt = now + renewInterval
 	t.expiredTokens = 0
-	t.requestedWaiters = len(t.waiters)
-	request.Tokens = float64(t.requestedWaiters)
+	t.markRequested(now)
+	request.Tokens = float64(len(t.waiters))
 	if expected := t.demand.expected(now); expected >= 1 {
 		request.Tokens += expected
 		if now < t.tokensExpireAt {
@@ -83,20 +93,23 @@
 	return request
 }
 
-// applyGrant adds the tokens of a grant, replaces the fallback share, and decides on waiting requests. sent is the time of the
-// token request.
+// applyGrant adds the tokens of a grant, replaces the fallback share unless a later request was granted before, and decides on
+// waiting requests. sent is the time of the token request.
 func (t *tenantTokens) applyGrant(now, sent time.Duration, grant *TokenGrant) {
 	t.expireTokens(now)
 	if sent+tokenValidity > now {
 		t.tokens += grant.Tokens
 		t.tokensExpireAt = sent + tokenValidity
 	}
-	t.fallback.share = grant.FallbackShare
-	t.fallback.shareExpiresAt = sent + grant.ShareRemaining
-	if grant.RetryAfter > 0 {
-		t.deniedUntil = now + min(grant.RetryAfter, maxDenial)
+	if sent >= t.grantSentAt { // replies may arrive in another order than that of the requests
+		t.grantSentAt = sent
+		t.fallback.share = grant.FallbackShare
+		t.fallback.shareExpiresAt = sent + grant.ShareRemaining
+		if grant.RetryAfter > 0 {
+			t.deniedUntil = now + min(grant.RetryAfter, maxDenial)
+		}
 	}
-	t.serveWaiters(now, clampRetryAfter(grant.RetryAfter))
+	t.serveWaiters(now, sent, clampRetryAfter(grant.RetryAfter))
 }
 
 // addWaiter adds a client's request to the waiters. done is called with the decision.
@@ -104,21 +117,30 @@
 	if len(t.waiters) == 0 {
 		t.waitingSince = now
 	}
-	t.waiters = append(t.waiters, done)
+	t.waiters = append(t.waiters, waiter{done: done})
+}
+
+// markRequested records that a token request sent now counts all waiters.
+func (t *tenantTokens) markRequested(now time.Duration) {
+	for i := range t.waiters {
+		if w := &t.waiters[i]; !w.requested {
+			w.requested = true
+			w.requestedAt = now
+		}
+	}
 }
 
-// serveWaiters admits waiting requests, oldest first, while there are tokens. Of the others, it rejects those that the token request
-// counted; later ones wait for the next grant.
-func (t *tenantTokens) serveWaiters(now, retryAfter time.Duration) {
+// serveWaiters admits waiting requests, oldest first, while there are tokens. Of the others, it rejects those that the token request sent
+// at the given time counted; later ones wait for the next grant.
+func (t *tenantTokens) serveWaiters(now, sent, retryAfter time.Duration) {
 	i := 0
 	for ; i < len(t.waiters) && t.takeToken(now); i++ {
-		t.waiters[i](true, 0)
+		t.waiters[i].done(true, 0)
 	}
-	for ; i < len(t.waiters) && i < t.requestedWaiters; i++ {
-		t.waiters[i](false, retryAfter)
+	for ; i < len(t.waiters) && t.waiters[i].wasRequested(sent); i++ {
+		t.waiters[i].done(false, retryAfter)
 	}
 	t.waiters = t.waiters[i:]
-	t.requestedWaiters = 0
 	t.waitingSince = now
 }
 
@@ -126,7 +148,7 @@
 func (t *tenantTokens) answerWaiters(now time.Duration, sidecars float64) {
 	waiters := t.waiters
 	t.waiters = nil
-	for _, done := range waiters {
-		done(t.fallback.admit(now, t.limit, sidecars))
+	for _, w := range waiters {
+		w.done(t.fallback.admit(now, t.limit, sidecars))
 	}
 }
--- a/internal/mesh/control/ratelimit/token_cache.go
+++ b/internal/mesh/control/ratelimit/token_cache.go
@@ -142,7 +142,9 @@
 // a reply whose fencing token is lower than one that it has accepted: the lease of that older allocator has ended, and the newer
 // allocator does not account for its grants. It also rejects a reply of a process that is not the allocator.
 func (c *TokenCache) HandleReply(now, sent time.Duration, reply *AllocationReply) (accepted bool) {
-	c.requestInFlight = false
+	if sent == c.lastSent {
+		c.requestInFlight = false
+	}
 	if !reply.Granted || reply.FencingToken < c.highestFencingToken {
 		return false
 	}
