--- a/internal/mesh/control/ratelimit/late_reply_test.go
+++ b/internal/mesh/control/ratelimit/late_reply_test.go
@@ -82,10 +82,10 @@
 	cache.admit(100*time.Millisecond, "first")
 	cache.Tick(100 * time.Millisecond)
 	cache.HandleFailure(100 * time.Millisecond) // as if the connection had failed
-	const second = 100*time.Millisecond + urgentInterval
+	const second time.Duration = 100*time.Millisecond + urgentInterval
 	cache.admit(second, "second")
 	cache.Tick(second)
-	c.Assert(cache.lastSent, qt.Equals, time.Duration(second))
+	c.Assert(cache.lastSent, qt.Equals, second)
 	cache.grant(second, 100*time.Millisecond, TokenGrant{FallbackShare: 1, ShareRemaining: time.Second})
 	c.Assert(cache.requestInFlight, qt.IsTrue)
 	cache.grant(second, second, TokenGrant{FallbackShare: 3, ShareRemaining: time.Second})
--- a/internal/rehearsal/report/report_test.go
+++ b/internal/rehearsal/report/report_test.go
@@ -94,9 +94,9 @@
 
 // Runs in virtual time and runs of processes are shown side by side, in either order.
 func TestScreenOfVirtualAndRealRuns(t *testing.T) {
-	virtual, real := play(t, ""), play(t, "")
-	virtual.Virtual, virtual.Program, real.Program, real.Memory = true, "simulated", "processes", 7<<20
-	for name, runs := range map[string][]*Run{"real first": {real, virtual}, "virtual first": {virtual, real}} {
+	virtual, measured := play(t, ""), play(t, "")
+	virtual.Virtual, virtual.Program, measured.Program, measured.Memory = true, "simulated", "processes", 7<<20
+	for name, runs := range map[string][]*Run{"measured first": {measured, virtual}, "virtual first": {virtual, measured}} {
 		var screen bytes.Buffer
 		if err := WriteScreen(&screen, runs...); err != nil {
 			t.Fatal(err)
@@ -107,7 +107,7 @@
 			}
 		}
 		if strings.Count(screen.String(), "largest memory") != 1 || strings.Count(screen.String(), "emulator late by at most") != 1 {
-			t.Errorf("%s: the figures of the real run are not shown once:\n%s", name, screen.String())
+			t.Errorf("%s: the figures of the measured run are not shown once:\n%s", name, screen.String())
 		}
 	}
 }
