transport: a link that has ended takes no more of a call

Cause: a reader handles what it has received also after its link has ended, for example by a failed write.

--- a/internal/mesh/transport/reader.go
+++ b/internal/mesh/transport/reader.go
@@ -206,10 +206,13 @@
 
 // assembleCall appends a chunk to a call of the peer. It returns the call if it is complete, otherwise nil. It fails if the call exceeds
 // maxMessageBytes or maxCallBytes, or if the link has too many calls. If there is no memory for the call, it rejects the call at once, and
-// discards the chunks that follow.
+// discards the chunks that follow. It also discards what the reader has received before the link ended and handles after that.
 func (l *Link) assembleCall(chunk *envelope) (*IncomingCall, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return nil, nil // the memory of a call that came now would never be released
+	}
 	call := l.incomplete[chunk.stream]
 	if call == nil {
 		if len(l.incoming)+len(l.incomplete) >= maxPendingCalls {
--- a/internal/mesh/transport/transport_test.go
+++ b/internal/mesh/transport/transport_test.go
@@ -99,6 +99,7 @@
 	go func() { ended <- h.Listen(listener) }()
 	t.Cleanup(func() {
 		h.Close()
+		checkConserved(t, h)
 		_ = listener.Close() // a drained hub has closed it
 		if err := <-ended; err != nil {
 			t.Errorf("Hub.Listen returned %v, want nil", err)
