TestReadinessFollowsTheDisk: both reports are read in one state

Cause: the test compares what a server says to probes with its own state. Change: synctest.Wait before the reads, so that no goroutine of the bubble can run between them. The comparison is as it was.

--- a/internal/mesh/control/controlplane/readiness_test.go
+++ b/internal/mesh/control/controlplane/readiness_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -22,6 +23,7 @@
 
 // reportsReady returns what a server says to probes, and checks that /mesh/state would have the same.
 func (t *testCore) reportsReady(i int) bool {
+	synctest.Wait() // else the server could become ready or unready between the two reads
 	ready := t.server(i).responder.describe().Ready
 	t.c.Assert(t.server(i).Ready(), qt.Equals, ready)
 	return ready
