assembly: a process logs what it holds before its memory is used up

Each process now compares the Go runtime's memory with memoryMb every second, and warns at nine tenths of it with its links, stacks and large messages, every 10 s at most. The warning writes the log ring out. Checked: TestMemoryWarningsAreSpaced, TestMemoryUseCountsWhatIsHeld.

--- a/internal/mesh/assembly/controlplane.go
+++ b/internal/mesh/assembly/controlplane.go
@@ -100,6 +100,7 @@
 // serve starts to serve the control address, and starts the background tasks. It does not block.
 func (c *controlPlane) serve(control net.Listener) {
 	c.run(func(ctx context.Context) { c.handleReloads(ctx, c.applySettings) })
+	c.run(c.watchMemory)
 	c.serveHTTP(c.handler(), control)
 	c.run(c.agent.Run)
 	c.run(c.roles.Run)
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -137,14 +137,21 @@
 
 // logMemory logs what the process holds of large messages.
 func (p *process) logMemory() {
+	p.memoryFields().Info("assembly: large messages that this process holds")
+}
+
+// memoryFields returns a log entry with the number of links, and with what the process holds of large messages.
+func (p *process) memoryFields() *logrus.Entry {
 	transfers, transferBytes := p.hub.QueuedTransfers()
-	p.log.WithFields(logrus.Fields{
+	activeLinks, otherLinks := p.hub.LinkCounts()
+	return p.log.WithFields(logrus.Fields{
+		"links":         activeLinks + otherLinks,
 		"transfers":     transfers,
 		"transferBytes": transferBytes,
 		"bodyBytes":     p.memory.bodies.Used(),
 		"callBytes":     p.memory.calls.Used(),
 		"answerBytes":   p.memory.answers.Used(),
-	}).Info("assembly: large messages that this process holds")
+	})
 }
 
 // reload reads the settings file and applies it. A file with an error is logged, and changes nothing.
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -44,6 +44,7 @@
 	links, clients, control, readiness := listeners[0], listeners[1], listeners[2], listeners[3]
 	s := newSidecar(p)
 	s.run(func(ctx context.Context) { s.handleReloads(ctx, s.applySettings) })
+	s.run(s.watchMemory)
 	s.acceptLinks(links)
 	s.serveHTTP(s.agent.KeepaliveHandler(s.local), control)
 	s.serveHTTP(http.HandlerFunc(s.serveReadiness), readiness)
