A SIGHUP during initialization no longer ends a daemon

Cause: lifecycle.Catch is the first statement of main, but the Go runtime and some 300 packages are initialized before, and the default action of SIGHUP ends the process meanwhile. Fix: package earlysignals ignores SIGHUP from .preinit_array on; the runtime keeps it ignored until signal.Notify. The settings that it asks for are read after that, so nothing is lost. What is left is the loader's time, some 0.3 ms.

--- a/cmd/eventlog/main.go
+++ b/cmd/eventlog/main.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quincegap/internal/lifecycle"
+	_ "quincegap/internal/lifecycle/earlysignals" // ignores SIGHUP until Catch
 	"quincegap/internal/mesh/control/storage"
 	"quincegap/internal/mesh/operations/eventfeed"
 	"quincegap/internal/mesh/operations/eventlog"
--- a/cmd/quincegap/main.go
+++ b/cmd/quincegap/main.go
@@ -13,6 +13,7 @@
 	"os"
 
 	"quincegap/internal/lifecycle"
+	_ "quincegap/internal/lifecycle/earlysignals" // ignores SIGHUP until Catch
 	"quincegap/internal/product"
 	"quincegap/internal/standalone"
 )
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"quincegap/internal/lifecycle"
+	_ "quincegap/internal/lifecycle/earlysignals" // ignores SIGHUP until Catch
 	"quincegap/internal/mesh/assembly"
 	"quincegap/internal/mesh/operations/settings"
 )
@@ -19,7 +20,7 @@
 }
 
 func main() {
-	signals := lifecycle.Catch() // comes first: a signal that arrives earlier ends the process at once
+	signals := lifecycle.Catch() // comes first: an earlier SIGTERM ends the process at once
 	kong.Parse(&options, kong.Name("sidecar"), kong.Description("The mesh's sidecar beside an endpoint."),
 		kong.Vars{"variable": settings.EnvironmentVariable})
 	if err := assembly.RunSidecar(options.Settings, signals); err != nil {
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -54,7 +54,7 @@
 		{"exchange"},
 	}},
 	{"internal/standin", [][]string{{"application", "authority", "booking", "consul", "disk", "h3", "relay", "udp"}}},
-	{"internal/lifecycle", [][]string{{"."}}},
+	{"internal/lifecycle", [][]string{{".", "earlysignals"}}},
 	{"internal/files", [][]string{
 		{"certfile", "store"},
 		{"atomicfile", "secretfile"},
