A process waits at its start for an address in use and for complete settings

Cause: the start treated what another process ends as a fault of its own. Fix: an address in use is waited for until SIGTERM, settings that can't be read for 5 s; a warning names the address or file. An exit would only repeat the attempt.

--- a/internal/mesh/assembly/controlplane.go
+++ b/internal/mesh/assembly/controlplane.go
@@ -38,12 +38,12 @@
 func RunControlPlane(settingsPath string, signals lifecycle.Signals) error {
 	p, err := newProcess(settingsPath, signals)
 	if err != nil {
-		return err
+		return startResult(err)
 	}
 	defer p.close()
 	listeners, err := p.listen(p.settings.InternalAddress(), p.settings.ControlAddress)
 	if err != nil {
-		return err
+		return startResult(err)
 	}
 	links, control := listeners[0], listeners[1]
 	c := newControlPlane(p)
--- a/internal/mesh/assembly/golden_test.go
+++ b/internal/mesh/assembly/golden_test.go
@@ -296,10 +296,10 @@
 	qt.Assert(t, []float64{requestMemoryFraction, allRequestsMemoryFraction, answerMemoryFraction, heapFraction}, qt.DeepEquals,
 		[]float64{0.3, 0.7, 0.06, 0.88})
 	times := []time.Duration{
-		listenTimeout, reloadInterval, releaseTimeout, handOverTimeout, httpTimeout, closeTimeout, drainTimeout,
+		settingsTimeout, listenTimeout, reloadInterval, releaseTimeout, handOverTimeout, httpTimeout, closeTimeout, drainTimeout,
 		readinessNotice, answerMargin, exitMargin, shutdownPollInterval,
 	}
-	qt.Assert(t, times, qt.DeepEquals, slices.Concat([]time.Duration{2 * time.Second, 5 * time.Second},
+	qt.Assert(t, times, qt.DeepEquals, slices.Concat([]time.Duration{5 * time.Second, 2 * time.Second, 5 * time.Second},
 		[]time.Duration{300 * time.Millisecond, 2500 * time.Millisecond, time.Second, 500 * time.Millisecond, 400 * time.Millisecond},
 		[]time.Duration{2400 * time.Millisecond, 900 * time.Millisecond, 250 * time.Millisecond, 20 * time.Millisecond}))
 }
--- a/internal/mesh/assembly/listen.go
+++ b/internal/mesh/assembly/listen.go
@@ -11,25 +11,26 @@
 )
 
 const (
-	listenTimeout       = 2 * time.Second       // longest wait for an address that is in use to become free
-	listenRetryInterval = 50 * time.Millisecond // time between two attempts to listen
-	httpHeaderTimeout   = 5 * time.Second       // limit for reading a request's header
-	httpIdleTimeout     = 30 * time.Second      // time after which a connection without requests is closed
-	httpMaxHeaderBytes  = 32 << 10              // largest request header
+	httpHeaderTimeout  = 5 * time.Second  // limit for reading a request's header
+	httpIdleTimeout    = 30 * time.Second // time after which a connection without requests is closed
+	httpMaxHeaderBytes = 32 << 10         // largest request header
 )
 
-// listen listens on addresses of the process. It listens on none of them if one can't be used. close closes the listeners.
+// listen listens on addresses of the process, and waits for those that are in use. It listens on none of them if one can't be used. The
+// error is errTerminated if a signal to terminate comes before. close closes the listeners.
 func (p *process) listen(addresses ...string) ([]net.Listener, error) {
-	listeners, err := listenAll(p.ctx, addresses...)
+	ctx, cancel := p.startContext()
+	defer cancel()
+	listeners, err := p.listenAll(ctx, addresses...)
 	p.listeners = append(p.listeners, listeners...)
 	return listeners, err
 }
 
 // listenAll listens on all addresses, or on none if one can't be used. The error names that address.
-func listenAll(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+func (p *process) listenAll(ctx context.Context, addresses ...string) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, address := range addresses {
-		listener, err := listenRetrying(ctx, address)
+		listener, err := p.listenRetrying(ctx, address)
 		if err != nil {
 			for _, opened := range listeners {
 				err = errors.Join(err, opened.Close())
@@ -41,17 +42,15 @@
 	return listeners, nil
 }
 
-// listenRetrying listens on an address. It retries for listenTimeout, because an earlier incarnation of the process may still use the
-// address. The error names the address.
-func listenRetrying(ctx context.Context, address string) (net.Listener, error) {
+// listenRetrying listens on an address, and repeats that as mayRetryListening decides. The error names the address.
+func (p *process) listenRetrying(ctx context.Context, address string) (listener net.Listener, err error) {
 	var config net.ListenConfig
-	for began := time.Now(); ; {
-		listener, err := config.Listen(ctx, "tcp4", address)
-		if err == nil || time.Since(began) > listenTimeout {
-			return listener, trace.Wrap(err, "listen on %s", address)
-		}
-		time.Sleep(listenRetryInterval)
-	}
+	step := startStep{log: p.log.WithField("address", address), mayRetry: mayRetryListening}
+	err = step.run(ctx, func() (err error) {
+		listener, err = config.Listen(ctx, "tcp4", address)
+		return err
+	})
+	return listener, trace.Wrap(err, "listen on %s", address)
 }
 
 // closeListener closes a listener, which may already be closed.
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -38,37 +38,49 @@
 	logRing      *logging.Ring
 	seed         uint64 // seed of all random numbers except the incarnation
 
-	ctx    context.Context // parent of all contexts of the process; close cancels it
-	cancel context.CancelFunc
-	tasks  sync.WaitGroup // background goroutines; close waits for them, at most taskStopTimeout
+	ctx        context.Context // parent of all contexts of the process; close cancels it
+	cancel     context.CancelFunc
+	terminated chan struct{}  // closed after a signal to terminate
+	tasks      sync.WaitGroup // background goroutines; close waits for them, at most taskStopTimeout
 
 	listeners    []net.Listener
 	httpServers  []*http.Server
 	serverErrors chan error // errors of the servers that have failed
 }
 
-// newProcess reads the settings file, and returns a process that has no servers and no tasks yet. The error names the file, and each field
-// that is invalid.
+// newProcess reads the settings file, and returns a process that has no servers yet. The error is errTerminated if a signal to terminate
+// comes before the file can be read; otherwise it names the file, and each field that is invalid.
 func newProcess(settingsPath string, signals lifecycle.Signals) (*process, error) {
-	loaded, err := settings.Load(settingsPath)
-	if err != nil {
-		return nil, err
-	}
-	debug.SetGCPercent(gcPercent)
-	machineBytes := int64(loaded.MemoryMB) << 20
-	debug.SetMemoryLimit(int64(heapFraction * float64(machineBytes)))
 	log, ring := logging.New(os.Stderr)
 	p := &process{
-		settings:     loaded,
 		settingsPath: settingsPath,
 		signals:      signals,
 		log:          log,
 		logRing:      ring,
-		memory:       newMemoryPools(machineBytes),
 		seed:         rand.Uint64(),
+		terminated:   make(chan struct{}),
 		serverErrors: make(chan error, serverErrorCapacity),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.run(p.awaitSignal)
+	ctx, cancel := p.startContext()
+	defer cancel()
+	loaded, err := loadSettings(ctx, settingsPath, log)
+	if err != nil {
+		p.cancel()
+		return nil, err
+	}
+	p.configure(loaded)
+	return p, nil
+}
+
+// configure sets the limits of memory and creates the hub, as the settings say.
+func (p *process) configure(loaded *settings.Settings) {
+	p.settings = loaded
+	debug.SetGCPercent(gcPercent)
+	machineBytes := int64(loaded.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(heapFraction * float64(machineBytes)))
+	p.memory = newMemoryPools(machineBytes)
 	hello := transport.Hello{
 		Incarnation: rand.Uint64() | 1, // never 0, which stands for no incarnation
 		Address:     loaded.InternalAddress(),
@@ -76,10 +88,31 @@
 		Zone:        loaded.Zone,
 		Service:     loaded.Service,
 	}
-	p.hub = transport.NewHub(hello, time.Now(), largestRequestBytes, log)
+	p.hub = transport.NewHub(hello, time.Now(), largestRequestBytes, p.log)
 	p.hub.SetMemory(p.memory.calls, p.memory.answers)
 	p.hub.LimitRate(loaded.LinkMbps * bitsPerMegabit)
-	return p, nil
+}
+
+// awaitSignal closes terminated after the first signal to terminate. It returns when ctx ends, too.
+func (p *process) awaitSignal(ctx context.Context) {
+	select {
+	case <-p.signals.Terminate:
+		close(p.terminated)
+	case <-ctx.Done():
+	}
+}
+
+// startContext returns the context of the steps of the start. It ends when a signal asks the process to terminate.
+func (p *process) startContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(p.ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-p.terminated:
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // run starts a background task. The task's context ends when the process is closed.
@@ -168,7 +201,7 @@
 // In both cases the caller then starts an orderly shutdown.
 func (p *process) awaitTermination() error {
 	select {
-	case <-p.signals.Terminate:
+	case <-p.terminated:
 		return nil
 	case err := <-p.serverErrors:
 		p.log.WithError(err).Error("assembly: a server failed, the process ends")
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -33,13 +33,13 @@
 func RunSidecar(settingsPath string, signals lifecycle.Signals) error {
 	p, err := newProcess(settingsPath, signals)
 	if err != nil {
-		return err
+		return startResult(err)
 	}
 	defer p.close()
 	listeners, err := p.listen(p.settings.InternalAddress(), p.settings.OutboundAddress, p.settings.ControlAddress,
 		p.settings.ReadinessAddress)
 	if err != nil {
-		return err
+		return startResult(err)
 	}
 	links, clients, control, readiness := listeners[0], listeners[1], listeners[2], listeners[3]
 	s := newSidecar(p)
--- a/internal/mesh/assembly/signals_test.go
+++ b/internal/mesh/assembly/signals_test.go
@@ -164,7 +164,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	failing := &process{log: log, serverErrors: make(chan error, 8)}
-	listeners, err := listenAll(t.Context(), "127.0.0.1:0", "127.0.0.1:0")
+	listeners, err := failing.listenAll(t.Context(), "127.0.0.1:0", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	inFlight, release := make(chan struct{}), make(chan struct{})
 	failing.serveHTTP(http.NotFoundHandler(), listeners[0])
--- a/internal/mesh/assembly/testmesh_test.go
+++ b/internal/mesh/assembly/testmesh_test.go
@@ -50,10 +50,12 @@
 	subnet       string // first three numbers of the mesh's addresses
 	machines     map[string]*testMachine
 	applications map[string]*application.Endpoint
-	limits       string     // additional lines of limitSet in the settings
-	bounds       string     // lines of boundSet in the settings
-	requestCount int        // number of requests sent; determines their IDs
-	mu           sync.Mutex // guards requestCount
+	limits       string // additional lines of limitSet in the settings
+	bounds       string // lines of boundSet in the settings
+	// settingsOverride is the content of the settings files that start writes, if it is not nil.
+	settingsOverride *string
+	requestCount     int        // number of requests sent; determines their IDs
+	mu               sync.Mutex // guards requestCount
 }
 
 // testMachine is a machine of the mesh, with one process.
@@ -158,7 +160,11 @@
 		t.Assert(os.MkdirAll(t.dataDirectory(machine), 0o755), qt.IsNil)
 	}
 	path := filepath.Join(t.folder, machine.name+".toml")
-	t.Assert(os.WriteFile(path, []byte(t.settingsText(machine)), 0o644), qt.IsNil)
+	content := t.settingsText(machine)
+	if t.settingsOverride != nil {
+		content = *t.settingsOverride
+	}
+	t.Assert(os.WriteFile(path, []byte(content), 0o644), qt.IsNil)
 	if err := os.Remove(t.signalsFile(machine)); !errors.Is(err, fs.ErrNotExist) {
 		t.Assert(err, qt.IsNil)
 	}
