Operators' changes share the memory budget of their core process

Cause: bodies of up to 32 MB were read by io.ReadAll beside the budget, also those that were refused afterwards, any number at once; parsing and committing take 8 to 12 times the size; each reader of the configuration held a copy. Nothing above 7.6 MB was ever acknowledged within the 0.9 s of a call. Fix: at most 8 MiB a change; a body waits for memory before it is read, parsing and committing for 8 times its size; bodies that are too large are discarded as they arrive; at most 8 reads at a time, whose callers share the learned value. Without memory the answer is 503 with Retry-After.

--- a/internal/mesh/assembly/controlplane.go
+++ b/internal/mesh/assembly/controlplane.go
@@ -84,6 +84,7 @@
 		Tolerated:    c.settings.ToleratedMachines,
 		Transport:    c.agent.ConsensusTransport(),
 		Cores:        c.agent.CoreAddresses,
+		Memory:       controlplane.OrderMemory{Bodies: c.memory.bodies, Processing: c.memory.processing},
 		Log:          c.log,
 		Seed:         c.seed,
 		OnCommit:     func(v consensus.Value) { c.agent.ApplyCommitted(uint64(v.Version), v.Body) },
--- a/internal/mesh/assembly/memory.go
+++ b/internal/mesh/assembly/memory.go
@@ -10,14 +10,15 @@
 	heapFraction              = 0.88 // the runtime's soft limit of all memory
 )
 
-// largestRequestBytes is the size of the largest request: the largest body that a configuration may allow, and its header.
+// largestRequestBytes is more than controlplane.MaxProcessingBytes. It is the size of the largest request: the largest body that a configuration may allow, and its header.
 const largestRequestBytes = 68 << 20
 
 // memoryPools are the pools that the messages of a process share its memory by.
 type memoryPools struct {
-	bodies  *membudget.Pool // bodies of clients' requests
-	calls   *membudget.Pool // calls of peers
-	answers *membudget.Pool // answers of the endpoint and of peers, which may also use what requests leave
+	bodies     *membudget.Pool // bodies of clients' requests, or of operators' changes
+	calls      *membudget.Pool // calls of peers
+	answers    *membudget.Pool // answers of the endpoint and of peers, which may also use what requests leave
+	processing *membudget.Pool // what operators' changes take while they are parsed and committed
 }
 
 // newMemoryPools returns the pools of a machine with a number of bytes of memory. Each pool fits the largest request if the others are
@@ -29,8 +30,9 @@
 	total := allRequests + fraction(answerMemoryFraction)
 	budget := new(membudget.Budget)
 	return memoryPools{
-		bodies:  budget.Pool(requestLimit, allRequests),
-		calls:   budget.Pool(requestLimit, allRequests),
-		answers: budget.Pool(total, total),
+		bodies:     budget.Pool(requestLimit, allRequests),
+		calls:      budget.Pool(requestLimit, allRequests),
+		answers:    budget.Pool(total, total),
+		processing: budget.Pool(requestLimit, allRequests),
 	}
 }
--- a/internal/mesh/assembly/memory_test.go
+++ b/internal/mesh/assembly/memory_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"quincegap/internal/mesh/control/controlplane"
 )
 
 // Sidecars went over their machine's memory and were killed: requests and answers together must leave a fifth of it. On each size of machine
@@ -16,6 +18,8 @@
 		pools.bodies.Release(largestRequestBytes)
 		qt.Check(t, pools.calls.Reserve(largestRequestBytes), qt.IsTrue)
 		pools.calls.Release(largestRequestBytes)
+		qt.Check(t, pools.processing.Reserve(controlplane.MaxProcessingBytes), qt.IsTrue)
+		pools.processing.Release(controlplane.MaxProcessingBytes)
 		if machineMB >= 184 {
 			qt.Check(t, pools.bodies.Reserve(62*mb) && pools.calls.Reserve(62*mb), qt.IsTrue, qt.Commentf("%d MB", machineMB))
 			pools.bodies.Release(62 * mb)
--- a/internal/mesh/control/controlplane/operator_api.go
+++ b/internal/mesh/control/controlplane/operator_api.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -22,7 +21,6 @@
 )
 
 const (
-	maxBodyBytes      = 32 << 20               // maximum size of a configuration
 	callTimeout       = 900 * time.Millisecond // timeout of a call; below the second for which operators wait
 	retryAfterSeconds = "0.2"                  // value of the header Retry-After
 )
@@ -31,6 +29,7 @@
 // that the body was incomplete. Status 503 means that the outcome is unknown, and comes with a Retry-After header.
 type operatorAPI struct {
 	register *register
+	memory   OrderMemory
 	log      *logrus.Logger
 }
 
@@ -44,17 +43,22 @@
 
 // serveReplace answers 200 for a change that is or was active, and 412 or 400 for one that never was and never will be.
 func (o *operatorAPI) serveReplace(w http.ResponseWriter, request *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := o.memory.readBody(w, request)
 	switch {
-	case errors.As(err, &tooLarge):
-		writeResult(w, http.StatusRequestEntityTooLarge, trace.LimitExceeded("the body: expected %d bytes at most", tooLarge.Limit))
+	case errors.Is(err, errBodyTooLarge):
+		w.Header().Set("Connection", "close") // a part of the body may be unread
+		writeResult(w, http.StatusRequestEntityTooLarge, err)
+		return
+	case errors.Is(err, errNoMemory):
+		w.Header().Set("Connection", "close")
+		writeResult(w, http.StatusServiceUnavailable, err)
 		return
 	case err != nil:
 		// The connection failed; the configuration is not at fault.
 		writeResult(w, http.StatusRequestTimeout, trace.Wrap(err, "the body"))
 		return
 	}
+	defer body.release()
 	// The header is checked only after the body is read, because a client that is still sending its body may not receive the answer.
 	base, err := configuration.ParseVersion(request.Header.Get(baseVersionHeader))
 	if err != nil {
@@ -63,7 +67,13 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
 	defer cancel()
-	result := o.register.replace(ctx, base, raw)
+	release, err := o.memory.reserveProcessing(ctx, len(body.text))
+	if err != nil {
+		writeResult(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	defer release()
+	result := o.register.replace(ctx, base, body.text)
 	o.log.WithField("outcome", result.Outcome).WithField("base", base).WithField("reason", result.Reason).
 		Info("answered a request to replace the configuration")
 	writeResult(w, result.Outcome.status(), result.Reason)
--- a/internal/mesh/control/controlplane/register.go
+++ b/internal/mesh/control/controlplane/register.go
@@ -29,19 +29,33 @@
 	Reason  error
 }
 
-// register reads and replaces the configuration on which the core processes agree. It is stateless.
+// maxConcurrentReads is the number of reads at a time. Each may get the value from all voters.
+const maxConcurrentReads = 8
+
+// register reads and replaces the configuration on which the core processes agree.
 type register struct {
 	proposer *proposer
 	growth   *growthWaiter
+	reads    chan struct{} // semaphore of capacity maxConcurrentReads, held during a read
 }
 
-// readLatest implements Server.ReadLatest.
+// readLatest implements Server.ReadLatest. All callers share the memory of a value that this process has learned.
 func (r *register) readLatest(ctx context.Context) (consensus.Value, error) {
+	select {
+	case r.reads <- struct{}{}:
+		defer func() { <-r.reads }()
+	case <-ctx.Done():
+		return consensus.Value{}, trace.Wrap(ctx.Err())
+	}
 	round, err := r.proposer.read(ctx)
 	if err != nil {
 		return consensus.Value{}, trace.Wrap(err)
 	}
-	return round.Value, nil
+	value := round.Value
+	if known, ok := r.proposer.learner.newestValue(); ok && known.Version == value.Version {
+		value.Body = known.Body
+	}
+	return value, nil
 }
 
 // replace implements Server.Replace.
--- a/internal/mesh/control/controlplane/server.go
+++ b/internal/mesh/control/controlplane/server.go
@@ -56,6 +56,9 @@
 	// committed in quick succession, all but the newest may be skipped. OnCommit may be nil.
 	OnCommit func(consensus.Value)
 
+	// Memory bounds the memory of operators' changes. The zero value has no limits.
+	Memory OrderMemory
+
 	// openStore opens the store of the acceptor's record. If it is nil, package storage is used. Tests replace it.
 	openStore func(folder string) (recordStore, error)
 }
@@ -123,8 +126,8 @@
 	s.voters = s.newVoterManager(options, client, retryBackoff)
 	s.responder = &responder{log: s.log, learner: s.learner, acceptor: s.acceptor, proposer: s.proposer, voters: s.voters}
 	client.local = s.responder.answer
-	s.register = &register{proposer: s.proposer, growth: s.newGrowthWaiter(options, startedAt, retryBackoff)}
-	s.api = &operatorAPI{register: s.register, log: s.log}
+	s.register = &register{proposer: s.proposer, reads: make(chan struct{}, maxConcurrentReads), growth: s.newGrowthWaiter(options, startedAt, retryBackoff)}
+	s.api = &operatorAPI{register: s.register, memory: options.Memory, log: s.log}
 	return s
 }
 
