Control ports bound connections, readers of the state and the time to read an answer

Cause: nothing bounded connections, readers of /mesh/state, or the time of an answer. Fix: connections get a fifth of the memory at 80 KB each (716 at 280 MB), those above wait; 16 readers of the state; 10 s for an answer, streams excepted.

--- a/internal/mesh/agent/state.go
+++ b/internal/mesh/agent/state.go
@@ -17,6 +17,9 @@
 // confirmationReadTimeout is the time that SingletonRoles.State waits at most for a majority of the voters.
 const confirmationReadTimeout = 500 * time.Millisecond
 
+// maxStateReaders is the number of concurrent requests for State. Each holds the whole answer until its client has read it.
+const maxStateReaders = 16
+
 // State is the state of the mesh as known to one core process, for operators. Its JSON keys are part of the interface to tools such as
 // meshctl.
 type State struct {
@@ -170,13 +173,23 @@
 	return states
 }
 
-// Handler returns the HTTP handler of GET StatePath, which responds with State as JSON. It responds to all other requests with 404.
+// Handler returns the HTTP handler of GET StatePath, which responds with State as JSON. It responds with 503 to a request in excess of
+// maxStateReaders (16) concurrent ones, and to all other requests with 404.
 func (s *SingletonRoles) Handler() http.Handler {
+	readers := make(chan struct{}, maxStateReaders)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodGet || r.URL.Path != StatePath {
 			http.Error(w, "GET "+StatePath+" only", http.StatusNotFound)
 			return
 		}
+		select {
+		case readers <- struct{}{}:
+			defer func() { <-readers }()
+		default:
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "too many readers", http.StatusServiceUnavailable)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(s.State(r.Context())) // the client may have closed the connection
 	})
--- a/internal/mesh/agent/state_test.go
+++ b/internal/mesh/agent/state_test.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,3 +38,36 @@
 	c.Assert(second[from.Address] >= 20, qt.IsTrue, qt.Commentf("ages %v", second))
 	c.Assert(second[core.address()], qt.Equals, int64(0))
 }
+
+// stalledWriter is a response whose client does not read.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+	release chan struct{}
+}
+
+func (s *stalledWriter) Write(b []byte) (int, error) {
+	<-s.release
+	return s.ResponseRecorder.Write(b)
+}
+
+// The readers of the state were not bounded, and each holds a whole answer.
+func TestStateReadersAreBounded(t *testing.T) {
+	c := qt.New(t)
+	handler := goldenCore(t, goldenCoreIP).NewSingletonRoles(&fakeRegister{}, false).Handler()
+	release := make(chan struct{})
+	var readers sync.WaitGroup
+	get := func(w http.ResponseWriter) { handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, StatePath, nil)) }
+	for range maxStateReaders {
+		readers.Go(func() { get(&stalledWriter{httptest.NewRecorder(), release}) })
+	}
+	eventually(t, "a reader above the bound is rejected", func() bool {
+		w := httptest.NewRecorder()
+		get(w)
+		return w.Code == http.StatusServiceUnavailable && w.Header().Get("Retry-After") != ""
+	})
+	close(release)
+	readers.Wait()
+	w := httptest.NewRecorder()
+	get(w)
+	c.Assert(w.Code, qt.Equals, http.StatusOK)
+}
--- a/internal/mesh/assembly/listen.go
+++ b/internal/mesh/assembly/listen.go
@@ -8,14 +8,24 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/netutil"
 )
 
 const (
 	httpHeaderTimeout  = 5 * time.Second  // limit for reading a request's header
 	httpIdleTimeout    = 30 * time.Second // time after which a connection without requests is closed
+	httpWriteTimeout   = 10 * time.Second // time from a request's header to the end of its answer, except for streams
 	httpMaxHeaderBytes = 32 << 10         // largest request header
+
+	connectionMemoryFraction = 0.2      // part of the machine's memory for the connections to an HTTP server
+	connectionBytes          = 80 << 10 // memory of a connection whose client sends the largest header and the largest body of an endpoint's call
 )
 
+// maxConnections returns the number of connections to an HTTP server on a machine with a number of bytes of memory.
+func maxConnections(machineBytes int64) int {
+	return int(connectionMemoryFraction * float64(machineBytes) / connectionBytes)
+}
+
 // listen listens on addresses of the process, and waits for those that are in use. It listens on none of them if one can't be used. The
 // error is errTerminated if a signal to terminate comes before. close closes the listeners.
 func (p *process) listen(addresses ...string) ([]net.Listener, error) {
@@ -60,17 +70,20 @@
 	}
 }
 
-// serveHTTP serves HTTP requests on a listener until shutDownHTTPServers. If the server fails, awaitTermination returns its error.
+// serveHTTP serves HTTP requests on a listener until shutDownHTTPServers. Connections above maxConnections wait until others are closed. If
+// the server fails, awaitTermination returns its error.
 func (p *process) serveHTTP(handler http.Handler, listener net.Listener) {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: httpHeaderTimeout,
 		IdleTimeout:       httpIdleTimeout,
+		WriteTimeout:      httpWriteTimeout,
 		MaxHeaderBytes:    httpMaxHeaderBytes,
 	}
 	p.httpServers = append(p.httpServers, server)
+	limited := netutil.LimitListener(listener, maxConnections(int64(p.settings.MemoryMB)<<20))
 	p.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			p.serverErrors <- trace.Wrap(err, "serve %s", listener.Addr())
 		}
 	})
--- a/internal/mesh/assembly/signals_test.go
+++ b/internal/mesh/assembly/signals_test.go
@@ -13,6 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+
+	"quincegap/internal/mesh/operations/settings"
 )
 
 // extraSignals are signals that a process may get while it shuts down. Some platforms repeat SIGTERM, tools send SIGHUP to all processes
@@ -163,7 +165,7 @@
 	c := qt.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	failing := &process{log: log, serverErrors: make(chan error, 8)}
+	failing := &process{settings: &settings.Settings{MemoryMB: 128}, log: log, serverErrors: make(chan error, 8)}
 	listeners, err := failing.listenAll(t.Context(), "127.0.0.1:0", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	inFlight, release := make(chan struct{}), make(chan struct{})
