--- a/internal/mesh/operations/eventfeed/eventfeed.go
+++ b/internal/mesh/operations/eventfeed/eventfeed.go
@@ -114,6 +114,7 @@
 func (h *handler) serve(ctx context.Context, request *request, writer *eventWriter) error {
 	idle := time.NewTimer(maxWait)
 	defer idle.Stop()
+	defer writer.extendDeadline() // the end of the answer is still to be written
 	for {
 		found, next, more, err := h.source.After(request.cursor, maxBatch, request.filter)
 		if err != nil {
