Clients' connections and headers share the memory budget of their sidecar

Cause: connections and headers were beside the budget of bodies, calls and answers; a header of up to 256 KB is read so that it can be answered 431. Fix: a connection is charged with 12 KB, a header above 4 KB with twice its size as it arrives; what headerMaxBytes allows is never refused, a larger one that does not fit closes its connection. TestHeadersStayWithinMemory failed before: nothing was counted.

--- a/internal/mesh/assembly/memory.go
+++ b/internal/mesh/assembly/memory.go
@@ -15,10 +15,11 @@
 
 // memoryPools are the pools that the messages of a process share its memory by.
 type memoryPools struct {
-	bodies     *membudget.Pool // bodies of clients' requests, or of operators' changes
-	calls      *membudget.Pool // calls of peers
-	answers    *membudget.Pool // answers of the endpoint and of peers, which may also use what requests leave
-	processing *membudget.Pool // what operators' changes take while they are parsed and committed
+	bodies      *membudget.Pool // bodies of clients' requests, or of operators' changes
+	calls       *membudget.Pool // calls of peers
+	answers     *membudget.Pool // answers of the endpoint and of peers, which may also use what requests leave
+	processing  *membudget.Pool // what operators' changes take while they are parsed and committed
+	connections *membudget.Pool // clients' connections and headers
 }
 
 // newMemoryPools returns the pools of a machine with a number of bytes of memory. Each pool fits the largest request if the others are
@@ -30,9 +31,10 @@
 	total := allRequests + fraction(answerMemoryFraction)
 	budget := new(membudget.Budget)
 	return memoryPools{
-		bodies:     budget.Pool(requestLimit, allRequests),
-		calls:      budget.Pool(requestLimit, allRequests),
-		answers:    budget.Pool(total, total),
-		processing: budget.Pool(requestLimit, allRequests),
+		bodies:      budget.Pool(requestLimit, allRequests),
+		calls:       budget.Pool(requestLimit, allRequests),
+		answers:     budget.Pool(total, total),
+		processing:  budget.Pool(requestLimit, allRequests),
+		connections: budget.Pool(requestLimit, allRequests),
 	}
 }
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -184,6 +184,8 @@
 		"bodyBytes":     p.memory.bodies.Used(),
 		"callBytes":     p.memory.calls.Used(),
 		"answerBytes":   p.memory.answers.Used(),
+		"changeBytes":   p.memory.processing.Used(),
+		"clientBytes":   p.memory.connections.Used(),
 	})
 }
 
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -94,6 +94,7 @@
 		Seed:             s.seed,
 		BodyMemory:       s.memory.bodies,
 		AnswerMemory:     s.memory.answers,
+		ConnectionMemory: s.memory.connections,
 		RefreshEndpoints: func(service string) { s.agent.Refresh(service) },
 		AcquireQuota:     func(t *configuration.Tenant, done func(bool, time.Duration)) { s.quota.Acquire(t, done) },
 	}
--- a/internal/mesh/dataplane/outbound/client_listener_test.go
+++ b/internal/mesh/dataplane/outbound/client_listener_test.go
@@ -119,3 +119,45 @@
 	time.Sleep(2 * header)
 	getNotFound(t, conn)
 }
+
+// Headers that stop midway were held without a bound, and took a sidecar over its memory. Those within the configuration are never refused.
+func TestHeadersStayWithinMemory(t *testing.T) {
+	c := qt.New(t)
+	const limit = 100 << 10
+	proxy := newIdleProxy(t)
+	memory := membudget.NewPool(limit)
+	proxy.options.ConnectionMemory = memory
+	proxy.Configure(headerConfig(t, 1, 10*time.Second, 10*time.Second)) // headers of up to 16 KiB
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := proxy.Server()
+	go func() { _ = server.Serve(proxy.Listener(listener)) }()
+	defer server.Close() //nolint:errcheck // the test is over
+	dial := func(headerBytes int) net.Conn {
+		conn, err := net.Dial("tcp4", listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX-Pad: "+strings.Repeat("x", headerBytes)+"\r\n")
+		c.Assert(err, qt.IsNil)
+		return conn
+	}
+	waitUsed := func(condition string, ok func(used int64) bool) {
+		for end := time.Now().Add(10 * time.Second); !ok(memory.Used()); time.Sleep(time.Millisecond) {
+			c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("%s: %d bytes are in use", condition, memory.Used()))
+		}
+	}
+	large := dial(40 << 10)
+	waitUsed("the first header is counted", func(used int64) bool { return used >= 70<<10 })
+	tooMuch := dial(40 << 10)
+	_, err = io.ReadAll(tooMuch) // the server closes the connection
+	c.Check(err == nil || strings.Contains(err.Error(), "reset"), qt.IsTrue, qt.Commentf("%v", err))
+	allowed := dial(15 << 10)
+	_, err = io.WriteString(allowed, "\r\n")
+	c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(allowed), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(answer.StatusCode, qt.Equals, http.StatusNotFound)
+	for _, conn := range []net.Conn{large, tooMuch, allowed} {
+		c.Check(conn.Close(), qt.IsNil)
+	}
+	waitUsed("all memory is released", func(used int64) bool { return used == 0 })
+}
--- a/internal/mesh/dataplane/outbound/proxy.go
+++ b/internal/mesh/dataplane/outbound/proxy.go
@@ -31,6 +31,10 @@
 	// AnswerMemory counts the memory of large answers while they are written to clients. It may be nil.
 	AnswerMemory *membudget.Pool
 
+	// ConnectionMemory counts the memory of clients' connections and headers. Connections whose headers are larger than the configuration
+	// allows are closed if they do not fit. It may be nil.
+	ConnectionMemory *membudget.Pool
+
 	// RefreshEndpoints requests the complete endpoint list of a service again. It is called on a new goroutine, and may be nil.
 	RefreshEndpoints func(service string)
 
--- a/internal/mesh/dataplane/outbound/server.go
+++ b/internal/mesh/dataplane/outbound/server.go
@@ -40,9 +40,18 @@
 	}
 }
 
-// Listener returns a listener for Server, which applies the configured time for clients' headers to the connections that it accepts.
+// Listener returns a listener for Server, which applies the configured time for clients' headers to the connections that it accepts, and
+// counts their memory.
 func (p *Proxy) Listener(listener net.Listener) net.Listener {
-	return clientListener{listener, p.headerTimeout}
+	return clientListener{listener, p.headerTimeout, p.maxHeader, p.options.ConnectionMemory}
+}
+
+// maxHeader returns the size of the largest header that the active configuration allows; 0 while there is none.
+func (p *Proxy) maxHeader() int64 {
+	if config := p.config.Load(); config != nil {
+		return config.Limits.HeaderMax
+	}
+	return 0
 }
 
 // headerTimeout returns how long a client may take to send a header, according to the active configuration. The time begins with the
