--- a/internal/mesh/agent/state_test.go
+++ b/internal/mesh/agent/state_test.go
@@ -56,7 +56,9 @@
 	handler := goldenCore(t, goldenCoreIP).NewSingletonRoles(&fakeRegister{}, false).Handler()
 	release := make(chan struct{})
 	var readers sync.WaitGroup
-	get := func(w http.ResponseWriter) { handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, StatePath, nil)) }
+	get := func(w http.ResponseWriter) {
+		handler.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, StatePath, nil))
+	}
 	for range maxStateReaders {
 		readers.Go(func() { get(&stalledWriter{httptest.NewRecorder(), release}) })
 	}
--- a/internal/mesh/assembly/listen_test.go
+++ b/internal/mesh/assembly/listen_test.go
@@ -28,9 +28,9 @@
 	defer p.shutDownHTTPServers(t.Context())
 	var stalled []net.Conn
 	for range limit {
-		stalled = append(stalled, dialHalfRequest(c, listeners[0].Addr()))
+		stalled = append(stalled, dialHalfRequest(t, c, listeners[0].Addr()))
 	}
-	waiting := dialHalfRequest(c, listeners[0].Addr())
+	waiting := dialHalfRequest(t, c, listeners[0].Addr())
 	defer waiting.Close() //nolint:errcheck // the test is over
 	_, err = io.WriteString(waiting, "\r\n")
 	c.Assert(err, qt.IsNil)
@@ -48,8 +48,9 @@
 }
 
 // dialHalfRequest connects to an address and sends a request without the end of its header.
-func dialHalfRequest(c *qt.C, address net.Addr) net.Conn {
-	conn, err := net.Dial(address.Network(), address.String())
+func dialHalfRequest(t *testing.T, c *qt.C, address net.Addr) net.Conn {
+	t.Helper()
+	conn, err := new(net.Dialer).DialContext(t.Context(), address.Network(), address.String())
 	c.Assert(err, qt.IsNil)
 	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n")
 	c.Assert(err, qt.IsNil)
--- a/internal/mesh/control/controlplane/order_body_test.go
+++ b/internal/mesh/control/controlplane/order_body_test.go
@@ -29,8 +29,8 @@
 }
 
 // postBody posts a body of a given length, or of one that is not announced if length is negative.
-func postBody(handler http.Handler, body io.Reader, length int64) *httptest.ResponseRecorder {
-	request := httptest.NewRequest(http.MethodPost, "/configuration/replace", body)
+func postBody(ctx context.Context, handler http.Handler, body io.Reader, length int64) *httptest.ResponseRecorder {
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/configuration/replace", body)
 	request.ContentLength = length
 	request.Header.Set(baseVersionHeader, "0")
 	response := httptest.NewRecorder()
@@ -47,9 +47,9 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range bodies {
-		c.Check(postBody(handler, spaces(size), size).Code, qt.Equals, http.StatusRequestEntityTooLarge)
+		c.Check(postBody(t.Context(), handler, spaces(size), size).Code, qt.Equals, http.StatusRequestEntityTooLarge)
 	}
-	c.Check(postBody(handler, bytes.NewReader(make([]byte, maxBodyBytes+1)), -1).Code, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Check(postBody(t.Context(), handler, bytes.NewReader(make([]byte, maxBodyBytes+1)), -1).Code, qt.Equals, http.StatusRequestEntityTooLarge)
 	runtime.ReadMemStats(&after)
 	// The body without a length is read up to the limit, with the growth of its buffer.
 	c.Check(after.TotalAlloc-before.TotalAlloc < 8*maxBodyBytes, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
@@ -81,14 +81,14 @@
 	post := func() int {
 		// The content is shorter than announced: the answer is 408 once it was read.
 		body := &stalledReader{content: spaces(size - 1), started: started, release: release}
-		return postBody(handler, body, size).Code
+		return postBody(t.Context(), handler, body, size).Code
 	}
 	for range 2 {
 		go func() { codes <- post() }()
 		<-started
 	}
 	c.Check(memory.Bodies.Used(), qt.Equals, int64(2*size))
-	rejected := postBody(handler, spaces(size), size)
+	rejected := postBody(t.Context(), handler, spaces(size), size)
 	c.Check(rejected.Code, qt.Equals, http.StatusServiceUnavailable)
 	c.Check(rejected.Header().Get("Retry-After"), qt.Equals, retryAfterSeconds)
 	close(release)
@@ -107,12 +107,12 @@
 		pool := membudget.NewPool(size)
 		server.api.memory.Processing = pool
 		core.c.Assert(pool.Reserve(1), qt.IsTrue)
-		core.c.Check(postBody(server.Handler(), bytes.NewReader(text), int64(len(text))).Code, qt.Equals, http.StatusServiceUnavailable)
+		core.c.Check(postBody(ctx, server.Handler(), bytes.NewReader(text), int64(len(text))).Code, qt.Equals, http.StatusServiceUnavailable)
 		go func() {
 			time.Sleep(callTimeout / 2)
 			pool.Release(1)
 		}()
-		core.c.Check(postBody(server.Handler(), bytes.NewReader(text), int64(len(text))).Code, qt.Equals, http.StatusOK)
+		core.c.Check(postBody(ctx, server.Handler(), bytes.NewReader(text), int64(len(text))).Code, qt.Equals, http.StatusOK)
 		core.c.Check(pool.Used(), qt.Equals, int64(0))
 	})
 }
--- a/internal/mesh/dataplane/outbound/client_listener_test.go
+++ b/internal/mesh/dataplane/outbound/client_listener_test.go
@@ -128,13 +128,13 @@
 	memory := membudget.NewPool(limit)
 	proxy.options.ConnectionMemory = memory
 	proxy.Configure(headerConfig(t, 1, 10*time.Second, 10*time.Second)) // headers of up to 16 KiB
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	server := proxy.Server()
 	go func() { _ = server.Serve(proxy.Listener(listener)) }()
 	defer server.Close() //nolint:errcheck // the test is over
 	dial := func(headerBytes int) net.Conn {
-		conn, err := net.Dial("tcp4", listener.Addr().String())
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp4", listener.Addr().String())
 		c.Assert(err, qt.IsNil)
 		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX-Pad: "+strings.Repeat("x", headerBytes)+"\r\n")
 		c.Assert(err, qt.IsNil)
@@ -156,6 +156,7 @@
 	answer, err := http.ReadResponse(bufio.NewReader(allowed), nil)
 	c.Assert(err, qt.IsNil)
 	c.Check(answer.StatusCode, qt.Equals, http.StatusNotFound)
+	c.Check(answer.Body.Close(), qt.IsNil)
 	for _, conn := range []net.Conn{large, tooMuch, allowed} {
 		c.Check(conn.Close(), qt.IsNil)
 	}
