A failed accept no longer ends a server, and its process with it

Callers would see a process shut down with status 1 because one accept failed, for lack of the kernel's memory or with a network error of a connection that was not accepted yet. Cause: http.Server repeats accept only after EMFILE, ENFILE and EINTR. Fix: lifecycle.RetryAccept, which links and HTTP servers of the mesh share; only a closed listener ends them. Evidence: TestServerOutlivesErrorsOfItsListener failed before at the first ENOBUFS, and passes; TestListenOutlivesErrorsOfTheListener holds.

--- a/internal/mesh/assembly/listen.go
+++ b/internal/mesh/assembly/listen.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/netutil"
+
+	"quincegap/internal/lifecycle"
 )
 
 const (
@@ -63,6 +65,13 @@
 	return listener, trace.Wrap(err, "listen on %s", address)
 }
 
+// retryAccept returns a listener that logs errors of the given one, and tries again, until it is closed.
+func (p *process) retryAccept(listener net.Listener) net.Listener {
+	return lifecycle.RetryAccept(listener, func(err error) {
+		p.log.WithField("address", listener.Addr()).WithError(err).Warn("assembly: failed to accept a connection, trying again")
+	})
+}
+
 // closeListener closes a listener, which may already be closed.
 func (p *process) closeListener(listener net.Listener) {
 	if err := listener.Close(); err != nil && !isClosed(err) {
@@ -81,7 +90,7 @@
 		MaxHeaderBytes:    httpMaxHeaderBytes,
 	}
 	p.httpServers = append(p.httpServers, server)
-	limited := netutil.LimitListener(listener, maxConnections(int64(p.settings.MemoryMB)<<20))
+	limited := netutil.LimitListener(p.retryAccept(listener), maxConnections(int64(p.settings.MemoryMB)<<20))
 	p.tasks.Go(func() {
 		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			p.serverErrors <- trace.Wrap(err, "serve %s", listener.Addr())
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -108,7 +108,7 @@
 // serveClients serves the requests of clients and of the local endpoint. If the server fails, awaitTermination returns its error.
 func (s *sidecar) serveClients(listener net.Listener) {
 	s.tasks.Go(func() {
-		if err := s.outbound.Server().Serve(s.outbound.Listener(listener)); err != nil {
+		if err := s.outbound.Server().Serve(s.outbound.Listener(s.retryAccept(listener))); err != nil {
 			s.serverErrors <- trace.Wrap(err, "serve %s", s.settings.OutboundAddress)
 		}
 	})
--- a/internal/mesh/transport/connect.go
+++ b/internal/mesh/transport/connect.go
@@ -6,14 +6,13 @@
 	"time"
 
 	"github.com/gravitational/trace"
-)
 
-const (
-	drainPollInterval = 10 * time.Millisecond  // time between two checks of the links of a draining process
-	minAcceptBackoff  = 5 * time.Millisecond   // delay after the first failure to accept a connection; it doubles with each further one
-	maxAcceptBackoff  = 500 * time.Millisecond // upper bound of the delay after a failure to accept a connection
+	"quincegap/internal/lifecycle"
 )
 
+// drainPollInterval is the time between two checks of the links of a draining process.
+const drainPollInterval = 10 * time.Millisecond
+
 // dialTCP opens a TCP connection to a peer. Hub.Close interrupts it.
 func (h *Hub) dialTCP(address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1} // TCP keepalives are disabled: pings detect that a peer is lost
@@ -37,21 +36,18 @@
 	h.mu.Lock()
 	h.listeners = append(h.listeners, listener)
 	h.mu.Unlock()
-	backoff := minAcceptBackoff
+	accepting := lifecycle.RetryAccept(listener, func(err error) {
+		h.log.WithError(err).Warn("transport: failed to accept a connection, trying again")
+	})
 	for {
-		conn, err := listener.Accept()
+		conn, err := accepting.Accept()
 		switch {
-		case err != nil && h.isClosing():
+		case err == nil:
+			h.accept(conn)
+		case h.isClosing():
 			return nil
-		case errors.Is(err, net.ErrClosed):
-			return trace.Wrap(err)
-		case err != nil:
-			h.log.WithError(err).Warn("transport: failed to accept a connection, trying again")
-			time.Sleep(backoff)
-			backoff = min(2*backoff, maxAcceptBackoff)
 		default:
-			backoff = minAcceptBackoff
-			h.accept(conn)
+			return trace.Wrap(err)
 		}
 	}
 }
