--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -53,7 +53,7 @@
 		{"http1", "http3"},
 		{"exchange"},
 	}},
-	{"internal/standin", [][]string{{"application", "authority", "booking", "consul", "disk", "h3", "relay", "udp"}}},
+	{"internal/standin", [][]string{{"application", "authority", "booking", "consul", "disk", "h3", "pipe", "relay", "udp"}}},
 	{"internal/lifecycle", [][]string{{".", "earlysignals"}}},
 	{"internal/files", [][]string{
 		{"certfile", "store"},
--- a/internal/mesh/assembly/doc.go
+++ b/internal/mesh/assembly/doc.go
@@ -16,7 +16,8 @@
 //
 //	newProcess -> listen on all addresses -> build -> serve -> awaitTermination -> shut down -> close
 //
-// A process listens on all of its addresses before it serves requests on any of them. It shuts down in the steps below after SIGTERM, and
+// A process waits for settings that are being written, and for addresses that are in use (start.go). It listens on all of its addresses
+// before it serves requests on any of them. It shuts down in the steps below after SIGTERM, and
 // also after one of its servers has failed. All steps together take less than the grace time (settings.Bounds.Grace), after which the
 // platform kills the process. The left half of the table has the time after SIGTERM at which a sidecar takes a step, the right half the
 // longest time that a control-plane process takes for a step:
--- a/internal/mesh/assembly/listen_test.go
+++ b/internal/mesh/assembly/listen_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quincegap/internal/mesh/operations/settings"
+	"quincegap/internal/standin/pipe"
 )
 
 // Connections to the control address were not bounded: with headers and bodies that stop midway they took all the memory of a machine.
@@ -57,40 +58,26 @@
 	return conn
 }
 
-// pipeListener is a listener that accepts the connections in a channel.
-type pipeListener chan net.Conn
-
-func (p pipeListener) Accept() (net.Conn, error) {
-	if conn, ok := <-p; ok {
-		return conn, nil
-	}
-	return nil, net.ErrClosed
-}
-
-func (p pipeListener) Close() error { return nil }
-
-func (p pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // A client that does not read its answer held its memory for as long as it stayed.
 func TestAnswersThatAreNotReadEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p := &process{settings: &settings.Settings{MemoryMB: 128}, log: logrus.New(), serverErrors: make(chan error, 8)}
 		p.log.SetOutput(io.Discard)
-		connections := make(pipeListener, 1)
+		listener := pipe.NewListener()
 		written := make(chan error, 1)
 		p.serveHTTP(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, err := w.Write(make([]byte, 1<<20))
 			written <- err
-		}), connections)
-		client, server := net.Pipe()
-		connections <- server
-		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		}), listener)
+		client, err := listener.Dial()
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 		c.Assert(err, qt.IsNil)
 		began := time.Now()
 		c.Assert(<-written, qt.ErrorMatches, ".*timeout")
 		c.Assert(time.Since(began) <= httpWriteTimeout, qt.IsTrue)
-		close(connections)
+		c.Assert(listener.Close(), qt.IsNil)
 		c.Assert(client.Close(), qt.IsNil)
 	})
 }
--- a/internal/mesh/operations/eventfeed/deadline_test.go
+++ b/internal/mesh/operations/eventfeed/deadline_test.go
@@ -12,33 +12,20 @@
 	qt "github.com/frankban/quicktest"
 
 	"quincegap/internal/mesh/operations/events"
+	"quincegap/internal/standin/pipe"
 )
 
-// pipeListener is a listener that accepts the connections in a channel.
-type pipeListener chan net.Conn
-
-func (p pipeListener) Accept() (net.Conn, error) {
-	if conn, ok := <-p; ok {
-		return conn, nil
-	}
-	return nil, net.ErrClosed
-}
-
-func (p pipeListener) Close() error { return nil }
-
-func (p pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // An answer without events, which comes after maxWait, is not cut off by the server's own limit of the time to write an answer.
 func TestEmptyAnswerOutlivesTheWriteTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		server := &http.Server{Handler: Handler(goldenSource{events.NewFeed(36, 4)}), WriteTimeout: maxWait / 5}
-		connections := make(pipeListener, 1)
+		listener := pipe.NewListener()
 		served := make(chan error, 1)
-		go func() { served <- server.Serve(connections) }()
-		client, accepted := net.Pipe()
-		connections <- accepted
-		_, err := io.WriteString(client, "GET /events HTTP/1.1\r\nHost: x\r\n\r\n")
+		go func() { served <- server.Serve(listener) }()
+		client, err := listener.Dial()
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(client, "GET /events HTTP/1.1\r\nHost: x\r\n\r\n")
 		c.Assert(err, qt.IsNil)
 		began := time.Now()
 		response, err := http.ReadResponse(bufio.NewReader(client), nil)
@@ -47,7 +34,7 @@
 		c.Assert(response.Body.Close(), qt.IsNil)
 		c.Assert(time.Since(began), qt.Equals, maxWait)
 		c.Assert(client.Close(), qt.IsNil)
-		close(connections)
+		c.Assert(listener.Close(), qt.IsNil)
 		c.Assert(<-served, qt.ErrorIs, net.ErrClosed)
 	})
 }
