sockets: a process logs the connections it has and the bytes that wait in them

Package sockets opens all TCP connections of the mesh's programs and counts what is unread in them (TIOCINQ). The warning and the log on SIGUSR1 have connections and unreadBytes; the warning compares resident memory and unread bytes with the limit.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -35,7 +35,7 @@
 		{"transport", "control/storage", "operations/settings", "operations/logging"},
 		{
 			"operations/events", "control/ratelimit", "discovery", "discovery/membership", "control/consensus", "control/lease",
-			"dataplane/admission",
+			"dataplane/admission", "transport/sockets",
 		},
 		{"dataplane/outcome", "control/configuration", "transport/codec", "transport/membudget"},
 	}},
--- a/internal/mesh/assembly/listen.go
+++ b/internal/mesh/assembly/listen.go
@@ -56,10 +56,9 @@
 
 // listenRetrying listens on an address, and repeats that as mayRetryListening decides. The error names the address.
 func (p *process) listenRetrying(ctx context.Context, address string) (listener net.Listener, err error) {
-	var config net.ListenConfig
 	step := startStep{log: p.log.WithField("address", address), mayRetry: mayRetryListening}
 	err = step.run(ctx, func() (err error) {
-		listener, err = config.Listen(ctx, "tcp4", address)
+		listener, err = p.sockets.Listen(ctx, address)
 		return err
 	})
 	return listener, trace.Wrap(err, "listen on %s", address)
--- a/internal/mesh/assembly/memory_watch.go
+++ b/internal/mesh/assembly/memory_watch.go
@@ -30,7 +30,7 @@
 	stacks   uint64
 }
 
-// resident returns the memory that the platform counts.
+// resident returns the memory that the platform counts, without what the kernel holds for connections.
 func (m memoryUse) resident() int64 { return int64(m.mapped - m.released) }
 
 // readMemoryUse reads the current use.
@@ -55,9 +55,9 @@
 	warnedAt     time.Duration
 }
 
-// due reports whether a warning is due at the time now, for a use of resident bytes.
-func (m *memoryWarner) due(now time.Duration, resident int64) bool {
-	if float64(resident) < memoryWarningFraction*float64(m.machineBytes) {
+// due reports whether a warning is due at the time now, for a use of a number of bytes.
+func (m *memoryWarner) due(now time.Duration, bytes int64) bool {
+	if float64(bytes) < memoryWarningFraction*float64(m.machineBytes) {
 		return false
 	}
 	if m.warned && now-m.warnedAt < memoryWarningInterval {
@@ -81,7 +81,7 @@
 			return
 		}
 		use := readMemoryUse()
-		if warner.due(p.hub.Now(), use.resident()) {
+		if warner.due(p.hub.Now(), use.resident()+p.sockets.Usage().UnreadBytes) {
 			p.memoryFields().WithFields(logrus.Fields{
 				"limitBytes":    warner.machineBytes,
 				"residentBytes": use.resident(),
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -17,6 +17,7 @@
 	"quincegap/internal/mesh/operations/logging"
 	"quincegap/internal/mesh/operations/settings"
 	"quincegap/internal/mesh/transport"
+	"quincegap/internal/mesh/transport/sockets"
 )
 
 const (
@@ -33,6 +34,7 @@
 	settingsPath string
 	signals      lifecycle.Signals
 	hub          *transport.Hub
+	sockets      sockets.Sockets
 	memory       memoryPools
 	log          *logrus.Logger
 	logRing      *logging.Ring
@@ -89,6 +91,7 @@
 		Service:     loaded.Service,
 	}
 	p.hub = transport.NewHub(hello, time.Now(), largestRequestBytes, p.log)
+	p.hub.SetDialer(p.sockets.Dial)
 	p.hub.SetMemory(p.memory.calls, p.memory.answers)
 	p.hub.LimitRate(loaded.LinkMbps * bitsPerMegabit)
 }
@@ -176,6 +179,7 @@
 // memoryFields returns a log entry with the number of links, and with what the process holds of large messages.
 func (p *process) memoryFields() *logrus.Entry {
 	transfers, transferBytes := p.hub.QueuedTransfers()
+	usage := p.sockets.Usage()
 	activeLinks, otherLinks := p.hub.LinkCounts()
 	return p.log.WithFields(logrus.Fields{
 		"links":         activeLinks + otherLinks,
@@ -186,6 +190,8 @@
 		"answerBytes":   p.memory.answers.Used(),
 		"changeBytes":   p.memory.processing.Used(),
 		"clientBytes":   p.memory.connections.Used(),
+		"connections":   usage.Connections,
+		"unreadBytes":   usage.UnreadBytes,
 	})
 }
 
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -62,6 +62,11 @@
 	s.inbound = inbound.New(p.settings.ApplicationAddress, p.hub.Now, p.log, func(endpointID string) {
 		s.agent.PublishEnd(endpointID, discovery.Crashed)
 	})
+	s.inbound.SetDialer(func(address string, timeout time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
+		defer cancel()
+		return s.sockets.Dial(ctx, address)
+	})
 	s.inbound.SetAnswerMemory(p.memory.answers)
 	s.outbound = outbound.New(s.outboundOptions())
 	s.local = &localEndpoint{address: p.settings.ApplicationAddress, zone: p.settings.Zone, inbound: s.inbound}
--- a/internal/mesh/dataplane/outbound/sidecar_test.go
+++ b/internal/mesh/dataplane/outbound/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -60,7 +61,7 @@
 	log := quietLog()
 	hello := transport.Hello{Incarnation: incarnation, Address: name + linkPort, Name: name}
 	started.hub = transport.NewHub(hello, time.Now(), 64<<20, log)
-	started.hub.SetDialer(func(address string) (net.Conn, error) { return network.dial(name, address) })
+	started.hub.SetDialer(func(_ context.Context, address string) (net.Conn, error) { return network.dial(name, address) })
 	started.inbound = inbound.New(name+endpointPort, started.hub.Now, log, nil)
 	started.inbound.SetDialer(func(address string, _ time.Duration) (net.Conn, error) { return network.dialLocal(address) })
 	started.inbound.Register(started.hub)
--- a/internal/mesh/transport/connect.go
+++ b/internal/mesh/transport/connect.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"net"
 	"time"
@@ -13,15 +14,20 @@
 // drainPollInterval is the time between two checks of the links of a draining process.
 const drainPollInterval = 10 * time.Millisecond
 
-// dialTCP opens a TCP connection to a peer. Hub.Close interrupts it.
-func (h *Hub) dialTCP(address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1} // TCP keepalives are disabled: pings detect that a peer is lost
-	return d.DialContext(h.ctx, "tcp4", address)
+// A Dialer connects to a peer's address. It fails when ctx ends.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// dialTCP is the default Dialer.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1} // TCP keepalives are disabled: pings detect that a peer is lost
+	return d.DialContext(ctx, "tcp4", address)
 }
 
-// dial opens the connection of a link, and runs the link until it ends.
+// dial opens the connection of a link, and runs the link until it ends. Hub.Close interrupts the dialling.
 func (h *Hub) dial(l *Link) {
-	conn, err := h.dialConn(l.peer)
+	ctx, cancel := context.WithTimeout(h.ctx, dialTimeout)
+	defer cancel()
+	conn, err := h.dialConn(ctx, l.peer)
 	if err != nil {
 		l.fail(err.Error())
 		return
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -35,7 +35,7 @@
 
 	// The following fields are set before the first link exists, and need no lock.
 	onLinkLost  func(address, reason string)
-	dialConn    func(address string) (net.Conn, error)
+	dialConn    Dialer
 	callMemory  *membudget.Pool // memory of peers' calls without a reply
 	replyMemory *membudget.Pool // memory of incomplete replies to this process's calls, and of large replies that are being sent
 
@@ -59,7 +59,7 @@
 		otherLinks:  map[*Link]bool{},
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.dialConn = h.dialTCP
+	h.dialConn = dialTCP
 	h.callMemory = membudget.NewPool(int64(maxCallBytes))
 	h.goroutines.Go(h.monitorLinks)
 	return h
@@ -77,7 +77,7 @@
 func (h *Hub) OnLinkLost(f func(address, reason string)) { h.onLinkLost = f }
 
 // SetDialer replaces the function that dials peers, TCP by default. It must be set before the first call.
-func (h *Hub) SetDialer(f func(address string) (net.Conn, error)) { h.dialConn = f }
+func (h *Hub) SetDialer(f Dialer) { h.dialConn = f }
 
 // SetMemory sets the pools that bound the memory of messages. A peer's call that does not fit into calls gets an empty reply, and its
 // handler is not called. A call of this process whose reply does not fit into replies ends with a ConnectionError. SetMemory must be called
--- a/internal/mesh/transport/link.go
+++ b/internal/mesh/transport/link.go
@@ -62,6 +62,12 @@
 	writeClosed  bool          // whether the sending half of the connection is closed
 }
 
+// tcpConn has the methods of a TCP connection that a link uses if its connection has them.
+type tcpConn interface {
+	SetLinger(seconds int) error
+	SetWriteBuffer(bytes int) error
+}
+
 func newLink(h *Hub, peer string, dialled bool) *Link {
 	now := h.Now()
 	return &Link{
@@ -75,7 +81,7 @@
 
 // run serves the link on a connection. It blocks until the link ends and the reader has returned.
 func (l *Link) run(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(tcpConn); ok {
 		_ = tcp.SetWriteBuffer(socketBufferBytes) // the link works with any size
 	}
 	if !l.attach(conn) {
@@ -121,7 +127,7 @@
 		return
 	}
 	if unanswered.conn != nil {
-		if tcp, ok := unanswered.conn.(*net.TCPConn); ok {
+		if tcp, ok := unanswered.conn.(tcpConn); ok {
 			_ = tcp.SetLinger(0) // the kernel discards unsent bytes, so that no call arrives after it has ended with a ConnectionError
 		}
 		l.hub.closeConn(unanswered.conn, l.peer)
--- a/internal/mesh/transport/shaper_test.go
+++ b/internal/mesh/transport/shaper_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"errors"
 	"net"
 	"testing"
@@ -77,12 +78,12 @@
 	server.HandleRaw(1, func(c *IncomingCall) { c.ReplyBytes(nil) })
 	release := make(chan struct{})
 	dialTCP := client.dialConn
-	client.SetDialer(func(to string) (net.Conn, error) {
+	client.SetDialer(func(_ context.Context, to string) (net.Conn, error) {
 		if to != address {
 			<-release
 			return nil, errors.New("released")
 		}
-		return dialTCP(to)
+		return dialTCP(t.Context(), to)
 	})
 	for range 2 * maxActiveTransfers {
 		sendLarge(client, "127.0.0.1:1", largeCallBytes)
