sockets: receive buffers share the memory budget, accept queues are bounded

Callers saw: connections cut, since the platform kills sidecars again and again. Cause: what has arrived and is not read counts as memory, but the kernel lets each connection hold what tcp_rmem says, and neither the budget nor the runtime's soft limit knew of it: 59 to 267 MB. Change: connections have receive buffers of a fixed size (16 KB for clients and the endpoint, 32 KB for control ports, 128 KB for links), which a pool of the budget counts at twice their size. While the pool is used up, new connections get smaller ones. The connections that wait to be accepted on clients' and control ports are bounded to 0.02 of the memory. The soft limit of the heap follows the receive buffers that are in use.

--- a/internal/mesh/assembly/controlplane.go
+++ b/internal/mesh/assembly/controlplane.go
@@ -41,7 +41,9 @@
 		return startResult(err)
 	}
 	defer p.close()
-	listeners, err := p.listen(p.settings.InternalAddress(), p.settings.ControlAddress)
+	listeners, err := p.listen(
+		listenAddress{p.sockets.links, p.settings.InternalAddress()},
+		listenAddress{p.sockets.control, p.settings.ControlAddress})
 	if err != nil {
 		return startResult(err)
 	}
--- a/internal/mesh/assembly/listen.go
+++ b/internal/mesh/assembly/listen.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/netutil"
 
 	"quincegap/internal/lifecycle"
+	"quincegap/internal/mesh/transport/sockets"
 )
 
 const (
@@ -28,9 +29,15 @@
 	return int(connectionMemoryFraction * float64(machineBytes) / connectionBytes)
 }
 
+// listenAddress is an address to listen on, and the group of the connections that are accepted there.
+type listenAddress struct {
+	group   *sockets.Group
+	address string
+}
+
 // listen listens on addresses of the process, and waits for those that are in use. It listens on none of them if one can't be used. The
 // error is errTerminated if a signal to terminate comes before. close closes the listeners.
-func (p *process) listen(addresses ...string) ([]net.Listener, error) {
+func (p *process) listen(addresses ...listenAddress) ([]net.Listener, error) {
 	ctx, cancel := p.startContext()
 	defer cancel()
 	listeners, err := p.listenAll(ctx, addresses...)
@@ -39,7 +46,7 @@
 }
 
 // listenAll listens on all addresses, or on none if one can't be used. The error names that address.
-func (p *process) listenAll(ctx context.Context, addresses ...string) ([]net.Listener, error) {
+func (p *process) listenAll(ctx context.Context, addresses ...listenAddress) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, address := range addresses {
 		listener, err := p.listenRetrying(ctx, address)
@@ -55,13 +62,13 @@
 }
 
 // listenRetrying listens on an address, and repeats that as mayRetryListening decides. The error names the address.
-func (p *process) listenRetrying(ctx context.Context, address string) (listener net.Listener, err error) {
-	step := startStep{log: p.log.WithField("address", address), mayRetry: mayRetryListening}
+func (p *process) listenRetrying(ctx context.Context, at listenAddress) (listener net.Listener, err error) {
+	step := startStep{log: p.log.WithField("address", at.address), mayRetry: mayRetryListening}
 	err = step.run(ctx, func() (err error) {
-		listener, err = p.sockets.Listen(ctx, address)
+		listener, err = at.group.Listen(ctx, at.address)
 		return err
 	})
-	return listener, trace.Wrap(err, "listen on %s", address)
+	return listener, trace.Wrap(err, "listen on %s", at.address)
 }
 
 // retryAccept returns a listener that logs errors of the given one, and tries again, until it is closed.
--- a/internal/mesh/assembly/listen_test.go
+++ b/internal/mesh/assembly/listen_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quincegap/internal/mesh/operations/settings"
+	"quincegap/internal/mesh/transport/sockets"
 	"quincegap/internal/standin/pipe"
 )
 
@@ -23,7 +24,7 @@
 	p := &process{settings: &settings.Settings{MemoryMB: 1}, log: log, serverErrors: make(chan error, 8)}
 	limit := maxConnections(1 << 20)
 	c.Assert(limit, qt.Equals, 2)
-	listeners, err := p.listenAll(t.Context(), "127.0.0.1:0")
+	listeners, err := p.listenAll(t.Context(), anyPort())
 	c.Assert(err, qt.IsNil)
 	p.serveHTTP(http.NotFoundHandler(), listeners[0])
 	defer p.shutDownHTTPServers(t.Context())
@@ -48,6 +49,11 @@
 	c.Assert(string(answer), qt.Equals, "HTTP/1.1 404")
 }
 
+// anyPort returns an address whose port the kernel chooses.
+func anyPort() listenAddress {
+	return listenAddress{sockets.NewGroup(sockets.Options{}), "127.0.0.1:0"}
+}
+
 // dialHalfRequest connects to an address and sends a request without the end of its header.
 func dialHalfRequest(t *testing.T, c *qt.C, address net.Addr) net.Conn {
 	t.Helper()
--- a/internal/mesh/assembly/memory.go
+++ b/internal/mesh/assembly/memory.go
@@ -7,7 +7,8 @@
 	requestMemoryFraction     = 0.3  // for the bodies of clients' requests, and as much for the calls of peers
 	allRequestsMemoryFraction = 0.7  // for both together, on machines where largestRequestBytes is more than requestMemoryFraction
 	answerMemoryFraction      = 0.06 // for answers, beyond what requests may use
-	heapFraction              = 0.88 // the runtime's soft limit of all memory
+	heapFraction              = 0.88 // the runtime's soft limit of all memory, less the receive buffers of open connections
+	receiveMemoryFraction     = 0.06 // for the receive buffers of clients, and as much for those of links
 )
 
 // largestRequestBytes is more than controlplane.MaxProcessingBytes. It is the size of the largest request: the largest body that a configuration may allow, and its header.
@@ -20,6 +21,8 @@
 	answers     *membudget.Pool // answers of the endpoint and of peers, which may also use what requests leave
 	processing  *membudget.Pool // what operators' changes take while they are parsed and committed
 	connections *membudget.Pool // clients' connections and headers
+	receive     *membudget.Pool // receive buffers of connections
+	linkReceive *membudget.Pool // receive buffers of links
 }
 
 // newMemoryPools returns the pools of a machine with a number of bytes of memory. Each pool fits the largest request if the others are
@@ -36,5 +39,7 @@
 		answers:     budget.Pool(total, total),
 		processing:  budget.Pool(requestLimit, allRequests),
 		connections: budget.Pool(requestLimit, allRequests),
+		receive:     budget.Pool(fraction(receiveMemoryFraction), total),
+		linkReceive: budget.Pool(fraction(receiveMemoryFraction), total),
 	}
 }
--- a/internal/mesh/assembly/memory_watch.go
+++ b/internal/mesh/assembly/memory_watch.go
@@ -68,7 +68,7 @@
 	return true
 }
 
-// watchMemory logs a warning with what the process holds while its memory is nearly used up, until ctx ends. A process that the platform
+// watchMemory adjusts the soft limit of memory to the open connections, and logs a warning with what the process holds while its memory is nearly used up, until ctx ends. A process that the platform
 // kills for its memory leaves no other trace.
 func (p *process) watchMemory(ctx context.Context) {
 	warner := memoryWarner{machineBytes: int64(p.settings.MemoryMB) << 20}
@@ -80,8 +80,9 @@
 		case <-ctx.Done():
 			return
 		}
+		p.limitHeap()
 		use := readMemoryUse()
-		if warner.due(p.hub.Now(), use.resident()+p.sockets.Usage().UnreadBytes) {
+		if warner.due(p.hub.Now(), use.resident()+p.sockets.usage().UnreadBytes) {
 			p.memoryFields().WithFields(logrus.Fields{
 				"limitBytes":    warner.machineBytes,
 				"residentBytes": use.resident(),
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -17,7 +17,6 @@
 	"quincegap/internal/mesh/operations/logging"
 	"quincegap/internal/mesh/operations/settings"
 	"quincegap/internal/mesh/transport"
-	"quincegap/internal/mesh/transport/sockets"
 )
 
 const (
@@ -34,7 +33,7 @@
 	settingsPath string
 	signals      lifecycle.Signals
 	hub          *transport.Hub
-	sockets      sockets.Sockets
+	sockets      socketGroups
 	memory       memoryPools
 	log          *logrus.Logger
 	logRing      *logging.Ring
@@ -81,8 +80,9 @@
 	p.settings = loaded
 	debug.SetGCPercent(gcPercent)
 	machineBytes := int64(loaded.MemoryMB) << 20
-	debug.SetMemoryLimit(int64(heapFraction * float64(machineBytes)))
 	p.memory = newMemoryPools(machineBytes)
+	p.sockets = newSocketGroups(machineBytes, &p.memory)
+	p.limitHeap()
 	hello := transport.Hello{
 		Incarnation: rand.Uint64() | 1, // never 0, which stands for no incarnation
 		Address:     loaded.InternalAddress(),
@@ -91,11 +91,18 @@
 		Service:     loaded.Service,
 	}
 	p.hub = transport.NewHub(hello, time.Now(), largestRequestBytes, p.log)
-	p.hub.SetDialer(p.sockets.Dial)
+	p.hub.SetDialer(p.sockets.links.Dial)
 	p.hub.SetMemory(p.memory.calls, p.memory.answers)
 	p.hub.LimitRate(loaded.LinkMbps * bitsPerMegabit)
 }
 
+// limitHeap sets the runtime's soft limit of memory so that it leaves room for the receive buffers of the open connections.
+func (p *process) limitHeap() {
+	machineBytes := int64(p.settings.MemoryMB) << 20
+	receiveBytes := p.memory.receive.Used() + p.memory.linkReceive.Used()
+	debug.SetMemoryLimit(int64(heapFraction*float64(machineBytes)) - receiveBytes)
+}
+
 // awaitSignal closes terminated after the first signal to terminate. It returns when ctx ends, too.
 func (p *process) awaitSignal(ctx context.Context) {
 	select {
@@ -179,7 +186,7 @@
 // memoryFields returns a log entry with the number of links, and with what the process holds of large messages.
 func (p *process) memoryFields() *logrus.Entry {
 	transfers, transferBytes := p.hub.QueuedTransfers()
-	usage := p.sockets.Usage()
+	usage := p.sockets.usage()
 	activeLinks, otherLinks := p.hub.LinkCounts()
 	return p.log.WithFields(logrus.Fields{
 		"links":         activeLinks + otherLinks,
@@ -191,6 +198,7 @@
 		"changeBytes":   p.memory.processing.Used(),
 		"clientBytes":   p.memory.connections.Used(),
 		"connections":   usage.Connections,
+		"receiveBytes":  p.memory.receive.Used() + p.memory.linkReceive.Used(),
 		"unreadBytes":   usage.UnreadBytes,
 	})
 }
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -36,8 +36,11 @@
 		return startResult(err)
 	}
 	defer p.close()
-	listeners, err := p.listen(p.settings.InternalAddress(), p.settings.OutboundAddress, p.settings.ControlAddress,
-		p.settings.ReadinessAddress)
+	listeners, err := p.listen(
+		listenAddress{p.sockets.links, p.settings.InternalAddress()},
+		listenAddress{p.sockets.clients, p.settings.OutboundAddress},
+		listenAddress{p.sockets.control, p.settings.ControlAddress},
+		listenAddress{p.sockets.clients, p.settings.ReadinessAddress})
 	if err != nil {
 		return startResult(err)
 	}
@@ -65,7 +68,7 @@
 	s.inbound.SetDialer(func(address string, timeout time.Duration) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		defer cancel()
-		return s.sockets.Dial(ctx, address)
+		return s.sockets.clients.Dial(ctx, address)
 	})
 	s.inbound.SetAnswerMemory(p.memory.answers)
 	s.outbound = outbound.New(s.outboundOptions())
--- a/internal/mesh/assembly/signals_test.go
+++ b/internal/mesh/assembly/signals_test.go
@@ -166,7 +166,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	failing := &process{settings: &settings.Settings{MemoryMB: 128}, log: log, serverErrors: make(chan error, 8)}
-	listeners, err := failing.listenAll(t.Context(), "127.0.0.1:0", "127.0.0.1:0")
+	listeners, err := failing.listenAll(t.Context(), anyPort(), anyPort())
 	c.Assert(err, qt.IsNil)
 	inFlight, release := make(chan struct{}), make(chan struct{})
 	failing.serveHTTP(http.NotFoundHandler(), listeners[0])
--- a/internal/mesh/transport/sockets/conn.go
+++ b/internal/mesh/transport/sockets/conn.go
@@ -6,16 +6,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// conn is an open connection. Its other methods are those of the TCP connection.
+// conn is an open connection of a group. Its other methods are those of the TCP connection.
 type conn struct {
 	*net.TCPConn
-	sockets *Sockets
+	group        *Group
+	receiveBytes int // size of the receive buffer
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.sockets.remove(c)
-	return c.TCPConn.Close()
+	err := c.TCPConn.Close()
+	c.group.remove(c)
+	return err
 }
 
 // unreadBytes returns the number of bytes that have arrived and were not read yet; 0 if it can't be determined.
@@ -24,11 +26,10 @@
 	if err != nil {
 		return 0
 	}
-	_ = raw.Control(func(descriptor uintptr) { // fails only on a closed connection
-		n, err := unix.IoctlGetInt(int(descriptor), unix.TIOCINQ)
-		if err == nil {
-			bytes = int64(n)
-		}
+	_ = controlSocket(raw, func(descriptor int) error {
+		n, err := unix.IoctlGetInt(descriptor, unix.TIOCINQ)
+		bytes = int64(n)
+		return err
 	})
 	return bytes
 }
--- a/internal/mesh/transport/sockets/sockets.go
+++ b/internal/mesh/transport/sockets/sockets.go
@@ -4,80 +4,161 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+
+	"quincegap/internal/mesh/transport/membudget"
 )
 
-// Sockets are the open TCP connections of a process. It is safe for concurrent use. The zero value is ready to use.
-type Sockets struct {
-	mu   sync.Mutex
-	open map[*conn]struct{}
+// bufferFactor is the memory that a connection's receive buffer may take, as a multiple of the size that is set: the kernel doubles that
+// size (socket(7)).
+const bufferFactor = 2
+
+// minAcceptQueue is the smallest number of connections that may wait to be accepted.
+const minAcceptQueue = 16
+
+// Options are the limits of a group of connections. The zero value sets none.
+type Options struct {
+	ReceiveBytes    int             // size of a receive buffer
+	MinReceiveBytes int             // size of a receive buffer while Memory is used up
+	Memory          *membudget.Pool // pool that counts the receive buffers
+	AcceptBytes     int64           // memory for the connections that wait to be accepted by a listener; 0 for the kernel's default
 }
 
-// Usage is what the open connections take.
+// Group is a group of open TCP connections of a process. It is safe for concurrent use.
+type Group struct {
+	options Options
+	mu      sync.Mutex
+	open    map[*conn]struct{}
+}
+
+// NewGroup returns a group without connections.
+func NewGroup(options Options) *Group { return &Group{options: options, open: map[*conn]struct{}{}} }
+
+// Usage is what the open connections of a group take.
 type Usage struct {
 	Connections int
 	UnreadBytes int64 // bytes that have arrived and were not read yet, without those of connections that were not accepted yet
 }
 
 // Usage returns the current usage. It makes a system call for each connection.
-func (s *Sockets) Usage() Usage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	usage := Usage{Connections: len(s.open)}
-	for c := range s.open {
+func (g *Group) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usage := Usage{Connections: len(g.open)}
+	for c := range g.open {
 		usage.UnreadBytes += c.unreadBytes()
 	}
 	return usage
 }
 
 // Listen returns a listener on a TCP address (IPv4).
-func (s *Sockets) Listen(ctx context.Context, address string) (net.Listener, error) {
-	var config net.ListenConfig
+func (g *Group) Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: g.setReceiveBuffer}
 	tcp, err := config.Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return listener{tcp, s}, nil
+	if err := g.limitAcceptQueue(tcp.(*net.TCPListener)); err != nil {
+		return nil, trace.NewAggregate(err, tcp.Close())
+	}
+	return listener{tcp, g}, nil
 }
 
 // Dial connects to a TCP address (IPv4), without TCP keepalives. It fails when ctx ends.
-func (s *Sockets) Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: -1}
+func (g *Group) Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1, Control: g.setReceiveBuffer}
 	tcp, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return s.add(tcp.(*net.TCPConn)), nil
+	return g.add(tcp.(*net.TCPConn)), nil
 }
 
-// listener accepts connections that are counted in sockets.
-type listener struct {
-	net.Listener
-	sockets *Sockets
+// setReceiveBuffer sets the size of a socket's receive buffer before it listens or connects. Accepted connections inherit it.
+func (g *Group) setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	if g.options.ReceiveBytes == 0 {
+		return nil
+	}
+	return controlSocket(raw, func(descriptor int) error {
+		return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, g.options.ReceiveBytes)
+	})
 }
 
-// Accept implements net.Listener.
-func (l listener) Accept() (net.Conn, error) {
-	tcp, err := l.Listener.Accept()
+// limitAcceptQueue bounds the number of connections that wait to be accepted. Beyond it the kernel ignores the openings of connections,
+// which their clients repeat.
+func (g *Group) limitAcceptQueue(tcp *net.TCPListener) error {
+	if g.options.AcceptBytes == 0 {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return nil, err
+		return err
+	}
+	connections := max(int(g.options.AcceptBytes/g.memoryOf(g.options.ReceiveBytes)), minAcceptQueue)
+	return controlSocket(raw, func(descriptor int) error { return unix.Listen(descriptor, connections) })
+}
+
+// controlSocket calls a function with the file descriptor of a socket, and returns its error.
+func controlSocket(raw syscall.RawConn, apply func(descriptor int) error) error {
+	var failure error
+	if err := raw.Control(func(descriptor uintptr) { failure = apply(int(descriptor)) }); err != nil {
+		return err
+	}
+	return failure
+}
+
+// memoryOf returns the memory of a receive buffer of a size.
+func (g *Group) memoryOf(receiveBytes int) int64 { return bufferFactor * int64(receiveBytes) }
+
+// holdBuffer counts the receive buffer of a new connection in the pool, and returns its size: ReceiveBytes, or less if the pool has not
+// enough memory left.
+func (g *Group) holdBuffer() (receiveBytes int) {
+	for receiveBytes = g.options.ReceiveBytes; receiveBytes > g.options.MinReceiveBytes; receiveBytes /= 2 {
+		if g.options.Memory.Reserve(g.memoryOf(receiveBytes)) {
+			return receiveBytes
+		}
 	}
-	return l.sockets.add(tcp.(*net.TCPConn)), nil
+	g.options.Memory.Charge(g.memoryOf(g.options.MinReceiveBytes))
+	return g.options.MinReceiveBytes
 }
 
-// add counts a connection until it is closed.
-func (s *Sockets) add(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, sockets: s}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.open == nil {
-		s.open = map[*conn]struct{}{}
+// add adds a connection to the group until it is closed.
+func (g *Group) add(tcp *net.TCPConn) *conn {
+	c := &conn{TCPConn: tcp, group: g, receiveBytes: g.holdBuffer()}
+	if c.receiveBytes < g.options.ReceiveBytes {
+		_ = tcp.SetReadBuffer(c.receiveBytes) // fails only on a closed connection
 	}
-	s.open[c] = struct{}{}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open[c] = struct{}{}
 	return c
 }
 
-func (s *Sockets) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.open, c)
+// remove removes a connection, unless that was done before.
+func (g *Group) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.open[c]; !ok {
+		return
+	}
+	delete(g.open, c)
+	g.options.Memory.Release(g.memoryOf(c.receiveBytes))
+}
+
+// listener accepts the connections of a group.
+type listener struct {
+	net.Listener
+	group *Group
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	tcp, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.group.add(tcp.(*net.TCPConn)), nil
 }
