--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -82,7 +82,7 @@
 	pure   = []string{"internal/balancer", "internal/structures", "internal/modules", "internal/config", "internal/rehearsal", "internal/mesh"}
 	impure = []string{
 		"internal/rehearsal/rehearse", "internal/mesh/assembly", "internal/mesh/agent", "internal/mesh/dataplane/outbound",
-		"internal/mesh/control/controlplane", "internal/mesh/dataplane/inbound", "internal/mesh/transport", "internal/mesh/control/storage",
+		"internal/mesh/control/controlplane", "internal/mesh/dataplane/inbound", "internal/mesh/transport", "internal/mesh/transport/sockets", "internal/mesh/control/storage",
 		"internal/mesh/operations/settings", "internal/mesh/operations/eventlog", "internal/mesh/operations/eventfeed",
 		"internal/mesh/operations/meshctl",
 	}
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -66,9 +66,7 @@
 		s.agent.PublishEnd(endpointID, discovery.Crashed)
 	})
 	s.inbound.SetDialer(func(address string, timeout time.Duration) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(s.ctx, timeout)
-		defer cancel()
-		return s.sockets.clients.Dial(ctx, address)
+		return s.sockets.clients.Dial(s.ctx, address, timeout)
 	})
 	s.inbound.SetAnswerMemory(p.memory.answers)
 	s.outbound = outbound.New(s.outboundOptions())
--- a/internal/mesh/dataplane/outbound/sidecar_test.go
+++ b/internal/mesh/dataplane/outbound/sidecar_test.go
@@ -61,7 +61,9 @@
 	log := quietLog()
 	hello := transport.Hello{Incarnation: incarnation, Address: name + linkPort, Name: name}
 	started.hub = transport.NewHub(hello, time.Now(), 64<<20, log)
-	started.hub.SetDialer(func(_ context.Context, address string) (net.Conn, error) { return network.dial(name, address) })
+	started.hub.SetDialer(func(_ context.Context, address string, _ time.Duration) (net.Conn, error) {
+		return network.dial(name, address)
+	})
 	started.inbound = inbound.New(name+endpointPort, started.hub.Now, log, nil)
 	started.inbound.SetDialer(func(address string, _ time.Duration) (net.Conn, error) { return network.dialLocal(address) })
 	started.inbound.Register(started.hub)
--- a/internal/mesh/transport/orders_test.go
+++ b/internal/mesh/transport/orders_test.go
@@ -78,7 +78,7 @@
 	o.address = address
 	o.client.LimitRate(rate)
 	o.server.LimitRate(rate)
-	o.client.SetDialer(func(_ context.Context, address string) (net.Conn, error) {
+	o.client.SetDialer(func(_ context.Context, address string, _ time.Duration) (net.Conn, error) {
 		conn, err := net.Dial("tcp4", address) //nolint:noctx // on loopback
 		if err == nil {
 			o.connsMu.Lock()
--- a/internal/mesh/transport/shaper_test.go
+++ b/internal/mesh/transport/shaper_test.go
@@ -78,12 +78,12 @@
 	server.HandleRaw(1, func(c *IncomingCall) { c.ReplyBytes(nil) })
 	release := make(chan struct{})
 	dialTCP := client.dialConn
-	client.SetDialer(func(_ context.Context, to string) (net.Conn, error) {
+	client.SetDialer(func(ctx context.Context, to string, timeout time.Duration) (net.Conn, error) {
 		if to != address {
 			<-release
 			return nil, errors.New("released")
 		}
-		return dialTCP(t.Context(), to)
+		return dialTCP(ctx, to, timeout)
 	})
 	for range 2 * maxActiveTransfers {
 		sendLarge(client, "127.0.0.1:1", largeCallBytes)
--- a/internal/mesh/transport/sockets/sockets.go
+++ b/internal/mesh/transport/sockets/sockets.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
@@ -67,9 +68,9 @@
 	return listener{tcp, g}, nil
 }
 
-// Dial connects to a TCP address (IPv4), without TCP keepalives. It fails when ctx ends.
-func (g *Group) Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAlive: -1, Control: g.setReceiveBuffer}
+// Dial connects to a TCP address (IPv4), without TCP keepalives. It fails after a timeout, or when ctx ends.
+func (g *Group) Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: g.setReceiveBuffer}
 	tcp, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
--- a/internal/mesh/transport/sockets/sockets_test.go
+++ b/internal/mesh/transport/sockets/sockets_test.go
@@ -47,7 +47,7 @@
 	accepting, dialling := NewGroup(Options{}), NewGroup(Options{})
 	listener, err := accepting.Listen(t.Context(), "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	conn, err := dialling.Dial(t.Context(), listener.Addr().String())
+	conn, err := dialling.Dial(t.Context(), listener.Addr().String(), time.Second)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, dialling.Usage(), qt.Equals, Usage{Connections: 1})
 	qt.Assert(t, conn.Close(), qt.IsNil)
@@ -64,7 +64,7 @@
 	var sizes []int
 	var connections []net.Conn
 	for range 4 {
-		dialled, err := group.Dial(t.Context(), listener.Addr().String())
+		dialled, err := group.Dial(t.Context(), listener.Addr().String(), time.Second)
 		qt.Assert(t, err, qt.IsNil)
 		connections = append(connections, dialled)
 		sizes = append(sizes, dialled.(*conn).receiveBytes)
--- a/internal/mesh/transport/transport_test.go
+++ b/internal/mesh/transport/transport_test.go
@@ -381,7 +381,7 @@
 func TestCloseEndsADial(t *testing.T) {
 	h, _, _ := newTestHub(t, "client", 1<<20)
 	dialling := make(chan struct{})
-	h.SetDialer(func(context.Context, string) (net.Conn, error) {
+	h.SetDialer(func(context.Context, string, time.Duration) (net.Conn, error) {
 		close(dialling)
 		<-h.ctx.Done()
 		return nil, h.ctx.Err()
