transport: a peer that does not read no longer makes a process hold its replies

A platform would see: a process over its memory is killed. Cause: a link read on, whatever was queued for its peer: a pong for each ping, all small replies, and the bodies of calls that were cancelled before they were sent. Only large replies had a bound. Change: one pong answers all pings before it. The side that accepted a link reads no further frame while 256 KB of small replies or 64 large ones are queued; the other side queues no replies and always reads, so that the two can't wait for each other. A cancelled call drops the rest of its body. A peer whose first frame is not a hello is disconnected.

--- /dev/null
+++ b/internal/mesh/transport/backpressure.go
@@ -0,0 +1,48 @@
+package transport
+
+const (
+	// maxQueuedReplyBytes is the size of the small replies of a link above which no further frames of the peer are read. Large replies are
+	// counted in Hub.replyMemory.
+	maxQueuedReplyBytes = 256 << 10
+	// maxQueuedLargeReplies is the number of large replies of a link above which no further frames of the peer are read.
+	maxQueuedLargeReplies = 64
+	// replyOverheadBytes is the memory of a queued reply beside its body.
+	replyOverheadBytes = 256
+)
+
+// wakeup wakes a goroutine that waits for a change.
+type wakeup chan struct{}
+
+func newWakeup() wakeup { return make(wakeup, 1) }
+
+// wake wakes the goroutine, or the next one that waits. It never blocks.
+func (w wakeup) wake() {
+	select {
+	case w <- struct{}{}:
+	default: // a wake-up is already pending
+	}
+}
+
+// awaitReplySpace waits while the peer reads its replies more slowly than it sends calls, so that what is queued for it stays bounded. Only
+// the side that accepted a link queues replies, and the other side always reads, so that the two never wait for each other. It returns
+// false if the link has ended.
+func (l *Link) awaitReplySpace() bool {
+	for {
+		full, closed := l.replyQueueState()
+		if closed {
+			return false
+		}
+		if !full {
+			return true
+		}
+		<-l.replySpace
+	}
+}
+
+// replyQueueState reports whether the replies that are queued reach their bounds, and whether the link has ended.
+func (l *Link) replyQueueState() (full, closed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	full = !l.dialled && (l.queue.replyBytes > maxQueuedReplyBytes || l.queue.large.Len() > maxQueuedLargeReplies)
+	return full, l.closed
+}
--- a/internal/mesh/transport/calls.go
+++ b/internal/mesh/transport/calls.go
@@ -37,6 +37,13 @@
 	return sendProgress{stream: stream, rest: body, unsentBytes: body.Len()}
 }
 
+// releaseBody drops the unsent part of a message that is not sent any more. The message may stay in its queue for as long as the peer reads
+// nothing.
+func (s *sendProgress) releaseBody() {
+	s.current = nil
+	s.rest = nil
+}
+
 // next takes the next limit bytes, or all if there are fewer, off the unsent ones. A chunk that extends over several buffers is copied to
 // scratch; the returned slice is valid until scratch is used again.
 func (s *sendProgress) next(limit int, scratch *[]byte) (chunk []byte) {
@@ -102,6 +109,7 @@
 	}
 	if !call.fullySent {
 		delete(l.pending, call.stream)
+		call.releaseBody()
 	}
 	l.wakeWriter()
 	return !call.fullySent
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -185,6 +185,7 @@
 	}
 	h.closeConn(l.conn, l.peer)
 	l.wakeWriter()
+	l.replySpace.wake()
 	return true
 }
 
--- a/internal/mesh/transport/link.go
+++ b/internal/mesh/transport/link.go
@@ -35,6 +35,7 @@
 	peer       string        // the peer's address; for a dialled link also its key in Hub.activeLinks
 	dialled    bool          // whether this process dialled the link
 	writerWake chan struct{} // wakes the writer; its capacity is 1
+	replySpace wakeup        // wakes the reader while it waits for replies to be sent
 
 	mu          sync.Mutex // guards the fields below; locked after the hub's mutex and before the shaper's
 	conn        net.Conn   // nil until the connection is established; set once
@@ -71,7 +72,7 @@
 func newLink(h *Hub, peer string, dialled bool) *Link {
 	now := h.Now()
 	return &Link{
-		hub: h, peer: peer, dialled: dialled, writerWake: make(chan struct{}, 1),
+		hub: h, peer: peer, dialled: dialled, writerWake: make(chan struct{}, 1), replySpace: newWakeup(),
 		pending:    map[uint64]*PendingCall{},
 		incoming:   map[uint64]*IncomingCall{},
 		incomplete: map[uint64]*IncomingCall{},
@@ -133,6 +134,7 @@
 		l.hub.closeConn(unanswered.conn, l.peer)
 	}
 	l.wakeWriter()
+	l.replySpace.wake()
 	l.hub.removeLink(l, reason)
 	for _, call := range unanswered.incoming {
 		call.cancel()
--- a/internal/mesh/transport/reader.go
+++ b/internal/mesh/transport/reader.go
@@ -27,7 +27,7 @@
 // readLoop reads and handles frames until the link ends. It ends the link if the connection fails or the peer violates the protocol.
 func (l *Link) readLoop(conn net.Conn) {
 	r := bufio.NewReaderSize(countingConn{conn, l.hub}, readBufferBytes)
-	for {
+	for l.awaitReplySpace() {
 		var e envelope
 		if err := readFrame(r, &e); err != nil {
 			if !isConnectionEnd(err) {
@@ -65,7 +65,9 @@
 
 // handleFrame handles a frame of the peer. An error means that the peer has violated the protocol.
 func (l *Link) handleFrame(e *envelope) error {
-	l.recordReceived(e)
+	if greeted := l.recordReceived(e); !greeted && frameKind(e.kind) != helloFrame {
+		return trace.BadParameter("the first frame is not a hello")
+	}
 	switch frameKind(e.kind) {
 	case helloFrame:
 		return l.handleHello(e)
@@ -84,13 +86,15 @@
 	return nil
 }
 
-// recordReceived records that a frame was received, and the time on its sender's clock.
-func (l *Link) recordReceived(e *envelope) {
+// recordReceived records that a frame was received, and the time on its sender's clock. It reports whether the peer's hello was received
+// before.
+func (l *Link) recordReceived(e *envelope) (greeted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.hub.Now()
 	l.liveness.frameReceived(now)
 	l.peerClock.observe(now, e.sentAt)
+	return l.peerGreeted
 }
 
 func (l *Link) handleHello(e *envelope) error {
@@ -110,9 +114,14 @@
 	return nil
 }
 
+// handlePing queues a pong, unless one is queued already: it answers all pings that came before it.
 func (l *Link) handlePing() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.queue.pongs > 0 {
+		return
+	}
+	l.queue.pongs++
 	l.queue.control.PushBack(envelope{kind: uint64(pongFrame)})
 	l.wakeWriter()
 }
--- a/internal/mesh/transport/writer.go
+++ b/internal/mesh/transport/writer.go
@@ -21,6 +21,8 @@
 	abandoned() bool
 	// completed is called when the message's last chunk is added to a write.
 	completed()
+	// replyBytes returns the memory in bytes that an unsent reply takes; 0 for a call.
+	replyBytes() int
 	// discarded is called when the message is removed from the queue before it was sent completely.
 	discarded()
 }
@@ -37,6 +39,8 @@
 
 func (p *PendingCall) discarded() {}
 
+func (p *PendingCall) replyBytes() int { return 0 }
+
 func (o *outgoingReply) frame() envelope { return envelope{kind: uint64(replyFrame), stream: o.stream} }
 
 func (o *outgoingReply) abandoned() bool { return false }
@@ -45,11 +49,16 @@
 
 func (o *outgoingReply) discarded() { o.release() }
 
+func (o *outgoingReply) replyBytes() int { return o.unsentBytes + replyOverheadBytes }
+
 // sendQueue holds what a link has to send: control frames first, then small messages, then large ones. The lock of the link guards it.
 type sendQueue struct {
 	control deque.Deque[envelope]
 	small   deque.Deque[outgoingMessage] // messages of one chunk
 	large   deque.Deque[outgoingMessage] // messages of several chunks; each has a transfer in the shaper
+
+	pongs      int // number of pongs in control
+	replyBytes int // number of bytes of the replies in small, with replyOverheadBytes for each
 }
 
 func (q *sendQueue) len() int { return q.control.Len() + q.small.Len() + q.large.Len() }
@@ -57,6 +66,8 @@
 // clear discards all frames and messages.
 func (q *sendQueue) clear(now time.Duration, s *shaper) {
 	q.small.Clear()
+	q.replyBytes = 0
+	q.pongs = 0
 	for q.large.Len() > 0 {
 		q.discardLarge(now, s)
 	}
@@ -74,6 +85,7 @@
 func (l *Link) enqueue(m outgoingMessage) {
 	p := m.progress()
 	if p.unsentBytes <= maxChunkBytes {
+		l.queue.replyBytes += m.replyBytes()
 		l.queue.small.PushBack(m)
 		return
 	}
@@ -125,6 +137,7 @@
 			l.fail(err.Error())
 			return 0, false
 		}
+		l.replySpace.wake()
 	}
 }
 
@@ -150,6 +163,9 @@
 func (l *Link) appendControlFrames(buf []byte, now time.Duration) []byte {
 	for l.queue.control.Len() > 0 && len(buf) < maxWriteBytes {
 		e := l.queue.control.PopFront()
+		if frameKind(e.kind) == pongFrame {
+			l.queue.pongs--
+		}
 		e.sentAt = now
 		buf = appendFrame(buf, &e)
 		l.hub.traffic.sentFrames.Add(1)
@@ -159,6 +175,7 @@
 
 func (l *Link) appendSmallMessages(buf []byte, now time.Duration) []byte {
 	for l.queue.small.Len() > 0 && len(buf) < maxWriteBytes {
+		l.queue.replyBytes -= l.queue.small.Front().replyBytes()
 		buf = l.appendChunk(buf, now, &l.queue.small, maxChunkBytes)
 	}
 	return buf
