--- a/internal/mesh/assembly/memory.go
+++ b/internal/mesh/assembly/memory.go
@@ -8,7 +8,7 @@
 	allRequestsMemoryFraction = 0.7  // for both together, on machines where largestRequestBytes is more than requestMemoryFraction
 	answerMemoryFraction      = 0.06 // for answers, beyond what requests may use
 	heapFraction              = 0.88 // the runtime's soft limit of all memory, less the receive buffers of open connections
-	receiveMemoryFraction     = 0.06 // for the receive buffers of clients, and as much for those of links
+	receiveMemoryFraction     = 0.05 // for the receive buffers of clients, and as much for those of links
 )
 
 // largestRequestBytes is more than controlplane.MaxProcessingBytes. It is the size of the largest request: the largest body that a configuration may allow, and its header.
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -40,7 +40,7 @@
 		listenAddress{p.sockets.links, p.settings.InternalAddress()},
 		listenAddress{p.sockets.clients, p.settings.OutboundAddress},
 		listenAddress{p.sockets.control, p.settings.ControlAddress},
-		listenAddress{p.sockets.clients, p.settings.ReadinessAddress})
+		listenAddress{p.sockets.probes, p.settings.ReadinessAddress})
 	if err != nil {
 		return startResult(err)
 	}
--- a/internal/mesh/assembly/unread_test.go
+++ b/internal/mesh/assembly/unread_test.go
@@ -22,7 +22,7 @@
 	mesh.waitFirstConfiguration("", "k1")
 	mesh.waitServed("access-0", "/read/x")
 	machine := mesh.machines["access-0"]
-	ports := []string{"8100", "8105", "8106"}
+	ports := []string{"8100", "8105", "8106", "7640"}
 	accepted := mesh.dialAll(machine, ports, clients)
 	for _, conn := range accepted {
 		_, err := fmt.Fprintf(conn, "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 90000\r\n")
