A process waits at its start for an address that its machine does not have yet

A machine whose address comes late: a process that could not listen for more than 2 s (EADDRNOTAVAIL) exited, and so did each of its restarts. The class of fault is that of docs/incidents/start-given-up.md: a condition that another process ends is answered by ending. Change: it is waited for without a limit, as an address in use is, with the same warnings; other errors of listening still end the start after 2 s. Not tried with a real machine whose address comes late.

--- a/internal/mesh/assembly/start.go
+++ b/internal/mesh/assembly/start.go
@@ -65,9 +65,10 @@
 }
 
 // mayRetryListening decides whether to listen again on an address. An address in use is waited for without a limit: an earlier incarnation
-// of the process, or a connection of another one, may have it, and a process that exits would be started only to fail again.
+// of the process, or a connection of another one, may have it, and a process that exits would be started only to fail again. So is an
+// address that the machine does not have yet.
 func mayRetryListening(err error, elapsed time.Duration) bool {
-	return errors.Is(err, syscall.EADDRINUSE) || elapsed <= listenTimeout
+	return errors.Is(err, syscall.EADDRINUSE) || errors.Is(err, syscall.EADDRNOTAVAIL) || elapsed <= listenTimeout
 }
 
 // mayRetryLoading decides whether to load the settings again.
