--- a/internal/mesh/transport/sockets/sockets.go
+++ b/internal/mesh/transport/sockets/sockets.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
 
 	"quincegap/internal/mesh/transport/membudget"
@@ -62,9 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := g.limitAcceptQueue(tcp.(*net.TCPListener)); err != nil {
-		return nil, trace.NewAggregate(err, tcp.Close())
-	}
+	g.limitAcceptQueue(tcp.(*net.TCPListener))
 	return listener{tcp, g}, nil
 }
 
@@ -78,28 +75,26 @@
 	return g.add(tcp.(*net.TCPConn)), nil
 }
 
-// setReceiveBuffer sets the size of a socket's receive buffer before it listens or connects. Accepted connections inherit it.
+// setReceiveBuffer sets the size of a socket's receive buffer before it listens or connects. Accepted connections inherit it. If that fails,
+// the socket works with the kernel's default.
 func (g *Group) setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
-	if g.options.ReceiveBytes == 0 {
-		return nil
+	if g.options.ReceiveBytes > 0 {
+		_ = controlSocket(raw, func(descriptor int) error {
+			return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, g.options.ReceiveBytes)
+		})
 	}
-	return controlSocket(raw, func(descriptor int) error {
-		return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, g.options.ReceiveBytes)
-	})
+	return nil
 }
 
 // limitAcceptQueue bounds the number of connections that wait to be accepted. Beyond it the kernel ignores the openings of connections,
-// which their clients repeat.
-func (g *Group) limitAcceptQueue(tcp *net.TCPListener) error {
-	if g.options.AcceptBytes == 0 {
-		return nil
-	}
+// which their clients repeat. If that fails, the kernel's default remains.
+func (g *Group) limitAcceptQueue(tcp *net.TCPListener) {
 	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
+	if g.options.AcceptBytes == 0 || err != nil {
+		return
 	}
 	connections := max(int(g.options.AcceptBytes/g.memoryOf(g.options.ReceiveBytes)), minAcceptQueue)
-	return controlSocket(raw, func(descriptor int) error { return unix.Listen(descriptor, connections) })
+	_ = controlSocket(raw, func(descriptor int) error { return unix.Listen(descriptor, connections) })
 }
 
 // controlSocket calls a function with the file descriptor of a socket, and returns its error.
