assembly: the soft limit of the heap is set only when receive buffers have changed

Each check of the memory set the runtime's limit, which stops all goroutines, and asked the kernel for the unread bytes of each connection. Now the limit is set after a change of 1 MB, and unread bytes are counted only if resident memory and all receive buffers together reach the warning's threshold.

--- a/internal/mesh/assembly/memory.go
+++ b/internal/mesh/assembly/memory.go
@@ -1,6 +1,10 @@
 package assembly
 
-import "quincegap/internal/mesh/transport/membudget"
+import (
+	"runtime/debug"
+
+	"quincegap/internal/mesh/transport/membudget"
+)
 
 // Fractions of the machine's memory. What is left is for everything else that the process holds, and for garbage that is not collected yet.
 const (
@@ -11,6 +15,9 @@
 	receiveMemoryFraction     = 0.05 // for the receive buffers of clients, and as much for those of links
 )
 
+// heapLimitStep is the change of the receive buffers in bytes from which the soft limit of memory follows it.
+const heapLimitStep = 1 << 20
+
 // largestRequestBytes is more than controlplane.MaxProcessingBytes. It is the size of the largest request: the largest body that a configuration may allow, and its header.
 const largestRequestBytes = 68 << 20
 
@@ -25,6 +32,26 @@
 	linkReceive *membudget.Pool // receive buffers of links
 }
 
+// receiveBytes returns the memory of the receive buffers of all open connections.
+func (m *memoryPools) receiveBytes() int64 { return m.receive.Used() + m.linkReceive.Used() }
+
+// heapLimit is the runtime's soft limit of memory.
+type heapLimit struct {
+	reservedBytes int64 // memory that the limit leaves to receive buffers
+	set           bool
+}
+
+// adjust sets the limit for a machine with a number of bytes of memory, so that it leaves room for receive buffers. The runtime stops all
+// goroutines for that, so small changes of the buffers are passed over.
+func (h *heapLimit) adjust(machineBytes, receiveBytes int64) {
+	if change := receiveBytes - h.reservedBytes; h.set && max(change, -change) < heapLimitStep {
+		return
+	}
+	h.set = true
+	h.reservedBytes = receiveBytes
+	debug.SetMemoryLimit(int64(heapFraction*float64(machineBytes)) - receiveBytes)
+}
+
 // newMemoryPools returns the pools of a machine with a number of bytes of memory. Each pool fits the largest request if the others are
 // empty.
 func newMemoryPools(machineBytes int64) memoryPools {
--- a/internal/mesh/assembly/memory_watch.go
+++ b/internal/mesh/assembly/memory_watch.go
@@ -55,9 +55,14 @@
 	warnedAt     time.Duration
 }
 
+// exceeded reports whether a number of bytes is above the fraction of the memory from which the process warns.
+func (m *memoryWarner) exceeded(bytes int64) bool {
+	return float64(bytes) >= memoryWarningFraction*float64(m.machineBytes)
+}
+
 // due reports whether a warning is due at the time now, for a use of a number of bytes.
 func (m *memoryWarner) due(now time.Duration, bytes int64) bool {
-	if float64(bytes) < memoryWarningFraction*float64(m.machineBytes) {
+	if !m.exceeded(bytes) {
 		return false
 	}
 	if m.warned && now-m.warnedAt < memoryWarningInterval {
@@ -80,8 +85,12 @@
 		case <-ctx.Done():
 			return
 		}
-		p.limitHeap()
+		receiveBytes := p.memory.receiveBytes()
+		p.heapLimit.adjust(warner.machineBytes, receiveBytes)
 		use := readMemoryUse()
+		if !warner.exceeded(use.resident() + receiveBytes) {
+			continue // whatever is unread
+		}
 		if warner.due(p.hub.Now(), use.resident()+p.sockets.usage().UnreadBytes) {
 			p.memoryFields().WithFields(logrus.Fields{
 				"limitBytes":    warner.machineBytes,
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -35,6 +35,7 @@
 	hub          *transport.Hub
 	sockets      socketGroups
 	memory       memoryPools
+	heapLimit    heapLimit
 	log          *logrus.Logger
 	logRing      *logging.Ring
 	seed         uint64 // seed of all random numbers except the incarnation
@@ -82,7 +83,7 @@
 	machineBytes := int64(loaded.MemoryMB) << 20
 	p.memory = newMemoryPools(machineBytes)
 	p.sockets = newSocketGroups(machineBytes, &p.memory)
-	p.limitHeap()
+	p.heapLimit.adjust(machineBytes, p.memory.receiveBytes())
 	hello := transport.Hello{
 		Incarnation: rand.Uint64() | 1, // never 0, which stands for no incarnation
 		Address:     loaded.InternalAddress(),
@@ -96,13 +97,6 @@
 	p.hub.LimitRate(loaded.LinkMbps * bitsPerMegabit)
 }
 
-// limitHeap sets the runtime's soft limit of memory so that it leaves room for the receive buffers of the open connections.
-func (p *process) limitHeap() {
-	machineBytes := int64(p.settings.MemoryMB) << 20
-	receiveBytes := p.memory.receive.Used() + p.memory.linkReceive.Used()
-	debug.SetMemoryLimit(int64(heapFraction*float64(machineBytes)) - receiveBytes)
-}
-
 // awaitSignal closes terminated after the first signal to terminate. It returns when ctx ends, too.
 func (p *process) awaitSignal(ctx context.Context) {
 	select {
@@ -198,7 +192,7 @@
 		"changeBytes":   p.memory.processing.Used(),
 		"clientBytes":   p.memory.connections.Used(),
 		"connections":   usage.Connections,
-		"receiveBytes":  p.memory.receive.Used() + p.memory.linkReceive.Used(),
+		"receiveBytes":  p.memory.receiveBytes(),
 		"unreadBytes":   usage.UnreadBytes,
 	})
 }
