sockets: the one dialer of links and of connections to the endpoint

The dialers of transport and inbound stood twice beside that of package sockets, and served tests only since the programs dial by their groups. Both packages now default to a group without limits. No change of behaviour; tests of transport, inbound, outbound, assembly, archtest and doctest pass under the race detector.

--- a/internal/mesh/assembly/memory.go
+++ b/internal/mesh/assembly/memory.go
@@ -18,7 +18,8 @@
 // heapLimitStep is the change of the receive buffers in bytes from which the soft limit of memory follows it.
 const heapLimitStep = 1 << 20
 
-// largestRequestBytes is more than controlplane.MaxProcessingBytes. It is the size of the largest request: the largest body that a configuration may allow, and its header.
+// largestRequestBytes is the size of the largest request: the largest body that a configuration may allow, and its header. It is more than
+// controlplane.MaxProcessingBytes.
 const largestRequestBytes = 68 << 20
 
 // memoryPools are the pools that the messages of a process share its memory by.
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -65,9 +65,7 @@
 	s.inbound = inbound.New(p.settings.ApplicationAddress, p.hub.Now, p.log, func(endpointID string) {
 		s.agent.PublishEnd(endpointID, discovery.Crashed)
 	})
-	s.inbound.SetDialer(func(address string, timeout time.Duration) (net.Conn, error) {
-		return s.sockets.clients.Dial(s.ctx, address, timeout)
-	})
+	s.inbound.SetDialer(s.sockets.clients.Dial)
 	s.inbound.SetAnswerMemory(p.memory.answers)
 	s.outbound = outbound.New(s.outboundOptions())
 	s.local = &localEndpoint{address: p.settings.ApplicationAddress, zone: p.settings.Zone, inbound: s.inbound}
--- a/internal/mesh/dataplane/inbound/attempt.go
+++ b/internal/mesh/dataplane/inbound/attempt.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"time"
 
 	"quincegap/internal/mesh/dataplane/outcome"
@@ -74,7 +75,7 @@
 	if timeout <= 0 {
 		return nil, outcome.Expired
 	}
-	conn, err := p.connections.dial(p.connections.address, timeout)
+	conn, err := p.connections.dial(context.Background(), p.connections.address, timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.connections.recordConnect(err)
--- a/internal/mesh/dataplane/inbound/inbound_test.go
+++ b/internal/mesh/dataplane/inbound/inbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 
 	"quincegap/internal/mesh/dataplane/admission"
 	"quincegap/internal/mesh/dataplane/outcome"
+	"quincegap/internal/mesh/transport/sockets"
 )
 
 // startEndpoint starts an endpoint, and returns its address. The endpoint calls a function to answer each request; before is the number of
@@ -66,8 +68,8 @@
 }
 
 // dialPatiently dials with a longer timeout than the proxy's, so that tests pass on a machine under load.
-func dialPatiently(address string, _ time.Duration) (net.Conn, error) {
-	return dialTCP(address, 20*time.Second)
+func dialPatiently(ctx context.Context, address string, _ time.Duration) (net.Conn, error) {
+	return sockets.NewGroup(sockets.Options{}).Dial(ctx, address, 20*time.Second)
 }
 
 func perform(proxy *Proxy, attemptID string, remaining time.Duration) *ForwardResponse {
@@ -176,8 +178,8 @@
 	})
 	proxy := newProxy(address)
 	dial := proxy.connections.dial
-	proxy.SetDialer(func(address string, timeout time.Duration) (net.Conn, error) {
-		conn, err := dial(address, timeout)
+	proxy.SetDialer(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := dial(ctx, address, timeout)
 		return &readNotifier{conn, read}, err
 	})
 	response := perform(proxy, "reset", 10*time.Second)
@@ -264,8 +266,8 @@
 	proxy := newProxy(address)
 	broken := false // whether connections dialled from now on are broken
 	var conns []*refusingConn
-	proxy.SetDialer(func(address string, timeout time.Duration) (net.Conn, error) {
-		conn, err := dialPatiently(address, timeout)
+	proxy.SetDialer(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := dialPatiently(ctx, address, timeout)
 		refusing := &refusingConn{Conn: conn, broken: broken}
 		conns = append(conns, refusing)
 		return refusing, err
--- a/internal/mesh/dataplane/inbound/pool.go
+++ b/internal/mesh/dataplane/inbound/pool.go
@@ -1,14 +1,15 @@
 package inbound
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"github.com/gammazero/deque"
 )
 
-// A Dialer connects to an address, and fails after a timeout.
-type Dialer func(address string, timeout time.Duration) (net.Conn, error)
+// A Dialer connects to the endpoint's address. It fails after a timeout, or when ctx ends.
+type Dialer func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 
 // maxConnectFailures is the number of consecutive failures to connect after which the endpoint counts as down.
 const maxConnectFailures = 2
@@ -22,11 +23,6 @@
 	connectFailures int                      // number of consecutive failures
 }
 
-func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
-	return d.Dial("tcp4", address)
-}
-
 // take removes and returns the most recently used connection that may carry an attempt; nil for none.
 func (p *connectionPool) take(attemptID string) *connection {
 	for i := p.idle.Len() - 1; i >= 0; i-- {
--- a/internal/mesh/dataplane/inbound/proxy.go
+++ b/internal/mesh/dataplane/inbound/proxy.go
@@ -11,6 +11,7 @@
 	"quincegap/internal/mesh/transport"
 	"quincegap/internal/mesh/transport/codec"
 	"quincegap/internal/mesh/transport/membudget"
+	"quincegap/internal/mesh/transport/sockets"
 )
 
 // expiryInterval is the time between two checks of the deadlines of queued requests.
@@ -46,7 +47,7 @@
 		onEndpointDown: onEndpointDown,
 		controller:     admission.New(),
 		pending:        map[uint64]*pendingRequest{},
-		connections:    connectionPool{address: address, dial: dialTCP},
+		connections:    connectionPool{address: address, dial: sockets.NewGroup(sockets.Options{}).Dial},
 		sizes:          responseSizes{mean: map[string]float64{}},
 	}
 }
--- a/internal/mesh/dataplane/outbound/sidecar_test.go
+++ b/internal/mesh/dataplane/outbound/sidecar_test.go
@@ -65,7 +65,9 @@
 		return network.dial(name, address)
 	})
 	started.inbound = inbound.New(name+endpointPort, started.hub.Now, log, nil)
-	started.inbound.SetDialer(func(address string, _ time.Duration) (net.Conn, error) { return network.dialLocal(address) })
+	started.inbound.SetDialer(func(_ context.Context, address string, _ time.Duration) (net.Conn, error) {
+		return network.dialLocal(address)
+	})
 	started.inbound.Register(started.hub)
 	started.outbound = outbound.New(outbound.Options{
 		Hub: started.hub, Inbound: started.inbound, Service: "client", Log: log, Seed: incarnation, BodyMemory: membudget.NewPool(64 << 20),
--- a/internal/mesh/transport/connect.go
+++ b/internal/mesh/transport/connect.go
@@ -17,12 +17,6 @@
 // A Dialer connects to a peer's address. It fails after a timeout, or when ctx ends.
 type Dialer func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 
-// dialTCP is the default Dialer.
-func dialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1} // TCP keepalives are disabled: pings detect that a peer is lost
-	return d.DialContext(ctx, "tcp4", address)
-}
-
 // dial opens the connection of a link, and runs the link until it ends. Hub.Close interrupts the dialling.
 func (h *Hub) dial(l *Link) {
 	conn, err := h.dialConn(h.ctx, l.peer, dialTimeout)
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quincegap/internal/mesh/transport/membudget"
+	"quincegap/internal/mesh/transport/sockets"
 )
 
 // Hub manages the links that a process has dialled, by address, and those that it has accepted. It is safe for concurrent use.
@@ -59,7 +60,7 @@
 		otherLinks:  map[*Link]bool{},
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.dialConn = dialTCP
+	h.dialConn = sockets.NewGroup(sockets.Options{}).Dial
 	h.callMemory = membudget.NewPool(int64(maxCallBytes))
 	h.goroutines.Go(h.monitorLinks)
 	return h
--- a/internal/mesh/transport/writer.go
+++ b/internal/mesh/transport/writer.go
@@ -181,8 +181,8 @@
 	return buf
 }
 
-// appendLargeMessages appends a chunk of each large message for which the shaper allows one, and discards abandoned ones. wait is the shortest time until the shaper
-// allows another chunk; 0 if no message waits for it.
+// appendLargeMessages appends a chunk of each large message for which the shaper allows one, and discards abandoned ones. wait is the
+// shortest time until the shaper allows another chunk; 0 if no message waits for it.
 func (l *Link) appendLargeMessages(buf []byte, now time.Duration) (_ []byte, wait time.Duration) {
 	for n := l.queue.large.Len(); n > 0 && len(buf) < maxWriteBytes; n-- {
 		if l.queue.large.Front().abandoned() {
