transport: a peer that reads slowly is not taken for silent while its replies are queued

Found by reading the change once more: since a link reads no frames while replies are queued above their bounds, so a peer that was slow to take many large replies counted as silent after 3 s, and lost them all. Change: while the reader waits, bytes that the connection takes show that the peer is there. A peer that reads nothing still ends after its ping. TestSlowPeerGetsAllItsReplies fails without the change: the connection is reset after 3.2 s.

--- a/internal/mesh/assembly/memory_watch.go
+++ b/internal/mesh/assembly/memory_watch.go
@@ -73,8 +73,8 @@
 	return true
 }
 
-// watchMemory adjusts the soft limit of memory to the open connections, and logs a warning with what the process holds while its memory is nearly used up, until ctx ends. A process that the platform
-// kills for its memory leaves no other trace.
+// watchMemory adjusts the soft limit of memory to the open connections, and logs a warning with what the process holds while its memory is
+// nearly used up, until ctx ends. A process that the platform kills for its memory leaves no other trace.
 func (p *process) watchMemory(ctx context.Context) {
 	warner := memoryWarner{machineBytes: int64(p.settings.MemoryMB) << 20}
 	tick := time.NewTicker(memoryCheckInterval)
--- a/internal/mesh/transport/backpressure.go
+++ b/internal/mesh/transport/backpressure.go
@@ -1,5 +1,7 @@
 package transport
 
+import "time"
+
 const (
 	// maxQueuedReplyBytes is the size of the small replies of a link above which no further frames of the peer are read. Large replies are
 	// counted in Hub.replyMemory.
@@ -43,6 +45,18 @@
 func (l *Link) replyQueueState() (full, closed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	full = !l.dialled && (l.queue.replyBytes > maxQueuedReplyBytes || l.queue.large.Len() > maxQueuedLargeReplies)
-	return full, l.closed
+	return l.replyQueueFull(), l.closed
+}
+
+// replyQueueFull reports whether the replies that are queued reach their bounds. The caller holds the lock.
+func (l *Link) replyQueueFull() bool {
+	return !l.dialled && (l.queue.replyBytes > maxQueuedReplyBytes || l.queue.large.Len() > maxQueuedLargeReplies)
+}
+
+// recordWritten records that the connection has taken bytes. While the reader waits for replies to be sent, no frame shows that the peer
+// is there. The caller holds the lock.
+func (l *Link) recordWritten(now time.Duration) {
+	if l.replyQueueFull() {
+		l.liveness.frameReceived(now)
+	}
 }
--- a/internal/mesh/transport/unread_peer_test.go
+++ b/internal/mesh/transport/unread_peer_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"net"
 	"testing"
 	"time"
@@ -83,6 +84,40 @@
 	qt.Assert(t, held <= maxQueuedReplyBytes+maxChunkBytes+replyOverheadBytes, qt.IsTrue, qt.Commentf("%d bytes are queued", held))
 }
 
+// A peer that reads many large replies slowly, and sends nothing meanwhile, must not count as silent.
+func TestSlowPeerGetsAllItsReplies(t *testing.T) {
+	const calls, replyBytes = 2 * maxQueuedLargeReplies, 4 * maxChunkBytes
+	const readTime = idlePingDelay + pongTimeout + 3*time.Second
+	server, address, _ := newTestHub(t, "server", 1<<20)
+	received := make(chan *IncomingCall, calls)
+	server.HandleRaw(1, func(call *IncomingCall) { received <- call })
+	conn := dialRaw(t, address)
+	frames := helloBytes(Hello{Version: protocolVersion, Name: "slow"})
+	for i := range calls {
+		frames = appendFrame(frames, &envelope{kind: uint64(callFrame), stream: uint64(i + 1), method: 1, last: true})
+	}
+	_, err := conn.Write(frames)
+	qt.Assert(t, err, qt.IsNil)
+	var incoming []*IncomingCall
+	for range calls {
+		incoming = append(incoming, <-received)
+	}
+	for _, call := range incoming {
+		call.ReplyBytes(codec.BuffersOf(make([]byte, replyBytes)))
+	}
+	reader := bufio.NewReaderSize(conn, maxChunkBytes)
+	for began, complete := time.Now(), 0; complete < calls; {
+		var frame envelope
+		qt.Assert(t, readFrame(reader, &frame), qt.IsNil)
+		if frame.last {
+			complete++
+		}
+		if time.Since(began) < readTime {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
 // A call to a peer that reads nothing kept its body after it was cancelled.
 func TestCancelledCallReleasesItsBody(t *testing.T) {
 	listener := listen(t)
--- a/internal/mesh/transport/writer.go
+++ b/internal/mesh/transport/writer.go
@@ -150,6 +150,9 @@
 		return buf, 0, false
 	}
 	now := l.hub.Now()
+	if l.writing {
+		l.recordWritten(now)
+	}
 	buf = l.appendControlFrames(buf, now)
 	if l.canSendCalls() {
 		buf = l.appendSmallMessages(buf, now)
