transport: only small replies hold up the reading of a link

Found by reading once more: large replies may wait for those of other links, as the shaper paces them together. With 65 of them queued the peer's pings were not read meanwhile, and it would have ended the link. Large replies are counted in the memory of replies already, so their number is no bound now. The case of large replies was read, not run.

--- a/internal/mesh/transport/backpressure.go
+++ b/internal/mesh/transport/backpressure.go
@@ -4,10 +4,8 @@
 
 const (
 	// maxQueuedReplyBytes is the size of the small replies of a link above which no further frames of the peer are read. Large replies are
-	// counted in Hub.replyMemory.
+	// counted in Hub.replyMemory; they may wait for those of other links, and the peer's pings must be answered meanwhile.
 	maxQueuedReplyBytes = 256 << 10
-	// maxQueuedLargeReplies is the number of large replies of a link above which no further frames of the peer are read.
-	maxQueuedLargeReplies = 64
 	// replyOverheadBytes is the memory of a queued reply beside its body.
 	replyOverheadBytes = 256
 )
@@ -25,7 +23,7 @@
 	}
 }
 
-// awaitReplySpace waits while the peer reads its replies more slowly than it sends calls, so that what is queued for it stays bounded. Only
+// awaitReplySpace waits while the peer reads its small replies more slowly than it sends calls, so that what is queued for it stays bounded. Only
 // the side that accepted a link queues replies, and the other side always reads, so that the two never wait for each other. It returns
 // false if the link has ended.
 func (l *Link) awaitReplySpace() bool {
@@ -41,17 +39,15 @@
 	}
 }
 
-// replyQueueState reports whether the replies that are queued reach their bounds, and whether the link has ended.
+// replyQueueState reports whether the small replies that are queued exceed their bound, and whether the link has ended.
 func (l *Link) replyQueueState() (full, closed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.replyQueueFull(), l.closed
 }
 
-// replyQueueFull reports whether the replies that are queued reach their bounds. The caller holds the lock.
-func (l *Link) replyQueueFull() bool {
-	return !l.dialled && (l.queue.replyBytes > maxQueuedReplyBytes || l.queue.large.Len() > maxQueuedLargeReplies)
-}
+// replyQueueFull reports whether the small replies that are queued exceed their bound. The caller holds the lock.
+func (l *Link) replyQueueFull() bool { return !l.dialled && l.queue.replyBytes > maxQueuedReplyBytes }
 
 // recordWritten records that the connection has taken bytes. While the reader waits for replies to be sent, no frame shows that the peer
 // is there. The caller holds the lock.
