Tests: two tests no longer race with the code that they test

TestStateReadersAreBounded polled for a rejection while its 16 readers were still starting. A poll that held the 16th place when the last reader came made that reader the rejected one; then 15 stalled, and no poll was rejected for 20 s.

--- a/internal/mesh/agent/state_test.go
+++ b/internal/mesh/agent/state_test.go
@@ -42,10 +42,12 @@
 // stalledWriter is a response whose client does not read.
 type stalledWriter struct {
 	*httptest.ResponseRecorder
-	release chan struct{}
+	stalled chan<- struct{} // receives a value before the first byte is written
+	release <-chan struct{}
 }
 
 func (s *stalledWriter) Write(b []byte) (int, error) {
+	s.stalled <- struct{}{}
 	<-s.release
 	return s.ResponseRecorder.Write(b)
 }
@@ -54,21 +56,28 @@
 func TestStateReadersAreBounded(t *testing.T) {
 	c := qt.New(t)
 	handler := goldenCore(t, goldenCoreIP).NewSingletonRoles(&fakeRegister{}, false).Handler()
-	release := make(chan struct{})
-	var readers sync.WaitGroup
 	get := func(w http.ResponseWriter) {
 		handler.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, StatePath, nil))
 	}
-	for range maxStateReaders {
-		readers.Go(func() { get(&stalledWriter{httptest.NewRecorder(), release}) })
+	stalled, release := make(chan struct{}, maxStateReaders), make(chan struct{})
+	var readers sync.WaitGroup
+	answers := make([]*httptest.ResponseRecorder, maxStateReaders)
+	for i := range answers {
+		answers[i] = httptest.NewRecorder()
+		readers.Go(func() { get(&stalledWriter{answers[i], stalled, release}) })
+	}
+	for range answers {
+		<-stalled
 	}
-	eventually(t, "a reader above the bound is rejected", func() bool {
-		w := httptest.NewRecorder()
-		get(w)
-		return w.Code == http.StatusServiceUnavailable && w.Header().Get("Retry-After") != ""
-	})
+	rejected := httptest.NewRecorder()
+	get(rejected)
+	c.Assert(rejected.Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(rejected.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
 	close(release)
 	readers.Wait()
+	for _, answer := range answers {
+		c.Assert(answer.Code, qt.Equals, http.StatusOK)
+	}
 	w := httptest.NewRecorder()
 	get(w)
 	c.Assert(w.Code, qt.Equals, http.StatusOK)
--- a/internal/mesh/control/controlplane/core_test.go
+++ b/internal/mesh/control/controlplane/core_test.go
@@ -58,6 +58,13 @@
 	f()
 }
 
+// record returns the record of a key; nil if there is none.
+func (m *memoryStore) record(key string) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.records[key]
+}
+
 func (m *memoryStore) Get(key string) ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mesh/control/controlplane/orders_test.go
+++ b/internal/mesh/control/controlplane/orders_test.go
@@ -153,7 +153,7 @@
 			core.stop(i)
 		}
 		first, second := core.disks[node(0)], core.disks[node(1)]
-		before := string(first.records[voteKey])
+		before := string(first.record(voteKey))
 		core.disks[node(0)], core.disks[node(1)] = second, first
 		for i := range 2 {
 			core.start(i, false)
@@ -161,7 +161,7 @@
 		shortCtx, cancel := context.WithTimeout(ctx, 10*time.Second)
 		defer cancel()
 		core.c.Assert(core.replace(shortCtx, 2, 1, 2), qt.Equals, Unknown)
-		core.c.Assert(string(first.records[voteKey]), qt.Equals, before)
+		core.c.Assert(string(first.record(voteKey)), qt.Equals, before)
 		for i := range 2 {
 			core.stop(i)
 		}
--- a/internal/mesh/control/controlplane/system_test.go
+++ b/internal/mesh/control/controlplane/system_test.go
@@ -43,7 +43,7 @@
 		core.c.Assert(err, qt.IsNil)
 		core.c.Assert(reply.Kind, qt.Equals, consensus.ForeignSystem)
 		var state consensus.ReplicaState
-		core.c.Assert(codec.Unmarshal(disk.records[stateKey], &state), qt.IsNil)
+		core.c.Assert(codec.Unmarshal(disk.record(stateKey), &state), qt.IsNil)
 		core.c.Assert(state.System, qt.Equals, foreign.State.System)
 	})
 }
@@ -76,11 +76,12 @@
 		for i := range 4 {
 			core.c.Assert(core.server(i).learner.system(), qt.Equals, want)
 		}
+		core.stop(1)
+		disk := core.disks[node(1)]
 		var state consensus.ReplicaState
-		core.c.Assert(codec.Unmarshal(core.disks[node(1)].records[stateKey], &state), qt.IsNil)
+		core.c.Assert(codec.Unmarshal(disk.record(stateKey), &state), qt.IsNil)
 		state.System = 0
-		core.stop(1)
-		core.disks[node(1)].records[stateKey] = codec.MarshalAppend(nil, &state)
+		core.c.Assert(disk.Put(stateKey, codec.MarshalAppend(nil, &state)), qt.IsNil)
 		core.start(1, false)
 		core.c.Assert(core.newest(ctx, 1), qt.Equals, configuration.Version(1))
 		core.c.Assert(core.server(1).learner.system(), qt.Equals, want)
