settings: a file without the addresses that its program listens on is invalid

Cause: settings that are cut at the end of a line, after internalPorts, were valid; the process listened on nothing but its internal port and kept that until its next start. Class: an absent value that means 'none' where there has to be one. Change: settings.Load takes the program and rejects a file without control (both), outbound and readiness (sidecar), at the start, where the file is then read again for up to 5 s, and at a reload, where the old settings stay.

--- a/internal/mesh/assembly/controlplane.go
+++ b/internal/mesh/assembly/controlplane.go
@@ -36,7 +36,7 @@
 // RunControlPlane runs a process of the control plane until SIGTERM, and then shuts it down. It returns an error if the process can't
 // start, or if one of its servers fails.
 func RunControlPlane(settingsPath string, signals lifecycle.Signals) error {
-	p, err := newProcess(settingsPath, signals)
+	p, err := newProcess(settings.ControlPlane, settingsPath, signals)
 	if err != nil {
 		return startResult(err)
 	}
--- a/internal/mesh/assembly/process.go
+++ b/internal/mesh/assembly/process.go
@@ -29,6 +29,7 @@
 
 // process is the part that both programs have in common.
 type process struct {
+	program      settings.Program
 	settings     *settings.Settings // settings at the start of the process; reloads do not change them
 	settingsPath string
 	signals      lifecycle.Signals
@@ -52,9 +53,10 @@
 
 // newProcess reads the settings file, and returns a process that has no servers yet. The error is errTerminated if a signal to terminate
 // comes before the file can be read; otherwise it names the file, and each field that is invalid.
-func newProcess(settingsPath string, signals lifecycle.Signals) (*process, error) {
+func newProcess(program settings.Program, settingsPath string, signals lifecycle.Signals) (*process, error) {
 	log, ring := logging.New(os.Stderr)
 	p := &process{
+		program:      program,
 		settingsPath: settingsPath,
 		signals:      signals,
 		log:          log,
@@ -67,7 +69,7 @@
 	p.run(p.awaitSignal)
 	ctx, cancel := p.startContext()
 	defer cancel()
-	loaded, err := loadSettings(ctx, settingsPath, log)
+	loaded, err := p.loadSettings(ctx)
 	if err != nil {
 		p.cancel()
 		return nil, err
@@ -199,7 +201,7 @@
 
 // reload reads the settings file and applies it. A file with an error is logged, and changes nothing.
 func (p *process) reload(apply func(*settings.Settings)) {
-	loaded, err := settings.Load(p.settingsPath)
+	loaded, err := settings.Load(p.settingsPath, p.program)
 	if err != nil {
 		p.log.WithError(err).Warn("assembly: failed to reload the settings, keeping the current ones")
 		return
--- a/internal/mesh/assembly/sidecar.go
+++ b/internal/mesh/assembly/sidecar.go
@@ -31,7 +31,7 @@
 // RunSidecar runs the sidecar beside an endpoint until SIGTERM, and then shuts it down. It returns an error if the sidecar can't start, or
 // if one of its servers fails.
 func RunSidecar(settingsPath string, signals lifecycle.Signals) error {
-	p, err := newProcess(settingsPath, signals)
+	p, err := newProcess(settings.Sidecar, settingsPath, signals)
 	if err != nil {
 		return startResult(err)
 	}
--- a/internal/mesh/assembly/start.go
+++ b/internal/mesh/assembly/start.go
@@ -74,11 +74,11 @@
 // mayRetryLoading decides whether to load the settings again.
 func mayRetryLoading(_ error, elapsed time.Duration) bool { return elapsed <= settingsTimeout }
 
-// loadSettings loads the settings file. It waits for a file that is missing or invalid.
-func loadSettings(ctx context.Context, path string, log *logrus.Logger) (loaded *settings.Settings, err error) {
-	step := startStep{log: log.WithField("file", path), mayRetry: mayRetryLoading}
+// loadSettings loads the settings file. It waits for a file that is missing, invalid or incomplete.
+func (p *process) loadSettings(ctx context.Context) (loaded *settings.Settings, err error) {
+	step := startStep{log: p.log.WithField("file", p.settingsPath), mayRetry: mayRetryLoading}
 	err = step.run(ctx, func() (err error) {
-		loaded, err = settings.Load(path)
+		loaded, err = settings.Load(p.settingsPath, p.program)
 		return err
 	})
 	return loaded, err
--- a/internal/mesh/assembly/start_test.go
+++ b/internal/mesh/assembly/start_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -61,7 +62,8 @@
 	for _, name := range []string{"access-3", "core-c"} {
 		machine := mesh.machines[name]
 		complete := mesh.settingsText(machine)
-		for _, content := range []string{"", complete[:len(complete)/3], complete[:len(complete)/2]} {
+		beforeAddresses, _, _ := strings.Cut(complete, "seedNodes") // valid, without the addresses to listen on
+		for _, content := range []string{"", complete[:len(complete)/3], complete[:len(complete)/2], beforeAddresses} {
 			mesh.kill(machine)
 			mesh.startWithSettings(machine, content)
 			mesh.waitStarted(machine)
--- a/internal/mesh/operations/settings/golden_test.go
+++ b/internal/mesh/operations/settings/golden_test.go
@@ -65,7 +65,9 @@
 func TestGoldenSettings(t *testing.T) {
 	for _, name := range []string{"access", "core", "least"} {
 		t.Run(name, func(t *testing.T) {
-			settings, err := Load(filepath.Join("testdata", name+".toml"))
+			text, err := os.ReadFile(filepath.Join("testdata", name+".toml"))
+			qt.Assert(t, err, qt.IsNil)
+			settings, err := Parse(text)
 			qt.Assert(t, err, qt.IsNil)
 			golden.Text(t, name+".txt", []byte(dump(settings)))
 		})
@@ -85,12 +87,38 @@
 		_, err := Parse([]byte(text))
 		fmt.Fprintf(&lines, "%v\n", err)
 	}
-	_, err = Load("testdata/bad.toml")
+	_, err = Load("testdata/bad.toml", Sidecar)
 	fmt.Fprintf(&lines, "%v\n", strings.ReplaceAll(err.Error(), "; ", ";\n  "))
 	qt.Assert(t, trace.IsBadParameter(err), qt.IsTrue)
-	_, err = Load("testdata/none.toml")
+	_, err = Load("testdata/none.toml", Sidecar)
 	fmt.Fprintf(&lines, "%v\n", err)
 	qt.Assert(t, trace.IsNotFound(err) || errors.Is(err, os.ErrNotExist), qt.IsTrue)
 	golden.Text(t, "bad.txt", []byte(lines.String()))
 	qt.Assert(t, EnvironmentVariable, qt.Equals, "QUINCEGAP_NODE_FILE")
 }
+
+// Settings that were cut at the end of a line were valid without the addresses to listen on, so that the process served nowhere.
+func TestCutSettingsAreInvalidOrHaveAllAddresses(t *testing.T) {
+	for name, program := range map[string]Program{"access": Sidecar, "core": ControlPlane} {
+		complete, err := os.ReadFile(filepath.Join("testdata", name+".toml"))
+		qt.Assert(t, err, qt.IsNil)
+		whole, err := Parse(complete)
+		qt.Assert(t, err, qt.IsNil)
+		path := filepath.Join(t.TempDir(), name+".toml")
+		for length := range complete {
+			qt.Assert(t, os.WriteFile(path, complete[:length], 0o600), qt.IsNil)
+			cut, err := Load(path, program)
+			if err != nil {
+				qt.Assert(t, trace.IsBadParameter(err), qt.IsTrue, qt.Commentf("%v", err))
+				continue
+			}
+			qt.Assert(t, cut.ControlAddress, qt.Equals, whole.ControlAddress, qt.Commentf("%s cut at byte %d", name, length))
+			qt.Assert(t, cut.OutboundAddress, qt.Equals, whole.OutboundAddress, qt.Commentf("%s cut at byte %d", name, length))
+			qt.Assert(t, cut.ReadinessAddress, qt.Equals, whole.ReadinessAddress, qt.Commentf("%s cut at byte %d", name, length))
+		}
+		_, err = Load(filepath.Join("testdata", name+".toml"), program)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	_, err := Load("testdata/least.toml", Sidecar)
+	qt.Assert(t, err, qt.ErrorMatches, `(?s)settings file testdata/least.toml.*control: wanted .*outbound: wanted .*readiness: wanted .*`)
+}
--- a/internal/mesh/operations/settings/settings.go
+++ b/internal/mesh/operations/settings/settings.go
@@ -81,13 +81,20 @@
 	return addresses
 }
 
-// Load reads and parses a settings file. The error names the file. If the file can't be read, it is trace.NotFound or another error of
-// package trace; otherwise it wraps the error of Parse.
-func Load(path string) (*Settings, error) {
+// Load reads and parses the settings file of a program. The error names the file. If the file can't be read, it is trace.NotFound or
+// another error of package trace. If an address on which the program listens is missing, it wraps an *InvalidError: the file may have been
+// cut. Otherwise it wraps the error of Parse.
+func Load(path string, program Program) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	s, err := Parse(data)
-	return s, trace.Wrap(err, "settings file %s", path)
+	if err == nil {
+		err = s.checkAddresses(program)
+	}
+	if err != nil {
+		return nil, trace.Wrap(err, "settings file %s", path)
+	}
+	return s, nil
 }
