inbound: the header of an endpoint's answer is bounded to 256 KiB

An endpoint that sends a header without an end took its sidecar over memoryMb within a request's deadline. Cause: http.ReadResponse bounds no header, and the connection to the endpoint had no bound of its own. Class: bytes from outside beside the memory budget. All other uses of ReadResponse, ReadRequest and textproto were read: http1 counts all bytes, trailers are bounded by package http.

--- a/internal/mesh/dataplane/inbound/answer.go
+++ b/internal/mesh/dataplane/inbound/answer.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -14,14 +13,16 @@
 
 // Bounds on the endpoint's answers to one request.
 const (
-	maxResponseBytes       = 64 << 20 // bound on the size of an answer's body
-	unsizedBodyBuffer      = 512      // size of the first buffer for a body without a length
-	maxMismatchedResponses = 4        // bound on the answers read for one request, including interim ones and those to other requests
+	maxResponseBytes       = 64 << 20  // bound on the size of an answer's body
+	maxAnswerHeaderBytes   = 256 << 10 // bound on the size of an answer's header; as much as the front reads of a client's
+	unsizedBodyBuffer      = 512       // size of the first buffer for a body without a length
+	maxMismatchedResponses = 4         // bound on the answers read for one request, including interim ones and those to other requests
 )
 
 var (
 	errResponseTooLarge = errors.New("response body exceeds the size limit")
 	errResponseMemory   = errors.New("no memory for the response body")
+	errHeaderTooLarge   = errors.New("response header exceeds the size limit")
 )
 
 // endpointAnswer is an answer of the endpoint that was read completely.
@@ -39,7 +40,7 @@
 func readResponse(conn *connection, request *ForwardRequest) (endpointAnswer, outcome.Kind) {
 	onlyRequest := !conn.used // a new connection can't deliver an answer to an earlier request
 	for range maxMismatchedResponses {
-		answer, kind := readAnswer(conn.reader, request.Method, &conn.memory)
+		answer, kind := readAnswer(conn, request.Method)
 		if kind != outcome.None {
 			return endpointAnswer{}, kind
 		}
@@ -65,8 +66,10 @@
 
 // readAnswer reads the next answer on a connection, with its body unless it is an interim answer. The kind is outcome.None, or the reason
 // why there is no answer.
-func readAnswer(reader *bufio.Reader, method string, memory *answerMemory) (endpointAnswer, outcome.Kind) {
-	resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+func readAnswer(conn *connection, method string) (endpointAnswer, outcome.Kind) {
+	conn.source.limit(maxAnswerHeaderBytes)
+	resp, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+	conn.source.unlimit()
 	if err != nil {
 		if isConnectionError(err) {
 			return endpointAnswer{}, outcome.EndpointReset
@@ -78,7 +81,7 @@
 	if answer.status < http.StatusOK {
 		return answer, outcome.None
 	}
-	answer.body, err = readBody(resp, method, memory)
+	answer.body, err = readBody(resp, method, &conn.memory)
 	if err != nil {
 		return endpointAnswer{}, outcome.InvalidResponse
 	}
--- a/internal/mesh/dataplane/inbound/connection.go
+++ b/internal/mesh/dataplane/inbound/connection.go
@@ -33,7 +33,8 @@
 // connection is a connection to the endpoint. It carries one request at a time.
 type connection struct {
 	net.Conn
-	reader    *bufio.Reader
+	source    *limitedSource
+	reader    *bufio.Reader // reads from source
 	idleUntil time.Duration // time until which the connection may be reused, on the proxy's clock
 	used      bool          // whether the connection has carried a request
 	unusable  bool          // whether the connection must not carry another request
@@ -47,9 +48,11 @@
 // newConnection returns a connection that reserves the memory of its answers in a pool.
 func newConnection(conn net.Conn, answers *membudget.Pool) *connection {
 	closed, cancel := context.WithCancel(context.Background())
+	source := &limitedSource{conn: conn}
 	return &connection{
 		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, readBufferBytes),
+		source: source,
+		reader: bufio.NewReaderSize(source, readBufferBytes),
 		memory: answerMemory{pool: answers, closed: closed},
 		cancel: cancel,
 	}
--- a/internal/mesh/dataplane/inbound/golden_test.go
+++ b/internal/mesh/dataplane/inbound/golden_test.go
@@ -112,7 +112,7 @@
 			if method == "GET" && !strings.HasPrefix(answer, "204") {
 				raw += "ok"
 			}
-			conn := &connection{reader: bufio.NewReader(strings.NewReader(raw))}
+			conn := newConnection(&readerConn{Reader: *bytes.NewReader([]byte(raw))}, nil)
 			request := ForwardRequest{Method: method, AttemptID: "a-1"}
 			status, _, _ := strings.Cut(answer, "\r\n")
 			answer, kind := readResponse(conn, &request)
