settings: counts have an upper bound, infinite numbers are reported with their field

Change: counts go from 0 to 2^31-1; what JSON does not have is passed on as text, so that a field where a number is wanted reports it and an unknown one is ignored.

--- a/internal/mesh/operations/settings/parse.go
+++ b/internal/mesh/operations/settings/parse.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 
 	"github.com/gravitational/trace"
@@ -10,7 +11,10 @@
 	"github.com/tidwall/gjson"
 )
 
-const maxPort = 65535 // highest port number
+const (
+	maxPort  = 65535         // highest port number
+	maxCount = math.MaxInt32 // largest number of anything that is counted; its MiB fit into an int64 in bytes
+)
 
 // Parse parses the text of a settings file. It fails with an *InvalidError if fields are invalid, and with another trace.BadParameter if
 // the text is not TOML.
@@ -19,7 +23,7 @@
 	if err := toml.Unmarshal(data, &tree); err != nil {
 		return nil, trace.BadParameter("not TOML: %v", err)
 	}
-	text, err := json.Marshal(tree)
+	text, err := json.Marshal(encodable(tree))
 	if err != nil {
 		return nil, trace.BadParameter("%v", err)
 	}
@@ -28,7 +32,7 @@
 	fields.node(&settings)
 	fields.listenAddresses(&settings)
 	settings.KeepaliveInterval = fields.duration(pathKeepalive, defaultKeepalive)
-	settings.ToleratedMachines = int(fields.number(pathToleratedMachines, 0))
+	settings.ToleratedMachines = fields.count(pathToleratedMachines, 0)
 	settings.Bounds = fields.bounds()
 	settings.InternalPorts = fields.internalPorts()
 	settings.Seeds = fields.seeds()
@@ -39,6 +43,26 @@
 	return &settings, nil
 }
 
+// encodable returns a value of a TOML file with each infinite number and each NaN, which JSON does not have, as text. Where a number is
+// wanted, the text is then reported as invalid.
+func encodable(value any) any {
+	switch value := value.(type) {
+	case map[string]any:
+		for key, element := range value {
+			value[key] = encodable(element)
+		}
+	case []any:
+		for i, element := range value {
+			value[i] = encodable(element)
+		}
+	case float64:
+		if math.IsInf(value, 0) || math.IsNaN(value) {
+			return fmt.Sprint(value)
+		}
+	}
+	return value
+}
+
 // parser parses the fields of a settings file, and collects errors for the invalid ones.
 type parser struct {
 	root    gjson.Result // whole file
@@ -57,8 +81,8 @@
 	settings.DataDirectory = p.text(pathDataDirectory)
 	settings.ApplicationAddress = p.address(pathApplicationAddress)
 	settings.Service = p.text(pathService)
-	settings.MemoryMB = int(p.number(pathMemoryMB, defaultMemoryMB))
-	settings.FileDescriptors = int(p.number(pathFileDescriptors, defaultFileDescriptors))
+	settings.MemoryMB = p.count(pathMemoryMB, defaultMemoryMB)
+	settings.FileDescriptors = p.count(pathFileDescriptors, defaultFileDescriptors)
 	settings.LinkMbps = p.number(pathLinkMbps, 0)
 }
 
--- a/internal/mesh/operations/settings/values.go
+++ b/internal/mesh/operations/settings/values.go
@@ -13,6 +13,7 @@
 	wantedAddress  = "an address like 10.0.0.4:8080"
 	wantedFlag     = "true or false"
 	wantedNumber   = "a number that is not negative"
+	wantedCount    = "a number from 0 to 2147483647"
 	wantedDuration = "a time like 1500ms or 2.5s"
 	wantedPorts    = "two ports, the first and the last"
 )
@@ -73,6 +74,19 @@
 	return value.Float()
 }
 
+// count returns the number at a path, without its fraction; it must be between 0 and maxCount. fallback is returned if it is missing.
+func (p *parser) count(path string, fallback int) int {
+	value := p.root.Get(path)
+	if !value.Exists() {
+		return fallback
+	}
+	if value.Type != gjson.Number || value.Float() < 0 || value.Float() > maxCount {
+		p.addInvalid(path, wantedCount)
+		return fallback
+	}
+	return int(value.Float())
+}
+
 // duration returns the duration at a path, which must not be negative; fallback if it is missing.
 func (p *parser) duration(path string, fallback time.Duration) time.Duration {
 	value := p.root.Get(path)
