transport: a call that a peer sends twice ends its link

No sidecar of ours does this; a faulty peer could take all memory for calls. Now it is a violation of the protocol, like a call that is too large. Kin: a reply for a call that has ended is discarded; a chunk of a call that was rejected or cancelled begins none that is not released with the link. TestNothingIsLeftAfterRandomOrders plays the new steps too.

--- a/internal/mesh/transport/orders_test.go
+++ b/internal/mesh/transport/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -52,10 +53,56 @@
 	calls   []*orderedCall
 	links   []*Link // all links of the client
 	held    chan *IncomingCall
-	conns   []net.Conn
+	conns   []*pausableConn
 	connsMu sync.Mutex
 }
 
+// pausableConn is a connection from which nothing is read while it is paused.
+type pausableConn struct {
+	*net.TCPConn
+	mu     sync.Mutex
+	resume chan struct{} // closed by resumeReading; nil while the connection is not paused
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pausableConn) pauseReading() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume == nil {
+		p.resume = make(chan struct{})
+	}
+}
+
+func (p *pausableConn) resumeReading() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume != nil {
+		close(p.resume)
+		p.resume = nil
+	}
+}
+
+// Read implements net.Conn.
+func (p *pausableConn) Read(b []byte) (int, error) {
+	p.mu.Lock()
+	resume := p.resume
+	p.mu.Unlock()
+	if resume != nil {
+		select {
+		case <-resume:
+		case <-p.closed:
+		}
+	}
+	return p.TCPConn.Read(b)
+}
+
+// Close implements net.Conn.
+func (p *pausableConn) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return p.TCPConn.Close()
+}
+
 // orderedCall is a call of an order, and how often it has ended.
 type orderedCall struct {
 	pending *PendingCall
@@ -80,12 +127,14 @@
 	o.server.LimitRate(rate)
 	o.client.SetDialer(func(_ context.Context, address string, _ time.Duration) (net.Conn, error) {
 		conn, err := net.Dial("tcp4", address) //nolint:noctx // on loopback
-		if err == nil {
-			o.connsMu.Lock()
-			o.conns = append(o.conns, conn)
-			o.connsMu.Unlock()
+		if err != nil {
+			return nil, err
 		}
-		return conn, err
+		pausable := &pausableConn{TCPConn: conn.(*net.TCPConn), closed: make(chan struct{})}
+		o.connsMu.Lock()
+		o.conns = append(o.conns, pausable)
+		o.connsMu.Unlock()
+		return pausable, nil
 	})
 	o.server.HandleRaw(1, func(c *IncomingCall) {
 		switch c.Body.Len() % 3 {
@@ -100,7 +149,9 @@
 
 func newOrderHub(tb testing.TB, name string) (*Hub, string) {
 	tb.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // on loopback
+	// Each hub has an address of its own: the ports of one address run out when thousands of orders are played.
+	address := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
+	listener, err := net.Listen("tcp4", address) //nolint:noctx // on loopback
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -133,7 +184,7 @@
 	case 6:
 		time.Sleep(time.Duration(argument) * 100 * time.Microsecond)
 	case 7:
-		o.breakConn(argument)
+		o.changeConn(argument)
 	}
 }
 
@@ -146,12 +197,21 @@
 	}
 }
 
-// breakConn closes one of the client's connections, as if its peer had died.
-func (o *order) breakConn(n int) {
+// changeConn closes one of the client's connections, as if its peer had died, or makes the client pause or resume reading from it.
+func (o *order) changeConn(argument int) {
 	o.connsMu.Lock()
 	defer o.connsMu.Unlock()
-	if len(o.conns) > 0 {
-		_ = o.conns[n%len(o.conns)].Close() // it may be closed already
+	if len(o.conns) == 0 {
+		return
+	}
+	conn := o.conns[argument/3%len(o.conns)]
+	switch argument % 3 {
+	case 0:
+		_ = conn.Close() // it may be closed already
+	case 1:
+		conn.pauseReading()
+	case 2:
+		conn.resumeReading()
 	}
 }
 
@@ -222,8 +282,9 @@
 
 // FuzzOrders is TestNothingIsLeftAfterRandomOrders over any sequence of steps.
 func FuzzOrders(f *testing.F) {
-	f.Add([]byte{2, 48, 48, 48, 48, 4, 12, 20, 28, 54, 40})    // large calls that are cancelled while they are sent
-	f.Add([]byte{1, 40, 40, 246, 7, 40, 246, 15, 40, 5})       // connections that break amid large calls
-	f.Add([]byte{4, 35, 43, 51, 246, 246, 48, 45, 45, 53, 53}) // calls that expire, and late replies
+	f.Add([]byte{2, 48, 48, 48, 48, 4, 12, 20, 28, 54, 40})          // large calls that are cancelled while they are sent
+	f.Add([]byte{1, 40, 40, 246, 7, 40, 246, 15, 40, 5})             // connections that break amid large calls
+	f.Add([]byte{4, 35, 43, 51, 246, 246, 48, 45, 45, 53, 53})       // calls that expire, and late replies
+	f.Add([]byte{0, 8, 246, 15, 8, 16, 40, 40, 16, 8, 246, 23, 246}) // a client that does not read for a while
 	f.Fuzz(func(t *testing.T, steps []byte) { playOrder(t, steps) })
 }
--- a/internal/mesh/transport/reader.go
+++ b/internal/mesh/transport/reader.go
@@ -214,8 +214,9 @@
 }
 
 // assembleCall appends a chunk to a call of the peer. It returns the call if it is complete, otherwise nil. It fails if the call exceeds
-// maxMessageBytes or maxCallBytes, or if the link has too many calls. If there is no memory for the call, it rejects the call at once, and
-// discards the chunks that follow. It also discards what the reader has received before the link ended and handles after that.
+// maxMessageBytes or maxCallBytes, if the link has too many calls, or if the call is complete already. If there is no memory for the call,
+// it rejects the call at once, and discards the chunks that follow. It also discards what the reader has received before the link ended and
+// handles after that.
 func (l *Link) assembleCall(chunk *envelope) (*IncomingCall, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -227,6 +228,9 @@
 		if len(l.incoming)+len(l.incomplete) >= maxPendingCalls {
 			return nil, trace.LimitExceeded("over %d calls at once", maxPendingCalls)
 		}
+		if l.incoming[chunk.stream] != nil { // another call with its number would never release the memory of the first one
+			return nil, trace.BadParameter("call %d was sent twice", chunk.stream)
+		}
 		call = l.newIncomingCall(chunk)
 	}
 	call.bodyBytes += len(chunk.body)
