settings: ipAddress has to be an IP address

FuzzParse found after 26 s (one worker, some 20,000 inputs a second) that ipAddress = "10.1.0.40 [7640," was accepted: the internal address that is made of it can't be split again, and the process would exit 2 s later with an error of the listener that does not name the field. Now the field is reported.

--- a/internal/mesh/operations/settings/fuzz_test.go
+++ b/internal/mesh/operations/settings/fuzz_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,8 +66,10 @@
 	if first, last := s.InternalPorts[0], s.InternalPorts[1]; first < 1 || last < first || last > maxPort {
 		t.Fatalf("internal ports %v", s.InternalPorts)
 	}
-	for _, address := range append([]string{s.InternalAddress(), s.ApplicationAddress, s.InboundAddress, s.OutboundAddress, s.ReadinessAddress, s.ControlAddress},
-		s.Seeds...) {
+	own := []string{
+		s.InternalAddress(), s.ApplicationAddress, s.InboundAddress, s.OutboundAddress, s.ReadinessAddress, s.ControlAddress,
+	}
+	for _, address := range slices.Concat(own, s.Seeds, s.SeedAddresses()) {
 		if address == "" {
 			continue
 		}
--- a/internal/mesh/operations/settings/parse.go
+++ b/internal/mesh/operations/settings/parse.go
@@ -74,7 +74,7 @@
 	settings.Name = p.requiredText(pathName)
 	settings.Role = p.text(pathRole)
 	settings.MachineClass = p.text(pathMachineClass)
-	settings.IP = p.requiredText(pathIP)
+	settings.IP = p.ipAddress(pathIP)
 	settings.Zone = p.requiredText(pathZone)
 	settings.Region = p.text(pathRegion)
 	settings.InitialStart = p.flag(pathInitialStart)
--- a/internal/mesh/operations/settings/values.go
+++ b/internal/mesh/operations/settings/values.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -10,6 +11,7 @@
 // Values of FieldError.Wanted.
 const (
 	wantedText     = "a text"
+	wantedIP       = "an IP address like 10.0.0.4"
 	wantedAddress  = "an address like 10.0.0.4:8080"
 	wantedFlag     = "true or false"
 	wantedNumber   = "a number that is not negative"
@@ -41,6 +43,15 @@
 	return value.String()
 }
 
+// ipAddress returns the IP address at a path, which must not be missing.
+func (p *parser) ipAddress(path string) string {
+	value := p.root.Get(path)
+	if _, err := netip.ParseAddr(value.String()); err != nil || value.Type != gjson.String {
+		p.addInvalid(path, wantedIP)
+	}
+	return value.String()
+}
+
 // address returns the host:port at a path, which may be missing or empty.
 func (p *parser) address(path string) string {
 	address := p.text(path)
