--- a/internal/mesh/dataplane/outbound/golden_test.go
+++ b/internal/mesh/dataplane/outbound/golden_test.go
@@ -60,16 +60,16 @@
 	received chan string // bytes of each request that the endpoint has received
 }
 
-func startGolden(t *testing.T, configure bool) *goldenSidecar {
-	t.Helper()
+func startGolden(tb testing.TB, configure bool) *goldenSidecar {
+	tb.Helper()
 	config, err := configuration.Parse([]byte(goldenConfig))
-	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(tb, err, qt.IsNil)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	sidecar := &goldenSidecar{received: make(chan string, 64)}
 	hub := transport.NewHub(transport.Hello{Incarnation: 1, Address: "127.0.0.1:1"}, time.Now(), 1<<20, log)
-	t.Cleanup(hub.Close)
-	endpointProxy := inbound.New(sidecar.startEndpoint(t), hub.Now, log, nil)
+	tb.Cleanup(hub.Close)
+	endpointProxy := inbound.New(sidecar.startEndpoint(tb), hub.Now, log, nil)
 	endpointProxy.UpdateEndpoint(admission.Endpoint{ID: "s-1", Service: "s", Slots: 8}, admission.Serving)
 	acquireQuota := func(tenant *configuration.Tenant, done func(ok bool, retryAfter time.Duration)) {
 		switch tenant.Name {
@@ -92,14 +92,14 @@
 		})
 		sidecar.proxy.UpdateEndpoints("nobody", nil)
 	}
-	sidecar.address = serve(t, sidecar.proxy)
+	sidecar.address = serve(tb, sidecar.proxy)
 	return sidecar
 }
 
 // startEndpoint starts an endpoint that answers by the path of the request's URI, and records the requests.
-func (g *goldenSidecar) startEndpoint(t *testing.T) string {
-	t.Helper()
-	l := listen(t)
+func (g *goldenSidecar) startEndpoint(tb testing.TB) string {
+	tb.Helper()
+	l := listen(tb)
 	go func() {
 		for {
 			conn, err := l.Accept()
