transport: Hub.Close closes the listeners, and Listen returns

FuzzOrders ended after 58 s and 10,010 orders with 'too many open files': each order left two listeners and two goroutines in Accept. That also used up the ports of 127.0.0.1 in its first run. Listen says that it returns nil when the hub is closed; only Drain closed the listeners, and Close left them to its caller, so that Listen returned when another peer dialled. In the programs Drain comes first and assembly closes them, too: no caller saw it. TestCloseEndsListening failed before (not within 20 s).

--- a/internal/mesh/transport/connect.go
+++ b/internal/mesh/transport/connect.go
@@ -31,9 +31,9 @@
 // returns an error that wraps net.ErrClosed. After any other error, such as a lack of file descriptors, it logs the error and tries again;
 // existing links are not affected.
 func (h *Hub) Listen(listener net.Listener) error {
-	h.mu.Lock()
-	h.listeners = append(h.listeners, listener)
-	h.mu.Unlock()
+	if !h.addListener(listener) {
+		return nil
+	}
 	accepting := lifecycle.RetryAccept(listener, func(err error) bool {
 		if h.isClosing() {
 			return false
@@ -54,6 +54,19 @@
 	}
 }
 
+// addListener makes the hub close a listener when it stops listening. If it has stopped already, it closes the listener at once and returns
+// false.
+func (h *Hub) addListener(listener net.Listener) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closing {
+		h.closeListener(listener)
+		return false
+	}
+	h.listeners = append(h.listeners, listener)
+	return true
+}
+
 // accept starts a link on a connection that a peer has dialled. In a closed hub it closes the connection.
 func (h *Hub) accept(conn net.Conn) {
 	l := newLink(h, conn.RemoteAddr().String(), false)
@@ -89,9 +102,14 @@
 	defer h.mu.Unlock()
 	h.closing = true
 	for _, listener := range h.listeners {
-		if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-			h.log.WithError(err).Debug("transport: failed to close a listener")
-		}
+		h.closeListener(listener)
+	}
+}
+
+// closeListener closes a listener, which may be closed already. It only logs an error, because no connection is accepted any more.
+func (h *Hub) closeListener(listener net.Listener) {
+	if err := listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		h.log.WithError(err).Debug("transport: failed to close a listener")
 	}
 }
 
--- a/internal/mesh/transport/hub.go
+++ b/internal/mesh/transport/hub.go
@@ -244,10 +244,11 @@
 	return links, h.closing
 }
 
-// Close closes all links and waits for their goroutines. It must not be called by a handler, nor by a function that was passed to Send.
+// Close closes all listeners and links, and waits for the goroutines of the links. It must not be called by a handler, nor by a function
+// that was passed to Send.
 func (h *Hub) Close() {
+	h.stopListening()
 	h.mu.Lock()
-	h.closing = true
 	h.closed = true
 	h.mu.Unlock()
 	links, _ := h.allLinks()
--- a/internal/mesh/transport/orders_test.go
+++ b/internal/mesh/transport/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -149,9 +148,7 @@
 
 func newOrderHub(tb testing.TB, name string) (*Hub, string) {
 	tb.Helper()
-	// Each hub has an address of its own: the ports of one address run out when thousands of orders are played.
-	address := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
-	listener, err := net.Listen("tcp4", address) //nolint:noctx // on loopback
+	listener, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // on loopback
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/mesh/transport/transport_test.go
+++ b/internal/mesh/transport/transport_test.go
@@ -438,3 +438,31 @@
 	clock.observe(12*time.Second, 6*time.Second)
 	qt.Assert(t, clock.toLocal(4*time.Second), qt.Equals, 10*time.Second)
 }
+
+// Listen did not return after Close until another peer dialled.
+func TestCloseEndsListening(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := NewHub(Hello{Incarnation: 7}, time.Now(), 1<<20, log)
+	ended := make(chan error, 1)
+	go func() { ended <- h.Listen(listen(t)) }()
+	for len(h.currentListeners()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	h.Close()
+	go func() { ended <- h.Listen(listen(t)) }() // after Close
+	for range 2 {
+		select {
+		case err := <-ended:
+			qt.Assert(t, err, qt.IsNil)
+		case <-time.After(20 * time.Second):
+			t.Fatal("Listen has not returned 20 s after Close")
+		}
+	}
+}
+
+func (h *Hub) currentListeners() []net.Listener {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.listeners)
+}
