membership: records stay within the limits of their zone, whatever they change

Change: an incarnation never changes its zone or role; a replacement in another zone needs room there; members of at most 1,024 zones are held; records with a text above 256 bytes or an unknown role are ignored. Limits in the doc comments.

--- a/internal/mesh/discovery/membership/member.go
+++ b/internal/mesh/discovery/membership/member.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"time"
 
 	"quincegap/internal/mesh/transport/codec"
@@ -19,6 +20,9 @@
 // maxHeartbeatAge is the maximum age of a heartbeat that is read from a message. A higher age is reduced to it.
 const maxHeartbeatAge = time.Hour
 
+// maxTextBytes bounds the length of each text of a record that a view holds.
+const maxTextBytes = 256
+
 // Member is the record of one incarnation of one process.
 type Member struct {
 	Incarnation  uint64 // random number, new at each start of the process; never 0
@@ -41,7 +45,7 @@
 	v.String(4, &m.Region)
 	role := uint64(m.Role)
 	v.Uint64(5, &role)
-	m.Role = Role(role)
+	m.Role = Role(min(role, math.MaxUint8)) // unknown if it is higher
 	v.String(6, &m.Service)
 	v.String(7, &m.AppAddress)
 	v.Uint64(8, &m.Heartbeat)
@@ -53,6 +57,17 @@
 	}
 }
 
+// isValid reports whether a view can hold a record that was received: it has an incarnation and an address, its role is known, and its texts
+// are not longer than maxTextBytes.
+func (m *Member) isValid() bool {
+	for _, text := range []string{m.Address, m.Zone, m.Region, m.Service, m.AppAddress} {
+		if len(text) > maxTextBytes {
+			return false
+		}
+	}
+	return m.Incarnation != 0 && m.Address != "" && m.Role <= RoleCore
+}
+
 // sameRecord reports whether two records of an incarnation are equal apart from their heartbeats.
 func sameRecord(a, b *Member) bool {
 	other := *b
--- a/internal/mesh/discovery/membership/merge.go
+++ b/internal/mesh/discovery/membership/merge.go
@@ -63,6 +63,10 @@
 		if !direct && seen < old.lastSeen+v.config.GossipInterval {
 			return false
 		}
+		sameLimit := old.Zone == record.Zone && old.Role == record.Role
+		if !sameLimit && !v.ensureCapacity(&record) {
+			return false
+		}
 		v.replaceMember(now, old, direct)
 	} else if !v.ensureCapacity(&record) {
 		return false
@@ -71,9 +75,9 @@
 	return true
 }
 
-// identifiesPeer reports whether a record identifies a member that is neither this process nor at its address.
+// identifiesPeer reports whether a record is valid, and identifies a member that is neither this process nor at its address.
 func (v *View) identifiesPeer(m *Member) bool {
-	return m.Incarnation != 0 && m.Address != "" && m.Incarnation != v.self.Incarnation && m.Address != v.self.Address
+	return m.isValid() && m.Incarnation != v.self.Incarnation && m.Address != v.self.Address
 }
 
 // updateMember merges a record into the entry of its member. It reports whether anything but the heartbeat has changed.
@@ -87,8 +91,8 @@
 	case record.Heartbeat == known.Heartbeat:
 		known.lastSeen = min(known.lastSeen, seen)
 		return false
-	case known.Address != record.Address:
-		return false // an incarnation never changes its address
+	case known.Address != record.Address || known.Zone != record.Zone || known.Role != record.Role:
+		return false // an incarnation never changes them
 	}
 	if changed = !sameRecord(&known.Member, &record); changed {
 		v.invalidate()
@@ -138,6 +142,8 @@
 		return count < v.config.MaxCoreMembers
 	case m.Zone == v.self.Zone:
 		return count < v.config.MaxLocalMembers
+	case count == 0:
+		return v.zoneCount() < maxZones
 	case count < v.config.MaxMembersPerRemoteZone:
 		return true
 	case compareHash(newEntry(*m), last) > 0:
@@ -147,6 +153,15 @@
 	return true
 }
 
+// zoneCount returns the number of zones that have members.
+func (v *View) zoneCount() int {
+	zones := map[string]bool{}
+	for _, e := range v.table.entries {
+		zones[e.Zone] = true
+	}
+	return len(zones)
+}
+
 // membersUnderSameLimit returns the number of members to which the same limit applies as to m, and the last of them by compareHash.
 func (v *View) membersUnderSameLimit(m *Member) (count int, last *entry) {
 	for _, e := range v.table.entries {
--- a/internal/mesh/discovery/membership/view.go
+++ b/internal/mesh/discovery/membership/view.go
@@ -8,10 +8,11 @@
 	"time"
 )
 
-// maxRegions bounds the number of zones whose regions are stored, because zone names come from messages.
-const maxRegions = 1024
+// maxZones bounds the number of zones that have members, and the number of zones whose regions are stored: zone names come from messages.
+const maxZones = 1024
 
-// View is one process's view of the members. Create it with New.
+// View is one process's view of the members. Create it with New. It holds the members of at most maxZones zones, within the limits of its
+// Config; a member above them is not added.
 type View struct {
 	config               Config
 	rng                  *rand.Rand
@@ -48,9 +49,9 @@
 	return v
 }
 
-// SetRegion sets the region of a zone. It does nothing if the region is empty or maxRegions zones are stored.
+// SetRegion sets the region of a zone. It does nothing if the region is empty or the regions of maxZones zones are stored.
 func (v *View) SetRegion(zone, region string) {
-	if len(v.regions) < maxRegions && region != "" {
+	if len(v.regions) < maxZones && region != "" {
 		v.regions[zone] = region
 	}
 }
