agent: the zone in a keepalive is bounded like the other texts

FuzzParseKeepalive found after 39 s, in its run of ten minutes, that a zone of more than 256 bytes was accepted, up to the 16 KiB of the body, and then spread with the endpoint's record.

--- a/internal/mesh/agent/keepalive_body.go
+++ b/internal/mesh/agent/keepalive_body.go
@@ -39,7 +39,7 @@
 	k := keepaliveBody{root: gjson.ParseBytes(body)}
 	endpoint.Service = k.text(fieldService)
 	endpoint.AppAddress = k.text(fieldAddress)
-	endpoint.Zone = k.root.Get(fieldZone).String()
+	endpoint.Zone = k.optionalText(fieldZone)
 	endpoint.Slots = int(min(k.number(fieldSlots), maxSlots))
 	endpoint.Sequence = uint64(k.number(fieldSequence))
 	if _, _, err := net.SplitHostPort(endpoint.AppAddress); err != nil {
@@ -73,6 +73,16 @@
 	return value.String()
 }
 
+// optionalText returns a field of up to maxTextBytes bytes, which may be missing; then it is empty. It records an error if it is longer.
+func (k *keepaliveBody) optionalText(field string) string {
+	text := k.root.Get(field).String()
+	if len(text) > maxTextBytes {
+		k.addError(field, "a text")
+		return ""
+	}
+	return text
+}
+
 // number returns a field that must be a number of 0 or more, truncated to an integer. It records an error otherwise.
 func (k *keepaliveBody) number(field string) int64 {
 	value := k.root.Get(field)
