discovery: subscriptions and discarded versions do not grow with service names

A registry owner never removed the subscriptions to a service that does not change, and held a number for each service that any discarded endpoint ever had. Both are fed by names in messages. Subscriptions expire with the leases now; above MaxTombstones services the versions are merged into one, after which subscribers get a complete list once more. TestSubscriptionsOfAQuietServiceExpire and TestDiscardedVersionsAreBounded do not build before: they look at what is held.

--- a/internal/mesh/agent/directory.go
+++ b/internal/mesh/agent/directory.go
@@ -62,7 +62,7 @@
 	return due
 }
 
-// expireLocked expires the leases of endpoint records, at most once per expiryInterval.
+// expireLocked expires the leases of endpoint records and of subscriptions, at most once per expiryInterval.
 func (d *endpointDirectory) expireLocked(now time.Duration) {
 	if now < d.nextExpiry {
 		return
@@ -72,6 +72,7 @@
 	for _, e := range d.registry.Expire(now) {
 		d.markChangedLocked(e.Service, before)
 	}
+	d.subscribers.Expire(now)
 }
 
 // linkLostLocked marks the registry owner at an address as unresponsive, because the link to it was lost. The other owners are then asked
--- a/internal/mesh/discovery/registry.go
+++ b/internal/mesh/discovery/registry.go
@@ -10,24 +10,24 @@
 // Registry holds the records of the endpoints that one process knows. Create it with NewRegistry. At most Config.MaxTombstones endpoints
 // that have ended are retained; the number of others is that of the leases that publishers hold.
 type Registry struct {
-	config           Config
-	entries          map[string]*registryEntry   // entries by endpoint ID
-	byAppAddress     map[string][]*registryEntry // entries by AppAddress, in the order of their insertion
-	byService        map[string][]*registryEntry // entries by service, ordered by ID
-	version          uint64                      // number of changes and renewals so far
-	discardedVersion map[string]uint64           // by service: highest version of a discarded entry
-	tombstones       []*registryEntry            // endpoints that ended, the oldest first; some may have been restored since
-	lastExpire       time.Duration               // time of the last call of Expire
+	config       Config
+	entries      map[string]*registryEntry   // entries by endpoint ID
+	byAppAddress map[string][]*registryEntry // entries by AppAddress, in the order of their insertion
+	byService    map[string][]*registryEntry // entries by service, ordered by ID
+	version      uint64                      // number of changes and renewals so far
+	discarded    discardedVersions
+	tombstones   []*registryEntry // endpoints that ended, the oldest first; some may have been restored since
+	lastExpire   time.Duration    // time of the last call of Expire
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(config Config) *Registry {
 	return &Registry{
-		config:           config.WithDefaults(),
-		entries:          map[string]*registryEntry{},
-		byAppAddress:     map[string][]*registryEntry{},
-		byService:        map[string][]*registryEntry{},
-		discardedVersion: map[string]uint64{},
+		config:       config.WithDefaults(),
+		entries:      map[string]*registryEntry{},
+		byAppAddress: map[string][]*registryEntry{},
+		byService:    map[string][]*registryEntry{},
+		discarded:    discardedVersions{byService: map[string]uint64{}},
 	}
 }
 
@@ -98,7 +98,7 @@
 		return
 	}
 	delete(r.entries, entry.ID)
-	r.discardedVersion[entry.Service] = max(r.discardedVersion[entry.Service], entry.version)
+	r.discarded.add(entry.Service, entry.version, r.config.MaxTombstones)
 	removeFromIndex(r.byAppAddress, entry.AppAddress, entry)
 	removeFromIndex(r.byService, entry.Service, entry)
 }
@@ -223,7 +223,7 @@
 // ok is false, changed is the complete list instead, either because records that changed after the version were discarded, or because the
 // version is higher than the current one, and thus belongs to another registry.
 func (r *Registry) ChangedSince(now time.Duration, service string, version uint64) (changed []Endpoint, to uint64, ok bool) {
-	if version < r.discardedVersion[service] || version > r.version {
+	if version < r.discarded.of(service) || version > r.version {
 		return r.List(now, service), r.version, false
 	}
 	return r.changedAfter(now, service, version), r.version, true
--- a/internal/mesh/discovery/registry_bound_test.go
+++ b/internal/mesh/discovery/registry_bound_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,31 @@
 		checkIndexes(t, registry, fmt.Sprint("round ", round))
 	}
 }
+
+// The registry held a number for each service that any discarded endpoint ever had. A subscriber that lacks a change still gets the list.
+func TestDiscardedVersionsAreBounded(t *testing.T) {
+	config := Config{MaxTombstones: 4}
+	registry := NewRegistry(config)
+	seen := map[string]uint64{} // version of the registry after the last change of each service
+	for i := range 100 {
+		service := fmt.Sprint("service ", i)
+		endpoint := testEndpoint(strconv.Itoa(i), Deregistered, 1, 1)
+		endpoint.Service = service
+		endpoint.AppAddress = strconv.Itoa(i)
+		before := registry.Version()
+		registry.Apply(time.Duration(i), endpoint)
+		seen[service] = before
+		checkIndexes(t, registry, service)
+		if n := len(registry.discarded.byService); n > config.MaxTombstones {
+			t.Fatalf("%d services, want %d at most", n, config.MaxTombstones)
+		}
+	}
+	for service, version := range seen {
+		if _, present := registry.entries[strings.TrimPrefix(service, "service ")]; present {
+			continue // it is still there
+		}
+		if _, _, ok := registry.ChangedSince(time.Second, service, version); ok {
+			t.Fatalf("a subscriber of %s with version %d gets only the changes since, without the end of its endpoint", service, version)
+		}
+	}
+}
--- a/internal/mesh/discovery/subscribers.go
+++ b/internal/mesh/discovery/subscribers.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Subscribers is a registry owner's list of the processes to notify of changes, by service. Create it with NewSubscribers.
+// Subscribers is a registry owner's list of the processes to notify of changes, by service. Create it with NewSubscribers. After a call of
+// Expire it holds only subscriptions that were renewed within Config.SubscriptionLease.
 type Subscribers struct {
 	config    Config
 	leaseEnds map[string]map[string]time.Duration // end of each lease, by service and subscriber
@@ -24,6 +25,17 @@
 	s.leaseEnds[service][subscriber] = now + s.config.SubscriptionLease
 }
 
+// Expire ends the subscriptions whose leases have expired, of all services.
+func (s *Subscribers) Expire(now time.Duration) {
+	for service, subscribers := range s.leaseEnds {
+		for subscriber, leaseEnd := range subscribers {
+			if now >= leaseEnd {
+				s.remove(service, subscriber)
+			}
+		}
+	}
+}
+
 // ConnectionLost ends the subscriptions of a process to which the connection broke. Only tests call it: the agent lets the leases expire.
 func (s *Subscribers) ConnectionLost(subscriber string) {
 	for service := range s.leaseEnds {
--- a/internal/mesh/discovery/subscribers_test.go
+++ b/internal/mesh/discovery/subscribers_test.go
@@ -1,12 +1,27 @@
 package discovery
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
+// The subscriptions to a service without changes were never removed.
+func TestSubscriptionsOfAQuietServiceExpire(t *testing.T) {
+	s := NewSubscribers(Config{})
+	for i := range 100 {
+		s.Renew(time.Duration(i)*time.Second, fmt.Sprint("service ", i), "x")
+		s.Renew(time.Duration(i)*time.Second, "quiet", fmt.Sprint("subscriber ", i))
+		s.Expire(time.Duration(i) * time.Second)
+	}
+	qt.Assert(t, s.leaseEnds["quiet"], qt.HasLen, 6)
+	qt.Assert(t, s.leaseEnds, qt.HasLen, 7)
+	s.Expire(time.Hour)
+	qt.Assert(t, s.leaseEnds, qt.HasLen, 0)
+}
+
 func TestSubscribers(t *testing.T) {
 	c := qt.New(t)
 	s := NewSubscribers(Config{})
