--- a/internal/modules/idempotency/table_test.go
+++ b/internal/modules/idempotency/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"testing"
@@ -284,60 +285,77 @@
 	}
 }
 
-// A table that is filled to its bound and beyond, while entries expire with and without attempts in flight, is full only if no entry could
-// have been removed, and forgets no request that may have run before its retention has ended.
-func TestTableStaysWithinItsBound(t *testing.T) {
-	const maxEntries = 5
-	for seed := range uint64(200) {
-		random := rand.New(rand.NewPCG(seed, 58))
-		table := NewTable(maxEntries)
-		retained := map[ID]time.Duration{} // end of the retention of each request that was begun
-		inFlight := map[ID]int{}
-		now := time.Duration(0)
-		for step := range 300 {
-			id := KeyedID("book", strconv.Itoa(random.IntN(12)))
-			switch random.IntN(3) {
-			case 0:
-				beginWithinBound(t, table, now, id, retained, inFlight)
-			case 1:
-				if inFlight[id] > 0 {
-					inFlight[id]--
-					table.EndAttempt(id, balancer.StatusReset, false) // may have run
-				}
-			case 2:
-				now += time.Duration(random.IntN(int(testRetention / 4)))
-			}
-			if table.Len() > maxEntries || table.expirations.Len() != table.Len() {
-				t.Fatalf("seed %d, step %d: %d entries and %d expirations, want %d at most", seed, step, table.Len(), table.expirations.Len(), maxEntries)
-			}
-			for id, end := range retained {
-				if _, known := table.Lookup(now, id); !known && (now < end || inFlight[id] > 0) {
-					t.Fatalf("seed %d, step %d: a request is unknown at %v, %d in flight, retained until %v", seed, step, now, inFlight[id], end)
-				}
-			}
+// boundModel fills a table to its bound and beyond, and knows what the table must retain.
+type boundModel struct {
+	t        *testing.T
+	table    *Table
+	now      time.Duration
+	retained map[ID]time.Duration // end of the retention of each request that was begun
+	inFlight map[ID]int
+}
+
+// step begins or ends an attempt of a request, or lets time pass.
+func (b *boundModel) step(random *rand.Rand) {
+	b.t.Helper()
+	id := KeyedID("book", strconv.Itoa(random.IntN(12)))
+	switch random.IntN(3) {
+	case 0:
+		b.begin(id)
+	case 1:
+		if b.inFlight[id] > 0 {
+			b.inFlight[id]--
+			b.table.EndAttempt(id, balancer.StatusReset, false) // may have run
 		}
+	case 2:
+		b.now += time.Duration(random.IntN(int(testRetention / 4)))
 	}
 }
 
-// beginWithinBound begins an attempt, and checks that it fails only if the table is full of entries that must be retained.
-func beginWithinBound(t *testing.T, table *Table, now time.Duration, id ID, retained map[ID]time.Duration, inFlight map[ID]int) {
-	t.Helper()
-	_, known := table.Lookup(now, id)
-	_, _, err := table.BeginAttempt(now, id, "book", testRetention, testOrigin)
+// begin begins an attempt, and checks that it fails only if the table is full of entries that must be retained.
+func (b *boundModel) begin(id ID) {
+	b.t.Helper()
+	_, known := b.table.Lookup(b.now, id)
+	_, _, err := b.table.BeginAttempt(b.now, id, "book", testRetention, testOrigin)
 	if err == nil {
-		inFlight[id]++
+		b.inFlight[id]++
 		if !known {
-			retained[id] = now + testRetention
+			b.retained[id] = b.now + testRetention
 		}
 		return
 	}
 	needed := 0
-	for other, end := range retained {
-		if now < end || inFlight[other] > 0 || table.entries[other] != nil {
+	for other, end := range b.retained {
+		if b.now < end || b.inFlight[other] > 0 || b.table.entries[other] != nil {
 			needed++
 		}
 	}
-	if known || needed < table.maxEntries {
-		t.Fatalf("%v for a request that is known: %v, while %d entries are needed", err, known, needed)
+	if known || needed < b.table.maxEntries {
+		b.t.Fatalf("%v for a request that is known: %v, while %d entries are needed", err, known, needed)
+	}
+}
+
+// check checks the size of the table, and that it knows each request that it must retain.
+func (b *boundModel) check(when string) {
+	b.t.Helper()
+	if n := b.table.Len(); n > b.table.maxEntries || b.table.expirations.Len() != n {
+		b.t.Fatalf("%s: %d entries and %d expirations, want %d at most", when, n, b.table.expirations.Len(), b.table.maxEntries)
+	}
+	for id, end := range b.retained {
+		if _, known := b.table.Lookup(b.now, id); !known && (b.now < end || b.inFlight[id] > 0) {
+			b.t.Fatalf("%s: a request is unknown at %v, %d in flight, retained until %v", when, b.now, b.inFlight[id], end)
+		}
+	}
+}
+
+// A table that is filled to its bound and beyond, while entries expire with and without attempts in flight, is full only if no entry could
+// have been removed, and forgets no request that may have run before its retention has ended.
+func TestTableStaysWithinItsBound(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 58))
+		model := &boundModel{t: t, table: NewTable(5), retained: map[ID]time.Duration{}, inFlight: map[ID]int{}}
+		for step := range 300 {
+			model.step(random)
+			model.check(fmt.Sprintf("seed %d, step %d", seed, step))
+		}
 	}
 }
