--- a/internal/mesh/transport/backpressure.go
+++ b/internal/mesh/transport/backpressure.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// awaitReplySpace waits while the peer reads its small replies more slowly than it sends calls, so that what is queued for it stays bounded. Only
-// the side that accepted a link queues replies, and the other side always reads, so that the two never wait for each other. It returns
-// false if the link has ended.
+// awaitReplySpace waits while the peer reads its small replies more slowly than it sends calls, so that what is queued for it stays
+// bounded. Only the side that accepted a link queues replies, and the other side always reads, so that the two never wait for each other.
+// It returns false if the link has ended.
 func (l *Link) awaitReplySpace() bool {
 	for {
 		full, closed := l.replyQueueState()
--- a/internal/mesh/transport/doc.go
+++ b/internal/mesh/transport/doc.go
@@ -42,5 +42,6 @@
 // # What it does not do
 //
 // The package does not authenticate peers and does not retry calls. It does not define methods either: packages agent and inbound do. It
-// bounds the memory of messages (Hub.SetMemory, maxMessageBytes), but not the number of links.
+// bounds the memory of messages (Hub.SetMemory, maxMessageBytes) and of small replies that a peer does not read (maxQueuedReplyBytes), but
+// not the number of links.
 package transport
--- a/internal/mesh/transport/sockets/sockets.go
+++ b/internal/mesh/transport/sockets/sockets.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -45,15 +47,21 @@
 
 // Usage returns the current usage. It makes a system call for each connection.
 func (g *Group) Usage() Usage {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	usage := Usage{Connections: len(g.open)}
-	for c := range g.open {
+	connections := g.connections()
+	usage := Usage{Connections: len(connections)}
+	for _, c := range connections {
 		usage.UnreadBytes += c.unreadBytes()
 	}
 	return usage
 }
 
+// connections returns the open connections.
+func (g *Group) connections() []*conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Keys(g.open))
+}
+
 // Listen returns a listener on a TCP address (IPv4).
 func (g *Group) Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: g.setReceiveBuffer}
