http3: a test of authentication does not depend on how fast a handshake is

Its handshake timeout of 100 ms is for dropped packets; a handshake that takes longer, with any certificate, is unreachable by definition, so the case is allowed. Traced: with a relay that delays each datagram by 125 ms and the old 100 ms both certificates fail in the same way, each run. The certificates have a test of their own, TestUnauthenticatedEndpoint, over that relay, with 20 s for the handshake; checks unchanged.

--- a/internal/network/http3/transport_test.go
+++ b/internal/network/http3/transport_test.go
@@ -246,8 +246,7 @@
 	}
 }
 
-// If UDP packets do not arrive, nothing is sent, and another protocol may be used. If the endpoint can't be authenticated, no other
-// protocol may be used.
+// If UDP packets do not arrive, nothing is sent, and another protocol may be used.
 func TestNoConnection(t *testing.T) {
 	test := newTestTransport(t, func(s *TransportSettings) { s.HandshakeTimeout = 100 * time.Millisecond })
 	var received atomic.Int64
@@ -274,6 +273,15 @@
 	if res := test.attempt(nil, testTimeout, nil); res.Status != balancer.StatusConnectFailed || !res.Unreachable {
 		t.Errorf("closed port: got %+v, want status %v and unreachable", res, balancer.StatusConnectFailed)
 	}
+	if received.Load() != 0 {
+		t.Errorf("%d requests were received by the endpoint, want 0", received.Load())
+	}
+}
+
+// If the endpoint can't be authenticated, nothing is sent, and no other protocol may be used. The handshake takes a quarter of a second.
+func TestUnauthenticatedEndpoint(t *testing.T) {
+	test := newTestTransport(t, func(s *TransportSettings) { s.HandshakeTimeout = testTimeout })
+	var received atomic.Int64
 	for name, cert := range map[string]*tls.Certificate{
 		"another name":      newCertificate(t, test.ca, "other.example.org"),
 		"another authority": newCertificate(t, newAuthority(t), endpointName),
@@ -282,10 +290,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		test.target(wrong.Address())
+		relay, err := udp.Start(wrong.Address(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		relay.SetFault(udp.Fault{Delay: 125 * time.Millisecond})
+		test.target(relay.Address())
 		if res := test.attempt(nil, testTimeout, nil); res.Status != balancer.StatusConnectFailed || res.Unreachable {
 			t.Errorf("%s: got %+v, want status %v and not unreachable", name, res, balancer.StatusConnectFailed)
 		}
+		relay.Close()
 		wrong.Close()
 	}
 	if received.Load() != 0 {
