balancer: in the mesh, a request that must not be repeated may be a trial

What callers saw: a sidecar that failed once to connect to another one's sidecar never sent it bookings again, if the service has non-idempotent routes only; the other endpoints carried the load, and refused what did not fit. Cause: an ejection ends when a trial is served, and only requests that may be repeated were trials. Class: a state that a failure sets and that nothing can clear. TestEndpointWithNonIdempotentRequestsOnlyIsTriedAgain has the old behaviour as its case allowed = false: still ejected 30 s after the endpoint can be reached. Why this works: such a request is the trial if none that may be repeated came in as long as the trial was delayed; a trial that is not sent goes to another endpoint.

--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -182,14 +182,23 @@
 	}
 }
 
-// trialEndpoint returns an ejected endpoint whose trial is due, or nil. Only the first attempt of a request that may be retried is
-// used as a trial.
+// trialEndpoint returns an ejected endpoint whose trial is due, or nil. Only the first attempt of a request is used as a trial, and that
+// of a request that must not be repeated only if the settings allow it.
 func (b *Balancer) trialEndpoint(now time.Duration, req *request) *endpoint {
 	ep, at, ok := b.trials.Peek()
-	if ok && at <= now && req.attempts == 0 && !req.mayHaveRun && req.class.Idempotency != NonIdempotent {
-		return ep
+	if !ok || at > now || req.attempts > 0 || req.mayHaveRun {
+		return nil
 	}
-	return nil
+	if req.class.Idempotency == NonIdempotent && !b.nonIdempotentTrialDue(now, ep) {
+		return nil
+	}
+	return ep
+}
+
+// nonIdempotentTrialDue reports whether a request that must not be repeated may be the trial of an ejected endpoint: no other request has
+// been the trial, although it has been due for as long as it was delayed.
+func (b *Balancer) nonIdempotentTrialDue(now time.Duration, ep *endpoint) bool {
+	return b.settings.NonIdempotentTrials && now >= ep.trialAt+ep.trialBackoff
 }
 
 // isSuspect reports whether an endpoint's oldest attempt in flight is older than the given number of mean latencies, and the
--- a/internal/balancer/outlier_test.go
+++ b/internal/balancer/outlier_test.go
@@ -232,3 +232,75 @@
 		t.Error("a failed trial did not delay the next one")
 	}
 }
+
+// serveNonIdempotent serves requests that must not be repeated for a time, one each 10 ms, and returns the number of attempts at an
+// endpoint. Attempts there end with the given status, and the others are served.
+func serveNonIdempotent(fixture *fixture, duration time.Duration, at EndpointID, status Status) (attempts int) {
+	for end := fixture.now + duration; fixture.now < end; fixture.advance(10 * ms) {
+		id := fixture.request(pay)
+		for len(fixture.sent) > 0 && fixture.last().id == id {
+			call := fixture.last()
+			if call.to != at {
+				fixture.finish(call, StatusOK, 5*ms)
+				break
+			}
+			attempts++
+			fixture.finish(call, status, 5*ms)
+			if status == StatusOK || fixture.last() == call {
+				break
+			}
+		}
+	}
+	return attempts
+}
+
+// An endpoint of a service whose requests must not be repeated was never tried again after an ejection.
+func TestEndpointWithNonIdempotentRequestsOnlyIsTriedAgain(t *testing.T) {
+	for _, allowed := range []bool{false, true} {
+		settings := settings()
+		settings.NonIdempotentTrials = allowed
+		fixture := start(t, settings, 3)
+		fixture.request(pay)
+		lost := fixture.last().to
+		fixture.finish(fixture.last(), StatusConnectFailed, ms)
+		if !fixture.balancer.Ejected(lost) {
+			t.Fatal("the endpoint is not ejected")
+		}
+		fixture.finish(fixture.last(), StatusOK, 5*ms)
+		trials := serveNonIdempotent(fixture, 10*time.Second, lost, StatusConnectFailed)
+		if allowed != (trials > 0) || trials > 8 {
+			t.Errorf("allowed %v: %d trials of an unreachable endpoint in 10 s, want at most 8, and some only if allowed", allowed, trials)
+		}
+		if n := len(fixture.fails) + len(fixture.rejections); n > 0 {
+			t.Errorf("allowed %v: %d requests failed or were rejected for the trials", allowed, n)
+		}
+		serveNonIdempotent(fixture, 30*time.Second, lost, StatusOK)
+		if fixture.balancer.Ejected(lost) == allowed {
+			t.Errorf("allowed %v: ejected %v, 30 s after the endpoint was reachable again", allowed, fixture.balancer.Ejected(lost))
+		}
+	}
+}
+
+// If other requests come, they are the trials.
+func TestRequestsThatMayBeRepeatedAreTrialsFirst(t *testing.T) {
+	settings := settings()
+	settings.NonIdempotentTrials = true
+	fixture := start(t, settings, 3)
+	fixture.request(pay)
+	lost := fixture.last().to
+	fixture.finish(fixture.last(), StatusConnectFailed, ms)
+	fixture.finish(fixture.last(), StatusOK, 5*ms)
+	for range 500 {
+		for _, class := range []int{pay, read} {
+			fixture.request(class)
+			if call := fixture.last(); call.to == lost {
+				if class == pay {
+					t.Fatal("a request that must not be repeated was the trial")
+				}
+				fixture.finish(call, StatusConnectFailed, 5*ms)
+			}
+			fixture.finish(fixture.last(), StatusOK, 5*ms)
+		}
+		fixture.advance(10 * ms)
+	}
+}
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -82,6 +82,10 @@
 	PropagatesDeadline bool
 	ClientsMarkRetries bool // clients mark their retries (Request.Retry)
 
+	// NonIdempotentTrials allows a NonIdempotent request as the trial of an ejected endpoint, if no other request has been the trial for as
+	// long as the trial was delayed. Without it, an endpoint that gets no other requests stays ejected until a list shows its restart.
+	NonIdempotentTrials bool
+
 	// Slow start: the share of its capacity that an endpoint begins with, and the time until it has its full capacity.
 	SlowStartMinShare float64
 	SlowStartWindow   time.Duration
