Tests: requests that need two endpoints wait until the sidecar knows both

TestSignalsDuringShutdownLoseNoRequest (KNOWN-RED) sends four requests at once, of which one endpoint takes three or four; if its sidecar sent all to one of two endpoints, one or two were rejected before they ran, and the count was never reached.

--- a/internal/mesh/assembly/inflight_test.go
+++ b/internal/mesh/assembly/inflight_test.go
@@ -29,12 +29,7 @@
 		}
 		return runs, abandoned
 	}
-	// A single endpoint can't run all of the requests at once, so that the clients' sidecar must know both endpoints. Sequential requests may
-	// all go to the endpoint that answers faster; of concurrent ones some go to the other endpoint.
-	mesh.waitFor("both endpoints have run a request", func() bool {
-		mesh.sendAtOnce(2*clients, "access-0", "/read/x")
-		return len(mesh.applications["access-2"].Executions()) > 0 && len(mesh.applications["access-3"].Executions()) > 0
-	})
+	mesh.waitServedByAll("access-0", "/read/x", endpoints...)
 	for _, name := range endpoints {
 		defer mesh.applications[name].Hold()()
 	}
--- a/internal/mesh/assembly/signals_test.go
+++ b/internal/mesh/assembly/signals_test.go
@@ -59,7 +59,7 @@
 func TestSignalsDuringShutdownLoseNoRequest(t *testing.T) {
 	mesh := newMesh(t, 5)
 	mesh.waitFirstConfiguration(longRoute, "k1")
-	mesh.waitServed("access-2", "/book/x")
+	mesh.waitServedByAll("access-2", "/book/x", "access-0", "access-1")
 	releases := []func(){mesh.applications["access-0"].Hold(), mesh.applications["access-1"].Hold()}
 	before := len(mesh.applications["access-0"].Executions()) + len(mesh.applications["access-1"].Executions())
 	answers := make(chan clientExchange, 4)
--- a/internal/mesh/assembly/testmesh_test.go
+++ b/internal/mesh/assembly/testmesh_test.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// endpointSlots is the number of requests that an endpoint of a testMesh runs at once.
+const endpointSlots = 4
+
 // coreZones are the zones of the control-plane machines core-a, core-b and core-c.
 var coreZones = []string{"a", "b", "c"}
 
@@ -120,7 +123,7 @@
 		Service:           machine.service,
 		Zone:              machine.zone,
 		Address:           machine.ip + ":8103",
-		Slots:             4,
+		Slots:             endpointSlots,
 		Outbound:          machine.ip + ":8106",
 		Control:           []string{machine.ip + ":8105", t.subnet + ".1:8105", t.subnet + ".2:8105"},
 		HeartbeatInterval: 150 * time.Millisecond,
@@ -283,6 +286,22 @@
 	}
 }
 
+// waitServedByAll waits until each of some endpoints has run a request of a sidecar, for which a single endpoint has no room: sequential
+// requests may all go to the endpoint that answers faster. Until the sidecar knows all endpoints, it rejects requests that do not fit into
+// the others.
+func (t *testMesh) waitServedByAll(name, path string, endpoints ...string) {
+	t.Helper()
+	t.waitFor(name+" is served "+path+" by all endpoints", func() bool {
+		t.sendAtOnce(2*endpointSlots, name, path)
+		for _, endpoint := range endpoints {
+			if len(t.applications[endpoint].Executions()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // configuration returns a configuration with an idempotent route /read/ to the service board, and a non-idempotent route /book/ to the
 // service desk. extra is the JSON of additional routes, which begins with a comma; keys are the access keys of the tenant.
 func (t *testMesh) configuration(version int, extra string, keys ...string) []byte {
