--- a/internal/mesh/dataplane/outbound/service_balancer.go
+++ b/internal/mesh/dataplane/outbound/service_balancer.go
@@ -64,8 +64,6 @@
 		SlowStartWindow:   slowStartWindow,
 		OverloadMultiple:  overloadMultiple,
 		OverloadDuration:  overloadDuration,
-
-		NonIdempotentTrials: true, // a service may have no other requests, and no health checks are made
 		Classes: []balancer.Class{{
 			Name:           "any",
 			LatencyTarget:  defaultTarget,
